--- /dev/null
+++ b/cli/main.c
@@ -0,0 +1,8 @@
+#include <stdio.h>
+
+int
+main(void)
+{
+	puts("chervilhold");
+	return 0;
+}
--- /dev/null
+++ b/policy/cells.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/err.h"
+#include "rpc/protocol.h"
+
+#define CELLS_MAX_ACCELERATORS 32 /* of one worker; bits of a mask */
+
+/*
+ * The accelerators of one failure domain as a tree of cells, with what each
+ * workspace was guaranteed and what runs.  Pure: no sockets, no clock.
+ */
+typedef struct cells_t cells_t;
+
+/* A guaranteed shape of a workspace: count times members x accelerators. */
+typedef struct {
+	const char *workspace;
+	int count;
+	int members;
+	int accelerators;
+	adjacency_t adjacency;
+} cells_guarantee_t;
+
+/* What a job asks for. */
+typedef struct {
+	const char *job;
+	const char *workspace;
+	int members;
+	int accelerators;
+	adjacency_t adjacency;
+} cells_shape_t;
+
+typedef struct {
+	char worker[NAME_MAX_LEN + 1];
+	uint32_t accelerator_mask;
+} cells_place_t;
+
+cells_t *cells_create(void);
+void cells_destroy(cells_t *cells);
+int cells_add_worker(cells_t *cells, const char *worker, const char *rack,
+    int accelerators, int slots);
+int cells_remove_worker(cells_t *cells, const char *worker);
+int cells_set_usable(cells_t *cells, const char *worker, bool usable);
+int cells_set_guarantees(cells_t *cells, const cells_guarantee_t *guarantees,
+    size_t count, err_t *err);
+/*
+ * Finds places for a shape, guaranteed (out of the workspace's guarantee) or
+ * opportunistic.  Fills places[members].  For a guaranteed shape the jobs to
+ * reclaim are returned through victim.  -ENOSPC: no place now.  -E2BIG: never.
+ * -EDQUOT: the workspace's guarantee is used up.
+ */
+int cells_find(const cells_t *cells, const cells_shape_t *shape,
+    bool guaranteed, cells_place_t *places,
+    void (*victim)(void *ctx, const char *job), void *ctx, err_t *why);
+int cells_take(cells_t *cells, const cells_shape_t *shape, bool guaranteed,
+    const cells_place_t *places);
+int cells_release(cells_t *cells, const char *job);
+/* Verifies that every guarantee can be reclaimed; -ENOSPC names who is at risk.
+ */
+int cells_check(const cells_t *cells, err_t *err);
+int cells_free_accelerators(const cells_t *cells);
+int cells_largest_free(const cells_t *cells, adjacency_t adjacency);
--- /dev/null
+++ b/rpc/protocol.x
@@ -0,0 +1,394 @@
+/*
+ * Messages between instances, as ONC RPC version 2 (RFC 5531) over TCP, and
+ * the commands of the replicated log, which use the same XDR encoding.
+ */
+
+const PROTOCOL_VERSION_MIN = 1;
+const PROTOCOL_VERSION_MAX = 1;
+const NAME_MAX_LEN = 128;
+const TEXT_MAX_LEN = 4096;
+const BODY_MAX_LEN = 4194304;
+const MAX_MEMBERS = 64;
+const MAX_BATCH = 4096;
+
+typedef string name_t<NAME_MAX_LEN>;
+typedef string text_t<TEXT_MAX_LEN>;
+typedef opaque body_t<BODY_MAX_LEN>;
+
+/* ---- replicated log ---- */
+
+enum command_kind_t {
+	COMMAND_NOOP = 0,
+	COMMAND_PATCH = 1,
+	COMMAND_CLAIM = 2,
+	COMMAND_CLAIM_END = 3,
+	COMMAND_WORKER_ADD = 4,
+	COMMAND_WORKER_LEAVE = 5,
+	COMMAND_WORKER_OWNER = 6,
+	COMMAND_WORKER_REMOVE = 7,
+	COMMAND_PLACER = 8,
+	COMMAND_JOB_SUBMIT = 9,
+	COMMAND_JOB_START = 10,
+	COMMAND_JOB_GO = 11,
+	COMMAND_JOB_END = 12,
+	COMMAND_JOB_CANCEL = 13,
+	COMMAND_INSTANCE = 14,
+	COMMAND_REPLACE = 15
+};
+
+/* RFC 7396 merge patch against version base. */
+struct patch_command_t {
+	name_t id;
+	unsigned hyper base;
+	name_t author;
+	hyper time_ms;
+	body_t patch;
+};
+
+/* Made before a request that may not be repeated is dispatched. */
+struct claim_command_t {
+	name_t tenant;
+	name_t key;
+	unsigned hyper digest;
+	name_t task;
+	name_t worker;
+	name_t instance;
+	hyper time_ms;
+};
+
+enum claim_state_t {
+	CLAIM_OPEN = 0,
+	CLAIM_DONE = 1,
+	CLAIM_DID_NOT_RUN = 2
+};
+
+/* Ends the claim made under this task id; ignored for any other task id. */
+struct claim_end_command_t {
+	name_t tenant;
+	name_t key;
+	name_t task;
+	claim_state_t state;
+	int http_status;
+	body_t answer;
+	bool answer_dropped;
+	hyper time_ms;
+};
+
+struct worker_command_t {
+	name_t id;
+	name_t address;
+	int port;
+	name_t domain;
+	name_t rack;
+	int slots;
+	int connections;
+	int accelerators;
+	unsigned hyper generation;
+	name_t owner;
+	hyper time_ms;
+};
+
+struct worker_owner_command_t {
+	name_t id;
+	name_t owner;
+	unsigned hyper expected_fence;
+};
+
+struct placer_command_t {
+	name_t domain;
+	name_t instance;
+	unsigned hyper expected_epoch;
+};
+
+enum job_priority_t {
+	PRIORITY_OPPORTUNISTIC = 0,
+	PRIORITY_GUARANTEED = 1,
+	PRIORITY_URGENT = 2
+};
+
+enum adjacency_t {
+	ADJACENT_ANY = 0,
+	ADJACENT_DOMAIN = 1,
+	ADJACENT_RACK = 2,
+	ADJACENT_WORKER = 3
+};
+
+struct job_command_t {
+	name_t id;
+	name_t tenant;
+	name_t workspace;
+	name_t key;
+	unsigned hyper digest;
+	name_t domain;
+	int members;
+	int accelerators;
+	adjacency_t adjacency;
+	job_priority_t priority;
+	hyper declared_ms;
+	hyper deadline_ms;
+	hyper time_ms;
+	body_t body;
+};
+
+struct job_member_t {
+	name_t worker;
+	unsigned int accelerator_mask;
+	name_t task;
+	unsigned hyper fence;
+};
+
+struct job_start_command_t {
+	name_t job;
+	unsigned int attempt;
+	name_t domain;
+	unsigned hyper epoch;
+	bool guaranteed;
+	job_member_t members<MAX_MEMBERS>;
+	hyper time_ms;
+};
+
+struct job_go_command_t {
+	name_t job;
+	unsigned int attempt;
+	unsigned hyper epoch;
+	hyper time_ms;
+};
+
+enum job_end_t {
+	JOB_END_DONE = 0,
+	JOB_END_FAILED = 1,
+	JOB_END_ABORTED = 2,
+	JOB_END_LOST = 3,
+	JOB_END_RECLAIMED = 4,
+	JOB_END_REFUSED = 5,
+	JOB_END_STOPPED = 6
+};
+
+struct job_end_command_t {
+	name_t job;
+	unsigned int attempt;
+	unsigned hyper epoch;
+	job_end_t end;
+	text_t reason;
+	body_t result;
+	hyper time_ms;
+};
+
+struct job_cancel_command_t {
+	name_t job;
+	name_t tenant;
+	hyper time_ms;
+};
+
+/* What the leader sees of an instance; incarnation changes at each start. */
+struct instance_command_t {
+	name_t id;
+	bool alive;
+	bool draining;
+	unsigned hyper incarnation;
+	hyper time_ms;
+};
+
+union command_t switch (command_kind_t kind) {
+case COMMAND_NOOP:
+	void;
+case COMMAND_PATCH:
+	patch_command_t patch;
+case COMMAND_CLAIM:
+	claim_command_t claim;
+case COMMAND_CLAIM_END:
+	claim_end_command_t claim_end;
+case COMMAND_WORKER_ADD:
+	worker_command_t worker;
+case COMMAND_WORKER_LEAVE:
+	name_t worker_leave;
+case COMMAND_WORKER_OWNER:
+	worker_owner_command_t worker_owner;
+case COMMAND_WORKER_REMOVE:
+	worker_owner_command_t worker_remove;
+case COMMAND_PLACER:
+	placer_command_t placer;
+case COMMAND_JOB_SUBMIT:
+	job_command_t job;
+case COMMAND_JOB_START:
+	job_start_command_t job_start;
+case COMMAND_JOB_GO:
+	job_go_command_t job_go;
+case COMMAND_JOB_END:
+	job_end_command_t job_end;
+case COMMAND_JOB_CANCEL:
+	job_cancel_command_t job_cancel;
+case COMMAND_INSTANCE:
+	instance_command_t instance;
+case COMMAND_REPLACE:
+	name_t replace;
+};
+
+/* Outcome of a command; code is 0 or a negative errno value. */
+struct command_result_t {
+	int code;
+	unsigned hyper index;
+	unsigned hyper config_version;
+	body_t data;
+	text_t text;
+};
+
+/* ---- raft ---- */
+
+enum raft_kind_t {
+	RAFT_PREVOTE = 0,
+	RAFT_PREVOTE_REPLY = 1,
+	RAFT_VOTE = 2,
+	RAFT_VOTE_REPLY = 3,
+	RAFT_APPEND = 4,
+	RAFT_APPEND_REPLY = 5,
+	RAFT_SNAPSHOT = 6,
+	RAFT_SNAPSHOT_REPLY = 7
+};
+
+enum entry_kind_t {
+	ENTRY_COMMAND = 0,
+	ENTRY_MEMBERS = 1
+};
+
+struct raft_entry_t {
+	unsigned hyper index;
+	unsigned hyper term;
+	entry_kind_t kind;
+	body_t data;
+};
+
+enum member_role_t {
+	MEMBER_LEARNER = 0,
+	MEMBER_VOTER = 1
+};
+
+/* disk_id names the data folder; a new folder has a new one. */
+struct raft_member_t {
+	name_t id;
+	member_role_t role;
+	unsigned hyper disk_id;
+};
+
+struct raft_members_t {
+	raft_member_t members<MAX_MEMBERS>;
+};
+
+struct raft_message_t {
+	raft_kind_t kind;
+	name_t from;
+	name_t to;
+	unsigned hyper term;
+	unsigned hyper disk_id;
+	unsigned hyper index;
+	unsigned hyper log_term;
+	unsigned hyper commit;
+	unsigned hyper round;
+	bool success;
+	unsigned hyper offset;
+	bool last_chunk;
+	raft_entry_t entries<MAX_BATCH>;
+	body_t data;
+	raft_members_t members;
+};
+
+/* ---- procedures ---- */
+
+struct hello_args_t {
+	name_t instance;
+	name_t domain;
+	unsigned int version_min;
+	unsigned int version_max;
+	unsigned hyper incarnation;
+};
+
+struct hello_result_t {
+	int code;
+	unsigned int protocol_version;
+	name_t instance;
+	unsigned hyper incarnation;
+};
+
+struct propose_args_t {
+	body_t command;
+	int deadline_ms;
+};
+
+/* leader is set when code is -EAGAIN because another instance leads. */
+struct propose_result_t {
+	int code;
+	name_t leader;
+	command_result_t result;
+};
+
+/* A caller's request passed on to the owner of a free slot. */
+struct forward_args_t {
+	name_t task;
+	name_t tenant;
+	name_t workspace;
+	name_t key;
+	bool repeatable;
+	hyper declared_ms;
+	int deadline_ms;
+	int hops;
+	unsigned hyper config_version;
+	body_t body;
+};
+
+enum outcome_t {
+	OUTCOME_DONE = 0,
+	OUTCOME_DID_NOT_RUN = 1,
+	OUTCOME_UNKNOWN = 2,
+	OUTCOME_RUNNING = 3
+};
+
+struct forward_result_t {
+	outcome_t outcome;
+	int http_status;
+	name_t worker;
+	text_t reason;
+	int retry_after_ms;
+	body_t answer;
+};
+
+/* Asks the instance that made a claim what became of the task. */
+struct ask_args_t {
+	name_t task;
+	int wait_ms;
+};
+
+struct seen_item_t {
+	name_t worker;
+	unsigned hyper generation;
+	int running;
+	int age_ms;
+	bool leaving;
+	body_t usage;
+};
+
+struct seen_args_t {
+	seen_item_t items<MAX_BATCH>;
+};
+
+/* Free slots by lane of the sender, for choosing where to forward. */
+struct share_args_t {
+	name_t instance;
+	name_t domain;
+	int short_free;
+	int batch_free;
+	int queued;
+	bool draining;
+};
+
+program CHERVILHOLD_PROGRAM {
+	version CHERVILHOLD_V1 {
+		hello_result_t RPC_HELLO(hello_args_t) = 1;
+		void RPC_PING(void) = 2;
+		void RPC_RAFT(raft_message_t) = 3;
+		propose_result_t RPC_PROPOSE(propose_args_t) = 4;
+		forward_result_t RPC_FORWARD(forward_args_t) = 5;
+		forward_result_t RPC_ASK(ask_args_t) = 6;
+		void RPC_SEEN(seen_args_t) = 7;
+		void RPC_SHARE(share_args_t) = 8;
+	} = 1;
+} = 0x20cc0001;
--- /dev/null
+++ b/state/config.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <jansson.h>
+
+#include "common/err.h"
+
+/*
+ * The configuration document:
+ *
+ * { "claim_window_ms": 86400000,
+ *   "hardware": { "<domain>": { "racks": 2, "workers_per_rack": 6,
+ *                               "accelerators_per_worker": 8 } },
+ *   "tenants": { "<tenant>": { "weight": 1, "rate_per_s": 100, "burst": 200,
+ *                              "queue": 500, "quota_accelerators": 64 } },
+ *   "workspaces": { "<workspace>": { "tenant": "<tenant>",
+ *       "guarantees": [ { "domain": "d1", "count": 1, "members": 2,
+ *                         "accelerators": 8, "adjacency": "rack" } ] } },
+ *   "objectives": { "<name>": { "target": 0.99, "threshold_ms": 500 } } }
+ *
+ * adjacency is "any", "domain", "rack" or "worker" (see adjacency_t).
+ */
+json_t *config_default(void);
+/*
+ * Returns the document after the merge patch (RFC 7396), NULL with err->text
+ * "PATH: expected WHAT" when the patch or its outcome is not valid.
+ */
+json_t *config_patch(const json_t *config, const json_t *patch, err_t *err);
+int config_check(const json_t *config, err_t *err);
+/* Whether every guarantee can be honoured at once on the declared hardware. */
+int config_check_guarantees(const json_t *config, err_t *err);
--- /dev/null
+++ b/state/machine.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/str.h"
+#include "rpc/protocol.h"
+
+/*
+ * The replicated state machine: deterministic, no I/O, no clock of its own (its
+ * time is the highest time_ms seen in a command).
+ */
+typedef struct machine_t machine_t;
+
+typedef struct {
+	char *id;
+	char *address;
+	int port;
+	char *domain;
+	char *rack;
+	int slots;
+	int connections;
+	int accelerators;
+	uint64_t generation; /* changes when the backend server restarts */
+	uint64_t fence;
+	char *owner;
+	bool leaving;
+} machine_worker_t;
+
+typedef struct {
+	char *tenant;
+	char *key;
+	char *task;
+	char *worker;
+	char *instance;
+	uint64_t digest;
+	claim_state_t state;
+	int http_status;
+	bool answer_dropped; /* longer than is kept */
+	char *answer;
+	size_t answer_len;
+	int64_t time_ms;
+} machine_claim_t;
+
+typedef struct {
+	char *worker;
+	char *task;
+	uint64_t fence;
+	uint32_t accelerator_mask;
+} machine_member_t;
+
+typedef struct {
+	char *id;
+	char *tenant;
+	char *workspace;
+	char *domain;
+	char *key;
+	uint64_t digest;
+	int member_count;
+	int accelerators; /* of each member */
+	adjacency_t adjacency;
+	job_priority_t priority;
+	int64_t declared_ms;
+	int64_t deadline_ms; /* unix time, 0 for none */
+	int64_t submitted_ms;
+	int64_t started_ms;
+	int64_t ended_ms;
+	int state; /* of charts/job.chart */
+	uint32_t attempt;
+	uint64_t epoch;
+	bool guaranteed;           /* the present attempt uses the guarantee */
+	machine_member_t *members; /* of the present attempt */
+	size_t placed_count;
+	char *reason;
+	uint64_t config_version; /* under which the attempt was decided */
+	char *body;
+	size_t body_len;
+	char *result;
+	size_t result_len;
+	uint64_t sequence; /* order of submission */
+} machine_job_t;
+
+typedef struct {
+	char *id;
+	bool alive;
+	bool draining;
+	uint64_t incarnation;
+} machine_instance_t;
+
+typedef struct {
+	char *domain;
+	char *instance;
+	uint64_t epoch;
+} machine_placer_t;
+
+/* One accepted configuration. */
+typedef struct {
+	uint64_t number;
+	char *patch_id;
+	char *author;
+	int64_t time_ms;
+	char *patch; /* JSON text of the merge patch */
+} machine_version_t;
+
+machine_t *machine_create(void);
+void machine_destroy(machine_t *machine);
+void machine_apply(machine_t *machine, uint64_t index, command_t *command,
+    command_result_t *result);
+void machine_result_free(command_result_t *result);
+int machine_save(const machine_t *machine, GByteArray *out);
+int machine_load(machine_t *machine, str_t bytes);
+
+uint64_t machine_config_version(const machine_t *machine);
+const json_t *machine_config(const machine_t *machine);
+int64_t machine_time_ms(const machine_t *machine);
+uint64_t machine_index(const machine_t *machine);
+
+const machine_worker_t *machine_worker(
+    const machine_t *machine, const char *id);
+const machine_claim_t *machine_claim(
+    const machine_t *machine, const char *tenant, const char *key);
+const machine_job_t *machine_job(const machine_t *machine, const char *id);
+const machine_job_t *machine_job_by_key(
+    const machine_t *machine, const char *tenant, const char *key);
+const machine_instance_t *machine_instance(
+    const machine_t *machine, const char *id);
+const machine_placer_t *machine_placer(
+    const machine_t *machine, const char *domain);
+
+/* Visits in a fixed order; the visitor returns false to stop. */
+void machine_each_worker(const machine_t *machine,
+    bool (*visit)(void *ctx, const machine_worker_t *worker), void *ctx);
+void machine_each_job(const machine_t *machine,
+    bool (*visit)(void *ctx, const machine_job_t *job), void *ctx);
+void machine_each_claim(const machine_t *machine,
+    bool (*visit)(void *ctx, const machine_claim_t *claim), void *ctx);
+void machine_each_instance(const machine_t *machine,
+    bool (*visit)(void *ctx, const machine_instance_t *instance), void *ctx);
+void machine_each_version(const machine_t *machine, uint64_t from,
+    bool (*visit)(void *ctx, const machine_version_t *version), void *ctx);
+size_t machine_claim_count(const machine_t *machine);
--- /dev/null
+++ b/state/replica.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <ev.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/err.h"
+#include "common/settings.h"
+#include "rpc/endpoint.h"
+#include "state/machine.h"
+#include "state/raft.h"
+
+/*
+ * The task that joins raft, the storage thread, the state machine and the RPC
+ * endpoint.  Every instance has one; without the replica role it is a learner.
+ */
+typedef struct replica_t replica_t;
+
+/*
+ * Ends a proposal.  err->code 0: committed and applied, result is valid until
+ * the function returns.  -ENOTCONN, -EROFS and -ENOSPC: certainly not proposed.
+ * -ETIMEDOUT: it may still be applied.
+ */
+typedef void replica_done_t(
+    void *ctx, const err_t *err, const command_result_t *result);
+
+/* Called after each applied command, on every instance, in log order. */
+typedef void replica_applied_t(void *ctx, uint64_t index,
+    const command_t *command, const command_result_t *result);
+
+replica_t *replica_create(struct ev_loop *loop, const settings_t *settings,
+    endpoint_t *endpoint, uint64_t incarnation, err_t *err);
+void replica_destroy(replica_t *replica);
+void replica_set_applied(
+    replica_t *replica, replica_applied_t *applied, void *ctx);
+void replica_serve_raft(replica_t *replica, raft_message_t *message);
+void replica_serve_propose(
+    replica_t *replica, propose_args_t *args, endpoint_request_t *request);
+void replica_propose(replica_t *replica, const command_t *command,
+    int64_t deadline_ms, replica_done_t *done, void *ctx);
+/* A read that is current at a moment after the call; result is NULL. */
+void replica_read_barrier(
+    replica_t *replica, int64_t deadline_ms, replica_done_t *done, void *ctx);
+const machine_t *replica_machine(const replica_t *replica);
+bool replica_is_leader(const replica_t *replica);
+const char *replica_leader(const replica_t *replica);
+/* Whether the applied state was confirmed by a leader within 2 s. */
+bool replica_is_confirmed(const replica_t *replica);
+/* Whether the state was ever confirmed since this process started. */
+bool replica_was_confirmed(const replica_t *replica);
+/* The raft participant, for status reports. */
+const raft_t *replica_raft(const replica_t *replica);
