--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 
 CC ?= gcc
 BUILD ?= build
+# V=1 shows the commands.
+Q = $(if $(V),,@)
 PKGS = libmicrohttpd libcurl glib-2.0 jansson libtirpc libxxhash
 CFLAGS ?= -O2 -g
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
@@ -39,37 +41,37 @@
 
 $(LIB): $(LIB_OBJ)
 	@rm -f $@
-	$(AR) rcs $@ $^
+	$(Q)$(AR) rcs $@ $^
 
 # rpcgen's output declares loop variables that it does not always use.
 $(BUILD)/rpc/protocol_xdr.o: rpc/protocol_xdr.c
 	@mkdir -p $(@D)
-	$(CC) $(ALL_CFLAGS) -Wno-unused-variable -MMD -MP -c -o $@ $<
+	$(Q)$(CC) $(ALL_CFLAGS) -Wno-unused-variable -MMD -MP -c -o $@ $<
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(ALL_CFLAGS) -MMD -MP -c -o $@ $<
+	$(Q)$(CC) $(ALL_CFLAGS) -MMD -MP -c -o $@ $<
 
 $(BUILD)/chervilholdd: $(patsubst %.c,$(BUILD)/%.o,$(wildcard daemon/*.c)) $(LIB)
-	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
+	$(Q)$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
 $(BUILD)/chervilhold: $(patsubst %.c,$(BUILD)/%.o,$(wildcard cli/*.c)) $(LIB)
-	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
+	$(Q)$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
 $(BUILD)/standin-%: $(BUILD)/tests/standin/%_main.o $(STANDIN_LIB_OBJ) $(LIB)
-	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
+	$(Q)$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
 $(BUILD)/unit/%: $(BUILD)/tests/unit/%.o $(UNIT_LIB_OBJ) $(LIB)
 	@mkdir -p $(@D)
-	$(CC) $(ALL_CFLAGS) -o $@ $^ $(shell pkg-config --libs check) $(LIBS)
+	$(Q)$(CC) $(ALL_CFLAGS) -o $@ $^ $(shell pkg-config --libs check) $(LIBS)
 
 $(BUILD)/bench/%: $(BUILD)/bench/%.o $(LIB)
 	@mkdir -p $(@D)
-	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
+	$(Q)$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
 $(BUILD)/fuzz/%: $(BUILD)/tests/fuzz/%.o $(BUILD)/tests/fuzz/driver.o $(LIB)
 	@mkdir -p $(@D)
-	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
+	$(Q)$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
 # Regenerates the committed XDR code; needs rpcsvc-proto.
 generate:
