tests: add the functions of scripted runs and a ledger check

Runs get a 127.x.y network of their own and ports chosen by the kernel, so that several can go side by side. The ledger check compares what every caller was told with what every backend server really ran.

--- /dev/null
+++ b/tests/lib.sh
@@ -0,0 +1,329 @@
+# Functions for scripted runs.  A script sources this file, which makes a
+# scratch folder and removes it and every process the script started at exit.
+# shellcheck shell=sh
+set -u
+BUILD=${CHERVILHOLD_BUILD:-build}
+case $BUILD in /*) ;; *) BUILD=$PWD/$BUILD ;; esac
+WORK=$(mktemp -d)
+# Every run has a network of its own in 127.0.0.0/8, so that runs side by side
+# do not meet.
+NET=127.$(($$ % 200 + 20)).$(($$ / 200 % 250))
+BALANCER=$NET.200
+RELAY=$NET.201
+WORKER_ADDRESS=$NET.100
+PIDS=""
+INSTANCES=""
+
+cleanup() {
+	# shellcheck disable=SC2086
+	for pid in $PIDS; do
+		kill -CONT "$pid" 2>/dev/null
+		kill -KILL "$pid" 2>/dev/null
+	done
+	wait 2>/dev/null
+	if [ -n "${KEEP_WORK:-}" ]; then
+		echo "kept $WORK" >&2
+	else
+		rm -rf "$WORK"
+	fi
+}
+trap cleanup EXIT
+trap 'exit 130' INT TERM
+
+# fail TEXT: ends the script as failed and shows the daemons' logs.
+fail() {
+	echo "FAILED: $*"
+	for log in "$WORK"/*.log; do
+		[ -f "$log" ] || continue
+		echo "--- $(basename "$log")"
+		tail -n 12 "$log"
+	done
+	exit 1
+}
+
+# note TEXT: one line of the run's expected output.
+note() {
+	echo "$*"
+}
+
+# wait_for SECONDS TEXT COMMAND...: waits until the command succeeds.
+wait_for() {
+	limit=$(($1 * 20))
+	what=$2
+	shift 2
+	while ! "$@" >/dev/null 2>&1; do
+		limit=$((limit - 1))
+		[ "$limit" -gt 0 ] || fail "timed out: $what"
+		sleep 0.05
+	done
+}
+
+# field NAME ID: prints a property of an instance.
+field() {
+	eval "printf '%s' \"\$${1}_$2\""
+}
+
+# define_instance ID DOMAIN LAST_OCTET REPLICA(true|false)
+define_instance() {
+	# shellcheck disable=SC2046
+	set -- "$1" "$2" "$3" "$4" $("$BUILD/standin-ports" "$NET.$3" 3)
+	INSTANCES="$INSTANCES $1"
+	eval "domain_$1=$2 address_$1=$NET.$3 replica_$1=$4"
+	eval "rpc_$1=$5 http_$1=$6 operator_$1=$7"
+}
+
+# define_today: seven instances in four failure domains, three replicas.
+define_today() {
+	define_instance i1 d1 1 true
+	define_instance i2 d1 2 false
+	define_instance i3 d2 3 true
+	define_instance i4 d2 4 false
+	define_instance i5 d3 5 true
+	define_instance i6 d3 6 false
+	define_instance i7 d4 7 false
+}
+
+# start_relay: every RPC connection goes through a relay from now on; rules are
+# set with cut, silence and heal.
+start_relay() {
+	: >"$WORK/rules"
+	links=""
+	for from in $INSTANCES; do
+		# shellcheck disable=SC2046,SC2086
+		set -- $("$BUILD/standin-ports" "$RELAY" \
+		    $(echo $INSTANCES | wc -w))
+		for to in $INSTANCES; do
+			eval "relay_${from}_${to}=$1"
+			links="$links --link $RELAY:$1=$(field address "$to"):$(
+			    field rpc "$to"),$from,$to"
+			shift
+		done
+	done
+	# shellcheck disable=SC2086
+	"$BUILD/standin-relay" $links --control "$WORK/rules" \
+	    >"$WORK/relay.log" 2>&1 &
+	PIDS="$PIDS $!"
+	USE_RELAY=1
+}
+
+# rule LINE...: adds rules in force at once.
+rule() {
+	for line in "$@"; do
+		echo "$line" >>"$WORK/rules"
+	done
+	sleep 0.1 # the relay reads its rules every 20 ms
+}
+
+# cut A B: nothing passes between two instances, either way.
+cut() {
+	rule "cut $1 $2" "cut $2 $1"
+}
+
+# heal: takes every rule back.
+heal() {
+	: >"$WORK/rules"
+	sleep 0.1
+}
+
+# write_settings ID: writes WORK/ID.json.
+write_settings() {
+	roles='"entry", "placer"'
+	folder=""
+	if [ "$(field replica "$1")" = true ]; then
+		roles="$roles, \"replica\""
+		folder="$WORK/data-$1"
+	fi
+	{
+		printf '{"instance": "%s", "address": "%s",\n' "$1" \
+		    "$(field address "$1")"
+		printf '"failure_domain": "%s", "roles": [%s],\n' \
+		    "$(field domain "$1")" "$roles"
+		printf '"data_folder": "%s",\n' "$folder"
+		printf '"rpc_port": %s, "http_port": %s, "operator_port": %s,\n' \
+		    "$(field rpc "$1")" "$(field http "$1")" \
+		    "$(field operator "$1")"
+		[ -z "${BALANCER_ADMIN:-}" ] ||
+		    printf '"balancer_url": "http://%s:%s",\n' "$BALANCER" \
+			"$BALANCER_ADMIN"
+		printf '%s\n"peers": [\n' "${EXTRA_SETTINGS:-}"
+		comma=""
+		for peer in $INSTANCES; do
+			address=$(field address "$peer")
+			port=$(field rpc "$peer")
+			if [ -n "${USE_RELAY:-}" ] && [ "$peer" != "$1" ]; then
+				address=$RELAY
+				port=$(field "relay_$1" "$peer")
+			fi
+			printf '%s{"id": "%s", "address": "%s", ' "$comma" \
+			    "$peer" "$address"
+			printf '"failure_domain": "%s", "replica": %s, ' \
+			    "$(field domain "$peer")" "$(field replica "$peer")"
+			printf '"rpc_port": %s, "http_port": %s, "operator_port": %s}' \
+			    "$port" "$(field http "$peer")" \
+			    "$(field operator "$peer")"
+			comma=",
+"
+		done
+		printf ']}\n'
+	} >"$WORK/$1.json"
+}
+
+# start ID...: starts instances.
+start() {
+	for id in "$@"; do
+		write_settings "$id"
+		"$BUILD/chervilholdd" "$WORK/$id.json" >>"$WORK/$id.log" 2>&1 &
+		eval "pid_$id=$!"
+		PIDS="$PIDS $!"
+	done
+}
+
+# signal_instance SIGNAL ID...
+signal_instance() {
+	signal=$1
+	shift
+	for id in "$@"; do
+		kill "-$signal" "$(field pid "$id")"
+	done
+}
+
+# await_exit ID: waits for an instance and returns its exit status.
+await_exit() {
+	wait "$(field pid "$1")" 2>/dev/null
+}
+
+# kill_instance ID...: kill -9 and wait.
+kill_instance() {
+	signal_instance KILL "$@"
+	for id in "$@"; do
+		await_exit "$id"
+	done
+}
+
+# start_balancer: one balancer in front of every instance.
+start_balancer() {
+	# shellcheck disable=SC2046
+	set -- $("$BUILD/standin-ports" "$BALANCER" 2)
+	BALANCER_PORT=$1
+	BALANCER_ADMIN=$2
+	targets=""
+	for id in $INSTANCES; do
+		targets="$targets --target $(field address "$id"):$(
+		    field http "$id")"
+	done
+	# shellcheck disable=SC2086
+	"$BUILD/standin-balancer" --listen "$BALANCER:$1" \
+	    --admin "$BALANCER:$2" $targets >"$WORK/balancer.log" 2>&1 &
+	PIDS="$PIDS $!"
+	URL=http://$BALANCER:$BALANCER_PORT
+}
+
+# start_workers NAME DOMAIN COUNT [OPTION...]: one process of backend servers.
+start_workers() {
+	name=$1
+	domain=$2
+	count=$3
+	shift 3
+	"$BUILD/standin-worker" --balancer "$URL" --address "$WORKER_ADDRESS" \
+	    --id "$name" --domain "$domain" --rack "$domain-r" --per-rack 6 \
+	    --count "$count" --ledger "$WORK/ran.ledger" "$@" \
+	    >"$WORK/worker-$name.ports" 2>"$WORK/worker-$name.log" &
+	eval "pid_$name=$!"
+	PIDS="$PIDS $!"
+}
+
+# call [OPTION...]: runs the stand-in caller through the balancer and keeps its
+# summary in WORK/summary.
+call() {
+	"$BUILD/standin-caller" --url "$URL" --ledger "$WORK/answers.ledger" \
+	    "$@" >"$WORK/summary" 2>>"$WORK/caller.log"
+}
+
+# summary NAME: a figure of the last call.
+summary() {
+	awk -v name="$1" '$1 == name { print $2 }' "$WORK/summary"
+}
+
+# http METHOD URL [BODY] [HEADER...]: prints the body; the status goes to
+# WORK/status.
+http() {
+	method=$1
+	target=$2
+	body=${3:-}
+	[ $# -lt 3 ] || shift
+	shift 2
+	"$BUILD/standin-http" "$method" "$target" "$body" "$@" \
+	    2>"$WORK/status"
+}
+
+status() {
+	cat "$WORK/status"
+}
+
+# cli ID ARGUMENT...: the operator's tool against an instance.
+cli() {
+	id=$1
+	shift
+	"$BUILD/chervilhold" --url "http://$(field address "$id"):$(
+	    field operator "$id")" "$@"
+}
+
+# json PATH: prints one value of the JSON on standard input, as a.b.0.c.
+json() {
+	"$BUILD/standin-json" "$1"
+}
+
+status_of() {
+	http GET "http://$(field address "$1"):$(field operator "$1")/v1/status"
+}
+
+# is_ready ID: whether an instance takes requests.
+is_ready() {
+	http GET "http://$(field address "$1"):$(field http "$1")/v1/ready"
+	[ "$(status)" = 200 ]
+}
+
+leader_of() {
+	status_of "$1" | json leader
+}
+
+has_leader() {
+	[ -n "$(leader_of "$1")" ]
+}
+
+# worker_count ID: backend servers an instance knows of.
+worker_count() {
+	http GET "http://$(field address "$1"):$(field operator "$1")/v1/workers" |
+	    json workers.#
+}
+
+knows_workers() {
+	[ "$(worker_count "$1")" = "$2" ]
+}
+
+# start_today WORKERS_PER_DOMAIN: everything of today's layout, ready.
+start_today() {
+	define_today
+	[ -z "${WITH_RELAY:-}" ] || start_relay
+	start_balancer
+	# shellcheck disable=SC2086
+	start $INSTANCES
+	for id in $INSTANCES; do
+		wait_for 20 "$id ready" is_ready "$id"
+	done
+	[ "$1" -gt 0 ] || return 0
+	for domain in d1 d2 d3 d4; do
+		start_workers "w-$domain-" "$domain" "$1"
+	done
+	for id in $INSTANCES; do
+		wait_for 20 "$id knows workers" knows_workers "$id" $(($1 * 4))
+	done
+}
+
+# check_ledgers: compares what callers were told with what really ran, and
+# prints nothing when every promise was kept.
+check_ledgers() {
+	touch "$WORK/ran.ledger" "$WORK/answers.ledger"
+	awk -f tests/check_ledgers.awk "$WORK/ran.ledger" \
+	    "$WORK/answers.ledger" || fail "ledgers disagree"
+}
