--- a/rpc/endpoint.h
+++ b/rpc/endpoint.h
@@ -29,7 +29,8 @@
  * Ends a call.  On success err->code is 0 and result is the decoded result
  * struct, valid until the function returns; otherwise result is NULL.
  * -ECONNREFUSED, -EHOSTUNREACH and -ENOBUFS mean that the call was not sent;
- * any other error means that its fate is unknown.
+ * any other error means that its fate is unknown.  deadline_ms of endpoint_call
+ * counts from the call.
  */
 typedef void endpoint_done_t(void *ctx, const err_t *err, void *result);
 
