--- /dev/null
+++ b/state/machine.c
@@ -0,0 +1,271 @@
+#include "state/machine.h"
+
+#include <errno.h>
+#include <stdarg.h>
+#include <string.h>
+
+#include "state/machine_private.h"
+
+#define MIN_KEY_RANDOM 8
+#define MAX_KEY_RANDOM 64
+
+/* Fills result with an errno value and a text and returns the value. */
+int
+machine_fail(command_result_t *result, int code, const char *format, ...)
+{
+	va_list args;
+
+	va_start(args, format);
+	g_free(result->text);
+	result->text = g_strdup_vprintf(format, args);
+	va_end(args);
+	result->code = code;
+	return code;
+}
+
+/* Puts a JSON value into the data of result; takes the reference. */
+void
+machine_put_json(command_result_t *result, json_t *value)
+{
+	g_free(result->data.body_t_val);
+	result->data.body_t_val = json_dumps(value, JSON_COMPACT);
+	result->data.body_t_len = result->data.body_t_val != NULL
+				      ? (u_int)strlen(result->data.body_t_val)
+				      : 0;
+	json_decref(value);
+}
+
+/* Replaces *slot by a copy of value; NULL counts as "". */
+void
+machine_set_string(char **slot, const char *value)
+{
+	char *copy = g_strdup(value != NULL ? value : "");
+
+	g_free(*slot);
+	*slot = copy;
+}
+
+/*
+ * Reads the time stamp of "<unix milliseconds>-<8 to 64 of [A-Za-z0-9]>".
+ * Returns -EINVAL for any other text.
+ */
+int
+machine_parse_key(const char *key, int64_t *stamp_ms)
+{
+	long long value;
+	str_t stamp;
+	str_t random;
+
+	if (!str_cut(str_from(key), '-', &stamp, &random) ||
+	    str_to_int64(stamp, &value) != 0 || random.len < MIN_KEY_RANDOM ||
+	    random.len > MAX_KEY_RANDOM)
+		return -EINVAL;
+	for (size_t i = 0; i < random.len; i++) {
+		if (!g_ascii_isalnum(random.data[i]))
+			return -EINVAL;
+	}
+	*stamp_ms = value;
+	return 0;
+}
+
+/*
+ * Checks a key's time stamp against the machine's time and the window in
+ * force.  Returns -EKEYEXPIRED with a text in result when it is outside.
+ */
+int
+machine_check_window(
+    const machine_t *machine, int64_t stamp_ms, command_result_t *result)
+{
+	if (stamp_ms > machine->time_ms + MACHINE_KEY_FUTURE_MS)
+		return machine_fail(result, -EKEYEXPIRED,
+		    "time stamp of the key is %" G_GINT64_FORMAT
+		    " ms in the future",
+		    stamp_ms - machine->time_ms);
+	if (stamp_ms < machine->key_floor_ms)
+		return machine_fail(result, -EKEYEXPIRED,
+		    "key expired %" G_GINT64_FORMAT " ms ago",
+		    machine->key_floor_ms - stamp_ms);
+	return 0;
+}
+
+/* Returns an empty machine with the default configuration as version 1. */
+machine_t *
+machine_create(void)
+{
+	machine_t *machine = g_new0(machine_t, 1);
+
+	machine->job_chart = chart_builtin("job");
+	machine_config_create(machine);
+	machine_claims_create(machine);
+	machine_workers_create(machine);
+	machine_jobs_create(machine);
+	return machine;
+}
+
+/* Frees a machine; NULL is allowed. */
+void
+machine_destroy(machine_t *machine)
+{
+	if (machine == NULL)
+		return;
+	machine_jobs_destroy(machine);
+	machine_workers_destroy(machine);
+	machine_claims_destroy(machine);
+	machine_config_destroy(machine);
+	g_free(machine);
+}
+
+/* Returns the proposer's time in a command, 0 when it has none. */
+static int64_t
+command_time_ms(const command_t *command)
+{
+	switch (command->kind) {
+	case COMMAND_PATCH:
+		return command->command_t_u.patch.time_ms;
+	case COMMAND_CLAIM:
+		return command->command_t_u.claim.time_ms;
+	case COMMAND_CLAIM_END:
+		return command->command_t_u.claim_end.time_ms;
+	case COMMAND_WORKER_ADD:
+		return command->command_t_u.worker.time_ms;
+	case COMMAND_JOB_SUBMIT:
+		return command->command_t_u.job.time_ms;
+	case COMMAND_JOB_START:
+		return command->command_t_u.job_start.time_ms;
+	case COMMAND_JOB_GO:
+		return command->command_t_u.job_go.time_ms;
+	case COMMAND_JOB_END:
+		return command->command_t_u.job_end.time_ms;
+	case COMMAND_JOB_CANCEL:
+		return command->command_t_u.job_cancel.time_ms;
+	case COMMAND_INSTANCE:
+		return command->command_t_u.instance.time_ms;
+	default:
+		return 0;
+	}
+}
+
+/* Drops what the machine's time has passed, in time order. */
+static void
+expire(machine_t *machine)
+{
+	int64_t floor = machine->time_ms - machine->claim_window_ms;
+
+	machine->key_floor_ms = MAX(machine->key_floor_ms, floor);
+	machine_claims_expire(machine);
+	machine_jobs_expire(machine);
+}
+
+static void
+dispatch(machine_t *machine, command_t *command, command_result_t *result)
+{
+	switch (command->kind) {
+	case COMMAND_NOOP:
+		return;
+	case COMMAND_PATCH:
+		machine_apply_patch(
+		    machine, &command->command_t_u.patch, result);
+		return;
+	case COMMAND_CLAIM:
+		machine_apply_claim(
+		    machine, &command->command_t_u.claim, result);
+		return;
+	case COMMAND_CLAIM_END:
+		machine_apply_claim_end(
+		    machine, &command->command_t_u.claim_end, result);
+		return;
+	case COMMAND_WORKER_ADD:
+		machine_apply_worker(
+		    machine, &command->command_t_u.worker, result);
+		return;
+	case COMMAND_WORKER_LEAVE:
+		machine_apply_worker_leave(
+		    machine, command->command_t_u.worker_leave, result);
+		return;
+	case COMMAND_WORKER_OWNER:
+		machine_apply_worker_owner(
+		    machine, &command->command_t_u.worker_owner, result);
+		return;
+	case COMMAND_WORKER_REMOVE:
+		machine_apply_worker_remove(
+		    machine, &command->command_t_u.worker_remove, result);
+		return;
+	case COMMAND_PLACER:
+		machine_apply_placer(
+		    machine, &command->command_t_u.placer, result);
+		return;
+	case COMMAND_JOB_SUBMIT:
+		machine_apply_job_submit(
+		    machine, &command->command_t_u.job, result);
+		return;
+	case COMMAND_JOB_START:
+		machine_apply_job_start(
+		    machine, &command->command_t_u.job_start, result);
+		return;
+	case COMMAND_JOB_GO:
+		machine_apply_job_go(
+		    machine, &command->command_t_u.job_go, result);
+		return;
+	case COMMAND_JOB_END:
+		machine_apply_job_end(
+		    machine, &command->command_t_u.job_end, result);
+		return;
+	case COMMAND_JOB_CANCEL:
+		machine_apply_job_cancel(
+		    machine, &command->command_t_u.job_cancel, result);
+		return;
+	case COMMAND_INSTANCE:
+		machine_apply_instance(
+		    machine, &command->command_t_u.instance, result);
+		return;
+	case COMMAND_REPLACE:
+		machine_apply_replace(
+		    machine, command->command_t_u.replace, result);
+		return;
+	}
+	machine_fail(
+	    result, -ENOSYS, "unknown command kind %d", (int)command->kind);
+}
+
+/*
+ * Applies one committed command.  The outcome depends only on the state and
+ * the command.  Fills result, which the caller ends by machine_result_free.
+ */
+void
+machine_apply(machine_t *machine, uint64_t index, command_t *command,
+    command_result_t *result)
+{
+	memset(result, 0, sizeof(*result));
+	machine->index = index;
+	machine->time_ms = MAX(machine->time_ms, command_time_ms(command));
+	expire(machine);
+	dispatch(machine, command, result);
+	result->index = index;
+	if (result->config_version == 0)
+		result->config_version = machine->config_version;
+	if (result->text == NULL)
+		result->text = g_strdup("");
+}
+
+/* Frees what machine_apply put into result, not result itself. */
+void
+machine_result_free(command_result_t *result)
+{
+	g_free(result->data.body_t_val);
+	g_free(result->text);
+	memset(result, 0, sizeof(*result));
+}
+
+/* Returns the highest time_ms seen in a command. */
+int64_t
+machine_time_ms(const machine_t *machine)
+{
+	return machine->time_ms;
+}
+
+/* Returns the index of the last applied command. */
+uint64_t
+machine_index(const machine_t *machine)
+{
+	return machine->index;
+}
