--- a/state/config_guarantees.c
+++ b/state/config_guarantees.c
@@ -163,12 +163,13 @@
 
 	if (members > 0 && (shapes == 0 || cost_members <= cost_shapes) &&
 	    (workers == 0 || cost_members <= cost_workers))
-		g_string_append_printf(out, "%d members fewer", fewer_members);
+		g_string_append_printf(out, "%d member%s fewer", fewer_members,
+		    fewer_members == 1 ? "" : "s");
 	else if (shapes > 0 && (workers == 0 || cost_shapes <= cost_workers))
 		g_string_append_printf(out, "count %d lower", fewer_shapes);
 	else if (workers > 0)
-		g_string_append_printf(
-		    out, "%d workers more in one rack", workers);
+		g_string_append_printf(out, "%d worker%s more in one rack",
+		    workers, workers == 1 ? "" : "s");
 	else
 		g_string_append(out, "the guarantee removed");
 }
