--- /dev/null
+++ b/entry/operator_status.c
@@ -0,0 +1,184 @@
+#include <errno.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "entry/operator_private.h"
+
+#define MEMBER_SILENT_MS 1500 /* as silent_after_ms of a peer */
+
+static const char *
+role_name(raft_state_t state)
+{
+	switch (state) {
+	case RAFT_LEARNER_STATE:
+		return "learner";
+	case RAFT_FOLLOWER:
+		return "follower";
+	case RAFT_PRE_CANDIDATE:
+	case RAFT_CANDIDATE:
+		return "candidate";
+	case RAFT_LEADER:
+		return "leader";
+	}
+	return "unknown";
+}
+
+/* Lists the instances of the settings with what the leader saw of them. */
+static json_t *
+instances_json(const operator_t *operator)
+{
+	const machine_t *machine = operator_machine(operator);
+	json_t *list = json_array();
+
+	for (size_t i = 0; i < operator->settings->peer_count; i++) {
+		const settings_peer_t *peer = &operator->settings->peers[i];
+		const machine_instance_t *seen =
+		    machine_instance(machine, peer->id);
+
+		json_array_append_new(list,
+		    json_pack("{s:s, s:s, s:b, s:b, s:b, s:b}", "instance",
+			peer->id, "domain", peer->failure_domain, "replica",
+			peer->is_replica, "known", seen != NULL, "alive",
+			seen != NULL && seen->alive, "draining",
+			seen != NULL && seen->draining));
+	}
+	return list;
+}
+
+/*
+ * Lists the members of the log.  On the leader *safe tells whether another
+ * voter may be taken away: all voters answer and hold what is committed.
+ */
+static json_t *
+members_json(const operator_t *operator, bool * safe)
+{
+	const raft_t *raft = replica_raft(operator->replica);
+	const raft_members_t *members = raft_members(raft);
+	int64_t now_ms = clock_mono_ms();
+	json_t *list = json_array();
+	int voters = 0;
+
+	*safe = true;
+	for (u_int i = 0; i < members->members.members_len; i++) {
+		const raft_member_t *member = &members->members.members_val[i];
+		bool is_self =
+		    g_strcmp0(member->id, operator->settings->instance) == 0;
+		bool is_voter = member->role == MEMBER_VOTER;
+		json_t *entry = json_pack("{s:s, s:s}", "instance", member->id,
+		    "role", is_voter ? "voter" : "learner");
+		int64_t silent_ms = 0;
+		uint64_t match = raft_commit_index(raft);
+
+		voters += is_voter;
+		if (replica_is_leader(operator->replica) && !is_self) {
+			silent_ms =
+			    raft_member_silent_ms(raft, member->id, now_ms);
+			match = raft_member_match(raft, member->id);
+			json_object_set_new(
+			    entry, "silent_ms", json_integer(silent_ms));
+			json_object_set_new(
+			    entry, "match", json_integer((json_int_t)match));
+		}
+		if (is_voter &&
+		    (silent_ms < 0 || silent_ms > MEMBER_SILENT_MS ||
+			match < raft_commit_index(raft)))
+			*safe = false;
+		json_array_append_new(list, entry);
+	}
+	if (voters < 3)
+		*safe = false;
+	return list;
+}
+
+/*
+ * GET /v1/status.  safe_to_continue is null on an instance that does not lead,
+ * which does not know it.
+ */
+void
+operator_status(operator_t *operator, http_request_t * request, str_t parameter)
+{
+	const machine_t *machine = operator_machine(operator);
+	const raft_t *raft = replica_raft(operator->replica);
+	const char *leader = replica_leader(operator->replica);
+	bool safe;
+	json_t *members = members_json(operator, & safe);
+
+	http_answer_json(request, 200,
+	    json_pack("{s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:b, s:o, s:o, s:o}",
+		"instance", operator->settings->instance, "role",
+		role_name(raft_state(raft)), "leader",
+		leader != NULL ? leader : "", "term",
+		(json_int_t)raft_term(raft), "commit",
+		(json_int_t)raft_commit_index(raft), "applied",
+		(json_int_t)machine_index(machine), "config_version",
+		(json_int_t)machine_config_version(machine), "confirmed",
+		replica_is_confirmed(operator->replica), "instances",
+		instances_json(operator), "members", members,
+		"safe_to_continue",
+		replica_is_leader(operator->replica) ? json_boolean(safe)
+						     : json_null()));
+}
+
+static void
+instance_applied(operator_t *operator, http_request_t * request,
+    const err_t *err, const command_result_t *result)
+{
+	if (result->code == -ENOENT) {
+		http_answer_error(request, 404, "refused", "not_found", "", 0,
+		    "%s", result->text);
+		return;
+	}
+	http_answer_json(
+	    request, 202, json_pack("{s:s}", "outcome", "accepted"));
+}
+
+/* Returns a known instance, NULL after answering 404. */
+static const machine_instance_t *
+find_instance(operator_t *operator, http_request_t * request, str_t parameter)
+{
+	char id[NAME_MAX_LEN + 1];
+	const machine_instance_t *instance = NULL;
+
+	if (str_copy(parameter, id, sizeof(id)) == 0)
+		instance = machine_instance(operator_machine(operator), id);
+	if (instance == NULL)
+		http_answer_error(request, 404, "refused", "not_found", "", 0,
+		    "no instance %.*s; GET /v1/status lists them",
+		    STR_ARG(parameter));
+	return instance;
+}
+
+/* POST /v1/instances/{id}/drain */
+void
+operator_drain(operator_t *operator, http_request_t * request, str_t parameter)
+{
+	const machine_instance_t *instance =
+	    find_instance(operator, request, parameter);
+	command_t command = {.kind = COMMAND_INSTANCE};
+
+	if (instance == NULL)
+		return;
+	command.command_t_u.instance = (instance_command_t){
+	    .id = instance->id,
+	    .alive = instance->alive,
+	    .draining = TRUE,
+	    .incarnation = instance->incarnation,
+	    .time_ms = clock_real_ms(),
+	};
+	operator_propose(operator, request, &command, instance_applied);
+}
+
+/* POST /v1/instances/{id}/replace */
+void
+operator_replace(
+    operator_t *operator, http_request_t * request, str_t parameter)
+{
+	const machine_instance_t *instance =
+	    find_instance(operator, request, parameter);
+	command_t command = {.kind = COMMAND_REPLACE};
+
+	if (instance == NULL)
+		return;
+	command.command_t_u.replace = instance->id;
+	operator_propose(operator, request, &command, instance_applied);
+}
--- a/state/config_guarantees.c
+++ b/state/config_guarantees.c
@@ -1,9 +1,8 @@
+#include "state/config_guarantees.h"
+
 #include <errno.h>
 #include <string.h>
 
-#include <glib.h>
-
-#include "policy/cells.h"
 #include "state/config.h"
 
 #define MAX_EXTRA_WORKERS 4096 /* added in the search for a fitting size */
@@ -272,3 +271,17 @@
 	}
 	return rc;
 }
+
+/* See state/config_guarantees.h. */
+GArray *
+config_guarantees(const json_t *config, const char *domain)
+{
+	GArray *entries = collect(config, domain);
+	GArray *shapes = g_array_new(FALSE, TRUE, sizeof(cells_guarantee_t));
+
+	for (guint i = 0; i < entries->len; i++)
+		g_array_append_val(
+		    shapes, g_array_index(entries, entry_t, i).shape);
+	g_array_free(entries, TRUE);
+	return shapes;
+}
