--- /dev/null
+++ b/state/raft_log.c
@@ -0,0 +1,230 @@
+#include "state/raft_internal.h"
+
+#include <string.h>
+
+/* Index of the last entry, durable or not. */
+uint64_t
+raft_log_last(const raft_t *raft)
+{
+	return raft->base_index + raft->entries->len;
+}
+
+/* Returns the entry at index, or NULL when it is not in memory. */
+raft_entry_t *
+raft_log_get(const raft_t *raft, uint64_t index)
+{
+	if (index <= raft->base_index || index > raft_log_last(raft))
+		return NULL;
+	return g_ptr_array_index(raft->entries, index - raft->base_index - 1);
+}
+
+/* Term of the entry at index; 0 for index 0 and for unknown entries. */
+uint64_t
+raft_log_term(const raft_t *raft, uint64_t index)
+{
+	const raft_entry_t *entry;
+
+	if (index == raft->base_index)
+		return raft->base_term;
+	entry = raft_log_get(raft, index);
+	return entry != NULL ? entry->term : 0;
+}
+
+/* Appends a copy of entry; store tells whether the storage needs it too. */
+void
+raft_log_append(raft_t *raft, const raft_entry_t *entry, bool store)
+{
+	raft_entry_t *copy = g_new0(raft_entry_t, 1);
+	raft_members_t members;
+
+	*copy = *entry;
+	copy->data.body_t_val =
+	    g_memdup2(entry->data.body_t_val, entry->data.body_t_len);
+	g_ptr_array_add(raft->entries, copy);
+	if (store && raft->disk_id != 0) {
+		raft->callbacks.append(raft->ctx, copy);
+		raft->write_seq++;
+	}
+	if (entry->kind == ENTRY_MEMBERS &&
+	    raft_members_decode(entry, &members)) {
+		raft_config_push(raft, entry->index, &members);
+		raft_members_clear(&members);
+		raft_config_changed(raft);
+	}
+}
+
+/*
+ * Drops the entries from from_index on.  A sync in flight may still cover them,
+ * so what it will report is lowered too.
+ */
+void
+raft_log_truncate(raft_t *raft, uint64_t from_index)
+{
+	g_assert(from_index > raft->commit);
+	if (from_index > raft_log_last(raft))
+		return;
+	g_ptr_array_set_size(
+	    raft->entries, (gint)(from_index - raft->base_index - 1));
+	raft->durable_index = MIN(raft->durable_index, from_index - 1);
+	raft->sync_index = MIN(raft->sync_index, from_index - 1);
+	raft->verified = MIN(raft->verified, from_index - 1);
+	if (raft->disk_id != 0) {
+		raft->callbacks.truncate(raft->ctx, from_index);
+		raft->write_seq++;
+	}
+	raft_config_truncate(raft, from_index);
+}
+
+/* Replaces the whole log by a snapshot at index. */
+void
+raft_log_reset(raft_t *raft, uint64_t index, uint64_t term)
+{
+	g_ptr_array_set_size(raft->entries, 0);
+	raft->base_index = index;
+	raft->base_term = term;
+	raft->snapshot_index = index;
+	raft->commit = index;
+	raft->applied = index;
+	raft->verified = index;
+	raft->durable_index = 0;
+	raft->sync_index = 0;
+	raft->acked_index = 0;
+}
+
+/* Whether a log that ends in (index, term) is at least as new as this one. */
+bool
+raft_log_up_to_date(const raft_t *raft, uint64_t index, uint64_t term)
+{
+	uint64_t last = raft_log_last(raft);
+	uint64_t last_term = raft_log_term(raft, last);
+
+	return term > last_term || (term == last_term && index >= last);
+}
+
+/* Commits and applies the entries up to index. */
+void
+raft_commit_to(raft_t *raft, uint64_t index)
+{
+	if (index <= raft->commit)
+		return;
+	raft->commit = index;
+	while (raft->applied < raft->commit) {
+		const raft_entry_t *entry =
+		    raft_log_get(raft, raft->applied + 1);
+
+		g_assert(entry != NULL);
+		raft->applied++;
+		raft->callbacks.apply(raft->ctx, entry);
+	}
+}
+
+/* Hands the present term and vote to the storage. */
+void
+raft_persist_vote(raft_t *raft)
+{
+	if (raft->disk_id == 0 || raft->failed)
+		return;
+	raft->callbacks.save_vote(raft->ctx, raft->term, raft->vote);
+	raft->write_seq++;
+}
+
+static void
+send_held(raft_t *raft)
+{
+	for (guint i = 0; i < raft->held->len;) {
+		raft_held_t held = g_array_index(raft->held, raft_held_t, i);
+
+		if (held.seq > raft->durable_seq) {
+			i++;
+			continue;
+		}
+		g_array_remove_index(raft->held, i);
+		if (held.term == raft->term && !raft->failed) {
+			raft_message_t message = {.kind = held.kind,
+			    .round = held.round,
+			    .success = true};
+
+			raft_send_message(raft, held.to, &message);
+		}
+	}
+}
+
+/* What becomes possible once writes are durable. */
+static void
+durable_changed(raft_t *raft)
+{
+	send_held(raft);
+	if (raft->state == RAFT_CANDIDATE)
+		raft_count_votes(raft);
+	else if (raft->state == RAFT_LEADER)
+		raft_advance_commit(raft);
+	else
+		raft_acknowledge(raft, false);
+}
+
+/*
+ * Ends every call from outside: requests a sync for what was written, unless
+ * one is in flight, and sends what waits.
+ */
+void
+raft_flush(raft_t *raft)
+{
+	if (raft->failed)
+		return;
+	if (raft->disk_id == 0) {
+		raft->durable_index = raft_log_last(raft);
+		durable_changed(raft);
+	} else if (raft->sync_seq == 0 && raft->write_seq > raft->durable_seq) {
+		raft->sync_seq = raft->write_seq;
+		raft->sync_index = raft_log_last(raft);
+		raft->callbacks.sync(raft->ctx, raft->sync_seq);
+	}
+	if (raft->state == RAFT_LEADER)
+		raft_send_entries(raft);
+}
+
+/*
+ * Reports that the sync with this ticket is durable.  Tickets of syncs that
+ * were not asked for are ignored.
+ */
+void
+raft_synced(raft_t *raft, uint64_t ticket, int64_t now_ms)
+{
+	raft->now_ms = MAX(raft->now_ms, now_ms);
+	if (raft->failed || raft->sync_seq == 0 || ticket != raft->sync_seq)
+		return;
+	raft->durable_seq = raft->sync_seq;
+	raft->durable_index = MAX(raft->durable_index, raft->sync_index);
+	raft->sync_seq = 0;
+	durable_changed(raft);
+	raft_flush(raft);
+}
+
+/*
+ * Forgets the log up to index, which a durable snapshot now covers.  A short
+ * tail is kept for members slightly behind, except without a disk.
+ */
+void
+raft_compacted(raft_t *raft, uint64_t index, uint64_t term)
+{
+	uint64_t keep = raft->disk_id != 0 ? RAFT_KEPT_ENTRIES : 0;
+	uint64_t drop_to = index > keep ? index - keep : 0;
+
+	if (index > raft->applied || index <= raft->snapshot_index ||
+	    raft_log_term(raft, index) != term)
+		return;
+	raft->snapshot_index = index;
+	if (drop_to <= raft->base_index)
+		return;
+	raft->base_term = raft_log_term(raft, drop_to);
+	g_ptr_array_remove_range(
+	    raft->entries, 0, (guint)(drop_to - raft->base_index));
+	raft->base_index = drop_to;
+	while (
+	    raft->configs->len > 1 &&
+	    g_array_index(raft->configs, raft_config_t, 1).index <= drop_to) {
+		raft_members_clear(
+		    &g_array_index(raft->configs, raft_config_t, 0).members);
+		g_array_remove_index(raft->configs, 0);
+	}
+}
--- /dev/null
+++ b/state/raft_replication.c
@@ -0,0 +1,379 @@
+#include "state/raft_internal.h"
+
+#include <errno.h>
+#include <string.h>
+
+/* Completes the common fields of a message and sends it. */
+void
+raft_send_message(raft_t *raft, const char *to, raft_message_t *message)
+{
+	message->from = raft->id;
+	message->to = (char *)to;
+	if (message->term == 0)
+		message->term = raft->term;
+	message->disk_id = raft->disk_id;
+	/* Replies have no chunk; there it says "the sender is a voter". */
+	if (message->kind != RAFT_SNAPSHOT)
+		message->last_chunk = raft_self_votes(raft);
+	raft->callbacks.send(raft->ctx, message);
+}
+
+static void
+send_chunk(raft_t *raft, raft_peer_t *peer, bool again)
+{
+	raft_message_t message = {.kind = RAFT_SNAPSHOT, .round = raft->round};
+	const uint8_t *data = NULL;
+	raft_members_t members = {0};
+	uint64_t index = 0;
+	size_t len = 0;
+
+	raft->callbacks.snapshot_read(
+	    raft->ctx, &index, &message.log_term, &data, &len, &members);
+	if (index != peer->snapshot_index) {
+		peer->snapshot_index = index;
+		peer->snapshot_offset = 0;
+	}
+	peer->snapshot_sent = true;
+	if (index == 0 || peer->snapshot_offset > len)
+		return;
+	if (peer->snapshot_offset == len && len > 0 && !again)
+		return;
+	message.index = index;
+	message.offset = peer->snapshot_offset;
+	message.data.body_t_val = (char *)data + peer->snapshot_offset;
+	message.data.body_t_len =
+	    (u_int)MIN(len - peer->snapshot_offset, RAFT_CHUNK_BYTES);
+	message.last_chunk =
+	    peer->snapshot_offset + message.data.body_t_len == len;
+	message.members = members;
+	raft_send_message(raft, peer->id, &message);
+}
+
+/* Number of entries from first on that fit into one message. */
+static u_int
+batch_len(const raft_t *raft, uint64_t first)
+{
+	uint64_t last = raft_log_last(raft);
+	size_t bytes = 0;
+	u_int n = 0;
+
+	while (first + n <= last && n < raft->max_batch) {
+		bytes += raft_log_get(raft, first + n)->data.body_t_len;
+		if (n > 0 && bytes > RAFT_BATCH_BYTES)
+			break;
+		n++;
+	}
+	return n;
+}
+
+/* Sends up to one batch from peer->next on; returns the number of entries. */
+static u_int
+send_append(raft_t *raft, raft_peer_t *peer, bool with_entries)
+{
+	uint64_t prev = peer->next - 1;
+	raft_message_t message = {.kind = RAFT_APPEND,
+	    .index = prev,
+	    .log_term = raft_log_term(raft, prev),
+	    .commit = raft->commit,
+	    .round = raft->round};
+	raft_entry_t *batch = NULL;
+	u_int n;
+
+	if (prev < raft->base_index) {
+		peer->mode = PEER_SNAPSHOT;
+		peer->snapshot_index = 0;
+		send_chunk(raft, peer, false);
+		return 0;
+	}
+	n = with_entries ? batch_len(raft, peer->next) : 0;
+	if (n > 0) {
+		batch = g_new(raft_entry_t, n);
+		for (u_int i = 0; i < n; i++)
+			batch[i] = *raft_log_get(raft, peer->next + i);
+	}
+	message.entries.entries_val = batch;
+	message.entries.entries_len = n;
+	raft_send_message(raft, peer->id, &message);
+	peer->sent_commit = raft->commit;
+	g_free(batch);
+	return n;
+}
+
+static void
+send_pipelined(raft_t *raft, raft_peer_t *peer)
+{
+	uint64_t window = (uint64_t)RAFT_WINDOW_BATCHES * raft->max_batch;
+
+	while (peer->mode == PEER_REPLICATE) {
+		uint64_t waiting = raft_log_last(raft) + 1 - peer->next;
+		uint64_t in_flight = peer->next - 1 - peer->match;
+
+		/* A partial batch waits for the one before it. */
+		if (waiting == 0 ||
+		    (in_flight > 0 && waiting < raft->max_batch) ||
+		    in_flight >= window)
+			return;
+		peer->next += send_append(raft, peer, true);
+	}
+}
+
+/* Sends to every member what its mode and window allow. */
+void
+raft_send_entries(raft_t *raft)
+{
+	for (guint i = 0; i < raft->peers->len; i++) {
+		raft_peer_t *peer = &g_array_index(raft->peers, raft_peer_t, i);
+
+		if (peer->mode == PEER_REPLICATE) {
+			send_pipelined(raft, peer);
+		} else if (peer->mode == PEER_SNAPSHOT &&
+			   !peer->snapshot_sent) {
+			send_chunk(raft, peer, false);
+		} else if (peer->mode == PEER_PROBE && !peer->probe_sent) {
+			peer->probe_sent = true;
+			send_append(raft, peer, true);
+		}
+	}
+}
+
+static uint64_t
+peer_acked_round(const raft_peer_t *peer)
+{
+	return peer->acked_round;
+}
+
+static uint64_t
+peer_match(const raft_peer_t *peer)
+{
+	return peer->match;
+}
+
+static void
+confirm_rounds(raft_t *raft)
+{
+	uint64_t round = raft_quorum_value(raft, peer_acked_round, raft->round);
+
+	raft->round_confirmed = MAX(raft->round_confirmed, round);
+	if (raft->round_wanted > raft->round &&
+	    raft->round_confirmed == raft->round)
+		raft_start_round(raft);
+}
+
+/*
+ * Sends a numbered round of heartbeats.  A quorum of answers to it proves that
+ * this participant led when the round was sent.
+ */
+void
+raft_start_round(raft_t *raft)
+{
+	raft->round++;
+	raft->round_times[raft->round % RAFT_ROUND_TIMES] = raft->now_ms;
+	raft->heartbeat_due_ms = raft->now_ms + raft->heartbeat_ms;
+	for (guint i = 0; i < raft->peers->len; i++) {
+		raft_peer_t *peer = &g_array_index(raft->peers, raft_peer_t, i);
+
+		if (peer->mode == PEER_SNAPSHOT) {
+			send_chunk(raft, peer, true);
+		} else {
+			peer->probe_sent = true;
+			send_append(raft, peer, peer->mode == PEER_PROBE);
+		}
+	}
+	confirm_rounds(raft);
+}
+
+/* Takes over the leadership of the present term. */
+void
+raft_become_leader(raft_t *raft)
+{
+	/* The XDR form of a command_t of kind COMMAND_NOOP. */
+	static char noop[4];
+	raft_entry_t entry = {.index = raft_log_last(raft) + 1,
+	    .term = raft->term,
+	    .kind = ENTRY_COMMAND,
+	    .data = {sizeof(noop), noop}};
+
+	g_strlcpy(raft->leader, raft->id, sizeof(raft->leader));
+	raft->heard_leader = true;
+	raft->leader_since_ms = raft->now_ms;
+	raft->leader_first = entry.index;
+	raft->first_round = raft->round + 1;
+	raft->round_confirmed = raft->round;
+	raft->round_wanted = 0;
+	for (guint i = 0; i < raft->peers->len; i++) {
+		raft_peer_t *peer = &g_array_index(raft->peers, raft_peer_t, i);
+
+		peer->mode = PEER_PROBE;
+		peer->probe_sent = false;
+		peer->match = 0;
+		peer->next = entry.index;
+		peer->acked_round = 0;
+		peer->sent_commit = 0;
+		peer->heard_ms = raft->now_ms;
+	}
+	raft_set_state(raft, RAFT_LEADER);
+	raft_log_append(raft, &entry, true);
+	raft_start_round(raft);
+}
+
+/* Send time of the last round that a quorum answered. */
+static int64_t
+confirmed_ms(const raft_t *raft)
+{
+	if (raft->round_confirmed < raft->first_round ||
+	    raft->round - raft->round_confirmed >= RAFT_ROUND_TIMES)
+		return raft->leader_since_ms;
+	return MAX(raft->leader_since_ms,
+	    raft->round_times[raft->round_confirmed % RAFT_ROUND_TIMES]);
+}
+
+/* Heartbeats, the commit index for idle members, and check-quorum. */
+void
+raft_leader_tick(raft_t *raft)
+{
+	if (raft->now_ms - confirmed_ms(raft) >= raft->election_timeout_ms) {
+		raft_become_follower(raft, raft->term, "");
+		return;
+	}
+	if (raft->now_ms >= raft->heartbeat_due_ms) {
+		raft_start_round(raft);
+		return;
+	}
+	for (guint i = 0; i < raft->peers->len; i++) {
+		raft_peer_t *peer = &g_array_index(raft->peers, raft_peer_t, i);
+
+		if (peer->mode == PEER_REPLICATE &&
+		    peer->sent_commit < raft->commit)
+			send_append(raft, peer, false);
+	}
+}
+
+/*
+ * Commits what a quorum holds durably, if it is of this term; entries of older
+ * terms are committed only by an entry of this term after them.
+ */
+void
+raft_advance_commit(raft_t *raft)
+{
+	uint64_t index =
+	    raft_quorum_value(raft, peer_match, raft->durable_index);
+
+	if (index <= raft->commit || raft_log_term(raft, index) != raft->term)
+		return;
+	raft_commit_to(raft, index);
+	/* A leader that removed itself leaves once the removal is committed. */
+	if (!raft_self_votes(raft) &&
+	    g_array_index(raft->configs, raft_config_t, raft->configs->len - 1)
+		    .index <= raft->commit)
+		raft_become_follower(raft, raft->term, "");
+}
+
+static void
+on_reject(raft_peer_t *peer, const raft_message_t *message)
+{
+	uint64_t rejected = message->offset;
+
+	if (peer->mode == PEER_SNAPSHOT || rejected == 0 ||
+	    rejected < peer->match ||
+	    (peer->mode == PEER_PROBE && rejected != peer->next - 1))
+		return;
+	/* The member has lost entries: without a disk, by a restart. */
+	if (rejected == peer->match)
+		peer->match = MIN(peer->match, message->index);
+	peer->next = MAX(MIN(message->index, rejected - 1), peer->match) + 1;
+	peer->mode = PEER_PROBE;
+	peer->probe_sent = false;
+}
+
+/* Handles the answer of a member to entries or a heartbeat. */
+void
+raft_on_append_reply(raft_t *raft, const raft_message_t *message)
+{
+	raft_peer_t *peer = raft_peer_find(raft, message->from);
+
+	if (raft->state != RAFT_LEADER || peer == NULL ||
+	    message->term != raft->term ||
+	    message->index > raft_log_last(raft) ||
+	    message->commit > raft_log_last(raft) ||
+	    message->round > raft->round)
+		return;
+	peer->heard_ms = raft->now_ms;
+	peer->acked_round = MAX(peer->acked_round, message->round);
+	if (message->success) {
+		peer->match = MAX(peer->match, message->index);
+		if (peer->mode == PEER_PROBE ||
+		    (peer->mode == PEER_SNAPSHOT &&
+			message->commit >= peer->snapshot_index)) {
+			peer->mode = PEER_REPLICATE;
+			peer->next = message->commit + 1;
+		}
+		peer->next =
+		    MAX(peer->next, MAX(peer->match, message->commit) + 1);
+	} else {
+		on_reject(peer, message);
+	}
+	raft_advance_commit(raft);
+	if (raft->state != RAFT_LEADER)
+		return;
+	confirm_rounds(raft);
+	raft_bind_disks(raft);
+}
+
+/* Continues a snapshot transfer where the member says. */
+void
+raft_on_snapshot_reply(raft_t *raft, const raft_message_t *message)
+{
+	raft_peer_t *peer = raft_peer_find(raft, message->from);
+
+	if (raft->state != RAFT_LEADER || peer == NULL ||
+	    message->term != raft->term || message->round > raft->round)
+		return;
+	peer->heard_ms = raft->now_ms;
+	peer->acked_round = MAX(peer->acked_round, message->round);
+	if (peer->mode == PEER_SNAPSHOT &&
+	    message->index == peer->snapshot_index &&
+	    message->offset != peer->snapshot_offset) {
+		peer->snapshot_offset = message->offset;
+		peer->snapshot_sent = false;
+	}
+	confirm_rounds(raft);
+}
+
+/*
+ * Starts a linearizable read.  -ENOTCONN: not the leader; -EROFS: the storage
+ * failed; -EAGAIN: the no-op of this term is not committed yet.
+ */
+int
+raft_read_begin(raft_t *raft, uint64_t *ticket)
+{
+	if (raft->failed)
+		return -EROFS;
+	if (raft->state != RAFT_LEADER)
+		return -ENOTCONN;
+	if (raft->commit < raft->leader_first)
+		return -EAGAIN;
+	/* The answers to a round already sent prove nothing about now. */
+	*ticket = raft->round + 1;
+	raft->round_wanted = *ticket;
+	if (raft->round_confirmed == raft->round)
+		raft_start_round(raft);
+	return 0;
+}
+
+/* Tickets of an earlier leadership never become ready. */
+bool
+raft_read_ready(const raft_t *raft, uint64_t ticket)
+{
+	return raft->state == RAFT_LEADER && ticket >= raft->first_round &&
+	       raft->round_confirmed >= ticket;
+}
+
+/* Whether no other participant can have been elected by now_ms. */
+bool
+raft_has_quorum_lease(const raft_t *raft, int64_t now_ms)
+{
+	return raft->state == RAFT_LEADER &&
+	       raft->round_confirmed >= raft->first_round &&
+	       now_ms - confirmed_ms(raft) <
+		   raft->election_timeout_ms * RAFT_LEASE_PERCENT / 100;
+}
