--- a/entry/client.c
+++ b/entry/client.c
@@ -221,7 +221,6 @@
 	client_t *client = call->client;
 
 	curl_multi_remove_handle(client->multi, call->easy);
-	g_queue_unlink(&client->calls, &call->link);
 	if (client->free_handles.length < MAX_FREE_HANDLES)
 		g_queue_push_head(&client->free_handles, call->easy);
 	else
@@ -242,7 +241,7 @@
 
 	if (client == NULL)
 		return;
-	while ((at = client->calls.head) != NULL)
+	while ((at = g_queue_pop_head_link(&client->calls)) != NULL)
 		call_free(at->data);
 	while ((easy = g_queue_pop_head(&client->free_handles)) != NULL)
 		curl_easy_cleanup(easy);
@@ -346,6 +345,7 @@
 void
 client_abort(client_call_t *call)
 {
+	g_queue_unlink(&call->client->calls, &call->link);
 	call_free(call);
 }
 
@@ -409,6 +409,7 @@
 	curl_multi_remove_handle(call->client->multi, call->easy);
 	call->done(call->ctx, &err, &answer);
 	json_decref(answer.json);
+	g_queue_unlink(&call->client->calls, &call->link);
 	call_free(call);
 }
 
--- a/entry/listener.c
+++ b/entry/listener.c
@@ -14,8 +14,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define HEADER_LIMIT_BYTES 16384 /* of one connection: request line, headers \
-				  */
+#define HEADER_LIMIT_BYTES 16384 /* request line and headers */
 #define LISTEN_BACKLOG 1024
 #define GONE_CHECK_S 0.1
 /* Rounds of MHD_run before the loop gets its turn again. */
--- /dev/null
+++ b/policy/lanes.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * The waiting requests of one instance: two lanes, and within each lane
+ * deficit round robin between tenants by weight.  Pure: the clock is passed in.
+ */
+typedef struct lanes_t lanes_t;
+typedef struct lanes_tenant_t lanes_tenant_t;
+
+typedef enum {
+	LANE_SHORT = 0,
+	LANE_BATCH = 1,
+	LANE_COUNT = 2,
+} lane_t;
+
+/* A waiting request; embedded in the caller's own struct. */
+typedef struct {
+	const char *id; /* unique; must stay valid while it waits */
+	lane_t lane;
+	int cost; /* share of the tenant's turn, at least 1 */
+	int64_t deadline_ms;
+	/* Private to lanes. */
+	lanes_tenant_t *tenant;
+	GSequenceIter *by_deadline;
+	GList link;
+} lanes_item_t;
+
+/* What becomes of a running short request; see lanes_judge. */
+typedef enum {
+	LANES_KEEP,
+	LANES_COUNT_AS_BATCH,
+	LANES_STOP_AND_REQUEUE,
+} lanes_verdict_t;
+
+lanes_t *lanes_create(int limit);
+void lanes_destroy(lanes_t *lanes);
+int lanes_add(lanes_t *lanes, lanes_item_t *item, const char *tenant,
+    int weight, int tenant_limit);
+lanes_item_t *lanes_next(lanes_t *lanes, lane_t lane);
+void lanes_put_back(lanes_t *lanes, lanes_item_t *item);
+void lanes_remove(lanes_t *lanes, lanes_item_t *item);
+lanes_item_t *lanes_cancel(lanes_t *lanes, const char *id);
+lanes_item_t *lanes_expired(lanes_t *lanes, int64_t now_ms);
+int lanes_waiting(const lanes_t *lanes, lane_t lane);
+lanes_verdict_t lanes_judge(int64_t running_ms, bool repeatable,
+    bool requeued_before, int short_waiting);
--- /dev/null
+++ b/policy/slots.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "policy/lanes.h"
+
+/*
+ * The slots of the backend servers that this instance owns.  Every dispatch
+ * goes through slots_take.  Pure: the clock is passed in.
+ */
+typedef struct slots_t slots_t;
+
+typedef struct {
+	char *id;
+	uint64_t generation;
+	int slots;
+	int used[LANE_COUNT];
+	int members; /* of jobs, one slot each */
+	int64_t seen_ms;
+	int64_t rest_until_ms; /* after an answer "busy" */
+	bool leaving;
+	bool lease_ended; /* noticed by slots_next_ended */
+} slots_worker_t;
+
+/*
+ * Preference of a worker for one request: negative for not usable, otherwise
+ * lower is better.
+ */
+typedef int slots_rank_t(void *ctx, const slots_worker_t *worker);
+
+slots_t *slots_create(int short_reserved, int64_t lease_ms);
+void slots_destroy(slots_t *slots);
+slots_worker_t *slots_set(
+    slots_t *slots, const char *id, uint64_t generation, int count);
+void slots_remove(slots_t *slots, const char *id);
+slots_worker_t *slots_find(const slots_t *slots, const char *id);
+void slots_seen(slots_worker_t *worker, int64_t now_ms);
+void slots_leave(slots_worker_t *worker);
+void slots_set_members(slots_worker_t *worker, int members);
+void slots_busy(slots_worker_t *worker, int64_t now_ms);
+bool slots_usable(
+    const slots_t *slots, const slots_worker_t *worker, int64_t now_ms);
+slots_worker_t *slots_take(
+    slots_t *slots, lane_t lane, int64_t now_ms, slots_rank_t *rank, void *ctx);
+void slots_release(slots_t *slots, const char *id, lane_t lane);
+void slots_move(slots_t *slots, const char *id, lane_t from, lane_t to);
+int slots_free(const slots_t *slots, lane_t lane, int64_t now_ms);
+int slots_total(const slots_t *slots, lane_t lane, int64_t now_ms);
+slots_worker_t *slots_next_ended(slots_t *slots, int64_t now_ms);
+void slots_each(const slots_t *slots,
+    void (*visit)(void *ctx, slots_worker_t *worker), void *ctx);
--- /dev/null
+++ b/tests/unit/test_health.c
@@ -0,0 +1,173 @@
+#include <check.h>
+#include <stdlib.h>
+
+#include "policy/health.h"
+
+static health_t *
+four_workers(void)
+{
+	health_t *health = health_create();
+
+	health_add(health, "w1", "d1");
+	health_add(health, "w2", "d1");
+	health_add(health, "w3", "d1");
+	health_add(health, "w4", "d1");
+	return health;
+}
+
+/* One request that fails on bad and succeeds on good. */
+static void
+evidence(health_t *health, const char *bad, const char *good, int64_t now_ms)
+{
+	health_request_t request = {0};
+
+	ck_assert_int_eq(health_failed(health, bad, &request, now_ms),
+	    HEALTH_RETRY_ELSEWHERE);
+	ck_assert_int_eq(health_rank(health, bad, &request, now_ms), -1);
+	health_succeeded(health, good, &request, now_ms);
+}
+
+/* Guards against a faulty server that keeps getting work, and against one
+ * that never comes back. */
+START_TEST(quarantine_and_trial)
+{
+	health_t *health = four_workers();
+	health_request_t request = {0};
+	int64_t now = 1000;
+
+	for (int i = 0; i < 3; i++)
+		evidence(health, "w1", "w2", now);
+	ck_assert(health_is_quarantined(health, "w1", now + 9999));
+	ck_assert_int_eq(health_rank(health, "w1", NULL, now + 9999), -1);
+	/* Its time is over: one request, which fails; then twice as long. */
+	now += 10000;
+	ck_assert_int_eq(health_rank(health, "w1", NULL, now), 0);
+	health_started(health, "w1", now);
+	ck_assert_int_eq(health_rank(health, "w1", NULL, now), -1);
+	health_failed(health, "w1", &request, now);
+	health_forget(&request);
+	ck_assert_int_eq(health_rank(health, "w1", NULL, now + 19999), -1);
+	now += 20000;
+	health_started(health, "w1", now);
+	health_succeeded(health, "w1", &request, now);
+	ck_assert_int_eq(health_rank(health, "w1", NULL, now), 0);
+	health_started(health, "w1", now);
+	ck_assert_int_eq(health_rank(health, "w1", NULL, now), 0);
+	ck_assert_int_eq(health_quarantine_count(health), 2);
+	health_destroy(health);
+}
+END_TEST
+
+/* Guards against a quarantine without end. */
+START_TEST(longest_quarantine)
+{
+	health_t *health = four_workers();
+	int64_t now = 0;
+	int64_t length = 0;
+
+	for (int i = 0; i < 3; i++)
+		evidence(health, "w1", "w2", now);
+	for (int round = 0; round < 8; round++) {
+		health_request_t request = {0};
+
+		for (length = 0;
+		     health_rank(health, "w1", NULL, now + length) != 0;)
+			length += 1000;
+		now += length;
+		health_started(health, "w1", now);
+		health_failed(health, "w1", &request, now);
+		health_forget(&request);
+	}
+	ck_assert_int_eq(length, 300000);
+	health_destroy(health);
+}
+END_TEST
+
+/* Guards against a request that takes good servers out of service. */
+START_TEST(request_to_blame)
+{
+	health_t *health = four_workers();
+
+	for (int i = 0; i < 10; i++) {
+		health_request_t request = {0};
+		health_request_t other = {0};
+
+		health_failed(health, "w1", &request, 0);
+		ck_assert_int_eq(health_failed(health, "w2", &request, 0),
+		    HEALTH_BLAME_REQUEST);
+		health_forget(&request);
+		health_succeeded(health, "w1", &other, 0);
+		health_succeeded(health, "w2", &other, 0);
+	}
+	ck_assert_int_eq(health_quarantine_count(health), 0);
+	ck_assert_int_eq(health_rank(health, "w1", NULL, 0), 0);
+	health_destroy(health);
+}
+END_TEST
+
+/* Guards against the server that fails all at once, is always free and so
+ * draws all work to it. */
+START_TEST(fast_failures_draw_no_work)
+{
+	health_t *health = four_workers();
+	int sent = 0;
+
+	for (int64_t now = 0; now < 10000; now += 10) {
+		health_request_t request = {0};
+
+		if (health_rank(health, "w1", NULL, now) < 0)
+			continue;
+		sent++;
+		health_started(health, "w1", now);
+		health_failed(health, "w1", &request, now);
+		health_forget(&request);
+	}
+	ck_assert_int_le(sent, 3 + 10);
+	ck_assert_int_eq(health_rank(health, "w1", NULL, 100000), 1);
+	health_destroy(health);
+}
+END_TEST
+
+/* Guards against taking more than half of a domain out of service. */
+START_TEST(half_stay)
+{
+	health_t *health = four_workers();
+
+	health_add(health, "x1", "d2");
+	health_add(health, "x2", "d2");
+	for (int i = 0; i < 5; i++) {
+		evidence(health, "w1", "w4", 0);
+		evidence(health, "w2", "w4", 0);
+		evidence(health, "w3", "w4", 0);
+	}
+	ck_assert(health_is_quarantined(health, "w1", 0));
+	ck_assert(health_is_quarantined(health, "w2", 0));
+	ck_assert(!health_is_quarantined(health, "w3", 0));
+	/* The other domain has its own half. */
+	for (int i = 0; i < 3; i++)
+		evidence(health, "x1", "x2", 0);
+	ck_assert(health_is_quarantined(health, "x1", 0));
+	health_destroy(health);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("health");
+	TCase *tcase = tcase_create("health");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_test(tcase, quarantine_and_trial);
+	tcase_add_test(tcase, longest_quarantine);
+	tcase_add_test(tcase, request_to_blame);
+	tcase_add_test(tcase, fast_failures_draw_no_work);
+	tcase_add_test(tcase, half_stay);
+	suite_add_tcase(suite, tcase);
+	srunner_set_fork_status(runner, CK_NOFORK);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/unit/test_retry_budget.c
@@ -0,0 +1,53 @@
+#include <check.h>
+#include <stdlib.h>
+
+#include "policy/retry_budget.h"
+
+/* Guards against retries that multiply an overload: 10% of successes. */
+START_TEST(share_of_successes)
+{
+	retry_budget_t budget = {0};
+	int taken = 0;
+
+	while (retry_budget_take(&budget, 1000))
+		;
+	for (int i = 0; i < 500; i++)
+		retry_budget_success(&budget);
+	for (int i = 0; i < 500; i++)
+		taken += retry_budget_take(&budget, 1000);
+	ck_assert_int_ge(taken, 49);
+	ck_assert_int_le(taken, 50);
+}
+END_TEST
+
+/* Guards against an instance without successes that never retries, and
+ * against a floor that is no small one. */
+START_TEST(small_floor)
+{
+	retry_budget_t budget = {0};
+	int taken = 0;
+
+	for (int64_t now = 1; now <= 20000; now++)
+		taken += retry_budget_take(&budget, now);
+	ck_assert_int_ge(taken, 20);
+	ck_assert_int_le(taken, 24);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("retry_budget");
+	TCase *tcase = tcase_create("retry_budget");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_test(tcase, share_of_successes);
+	tcase_add_test(tcase, small_floor);
+	suite_add_tcase(suite, tcase);
+	srunner_set_fork_status(runner, CK_NOFORK);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/unit/test_slots.c
@@ -0,0 +1,137 @@
+#include <check.h>
+#include <stdlib.h>
+
+#include "policy/slots.h"
+
+#define LEASE_MS 3000
+
+static int
+take(slots_t *slots, lane_t lane, int64_t now_ms)
+{
+	int taken = 0;
+
+	while (slots_take(slots, lane, now_ms, NULL, NULL) != NULL)
+		taken++;
+	return taken;
+}
+
+/* Guards against batch work in the slots kept for short requests. */
+START_TEST(batch_cap)
+{
+	slots_t *slots = slots_create(2, LEASE_MS);
+
+	slots_seen(slots_set(slots, "w1", 1, 8), 0);
+	ck_assert_int_eq(slots_free(slots, LANE_BATCH, 0), 6);
+	ck_assert_int_eq(take(slots, LANE_BATCH, 0), 6);
+	ck_assert_int_eq(slots_free(slots, LANE_SHORT, 0), 2);
+	ck_assert_int_eq(take(slots, LANE_SHORT, 0), 2);
+	slots_release(slots, "w1", LANE_SHORT);
+	ck_assert_int_eq(take(slots, LANE_BATCH, 0), 0);
+	ck_assert_int_eq(take(slots, LANE_SHORT, 0), 1);
+	slots_destroy(slots);
+}
+END_TEST
+
+/* Guards against more tasks than slots when jobs run members there. */
+START_TEST(members_count)
+{
+	slots_t *slots = slots_create(2, LEASE_MS);
+	slots_worker_t *worker = slots_set(slots, "w1", 1, 8);
+
+	slots_seen(worker, 0);
+	slots_set_members(worker, 5);
+	ck_assert_int_eq(take(slots, LANE_BATCH, 0), 1);
+	ck_assert_int_eq(take(slots, LANE_SHORT, 0), 2);
+	slots_set_members(worker, 8);
+	ck_assert_int_eq(slots_free(slots, LANE_SHORT, 0), 0);
+	slots_destroy(slots);
+}
+END_TEST
+
+/* Guards against work for a server whose lease ended or that leaves. */
+START_TEST(leases)
+{
+	slots_t *slots = slots_create(2, LEASE_MS);
+	slots_worker_t *worker = slots_set(slots, "w1", 1, 8);
+
+	ck_assert_int_eq(slots_free(slots, LANE_SHORT, 0), 0);
+	slots_seen(worker, 1000);
+	ck_assert_ptr_nonnull(slots_take(slots, LANE_SHORT, 3999, NULL, NULL));
+	ck_assert_ptr_null(slots_next_ended(slots, 3999));
+	ck_assert_ptr_null(slots_take(slots, LANE_SHORT, 4000, NULL, NULL));
+	ck_assert_ptr_eq(slots_next_ended(slots, 4000), worker);
+	ck_assert_ptr_null(slots_next_ended(slots, 4001));
+	slots_seen(worker, 5000);
+	slots_leave(worker);
+	ck_assert_ptr_null(slots_take(slots, LANE_SHORT, 5000, NULL, NULL));
+	slots_seen(worker, 5500);
+	ck_assert_ptr_null(slots_take(slots, LANE_SHORT, 5500, NULL, NULL));
+	/* A restart ends the leave. */
+	slots_set(slots, "w1", 2, 8);
+	ck_assert_ptr_nonnull(slots_take(slots, LANE_SHORT, 5500, NULL, NULL));
+	slots_destroy(slots);
+}
+END_TEST
+
+static int
+rank_w2_last(void *ctx, const slots_worker_t *worker)
+{
+	return worker->id[1] == '2';
+}
+
+/* Guards against a bad choice while a better one has room. */
+START_TEST(choice)
+{
+	slots_t *slots = slots_create(2, LEASE_MS);
+	int on_w1 = 0;
+
+	slots_seen(slots_set(slots, "w1", 1, 4), 0);
+	slots_seen(slots_set(slots, "w2", 1, 8), 0);
+	for (int i = 0; i < 4; i++)
+		on_w1 += slots_take(slots, LANE_SHORT, 0, rank_w2_last, NULL)
+			     ->id[1] == '1';
+	ck_assert_int_eq(on_w1, 4);
+	ck_assert_str_eq(
+	    slots_take(slots, LANE_SHORT, 0, rank_w2_last, NULL)->id, "w2");
+	slots_busy(slots_find(slots, "w2"), 0);
+	ck_assert_ptr_null(slots_take(slots, LANE_SHORT, 0, NULL, NULL));
+	ck_assert_ptr_nonnull(slots_take(slots, LANE_SHORT, 1000, NULL, NULL));
+	slots_destroy(slots);
+}
+END_TEST
+
+/* Guards against a long short request that goes on holding a short slot. */
+START_TEST(moved_to_batch)
+{
+	slots_t *slots = slots_create(2, LEASE_MS);
+
+	slots_seen(slots_set(slots, "w1", 1, 8), 0);
+	slots_take(slots, LANE_SHORT, 0, NULL, NULL);
+	slots_move(slots, "w1", LANE_SHORT, LANE_BATCH);
+	ck_assert_int_eq(slots_free(slots, LANE_BATCH, 0), 5);
+	slots_release(slots, "w1", LANE_BATCH);
+	ck_assert_int_eq(slots_free(slots, LANE_BATCH, 0), 6);
+	slots_destroy(slots);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("slots");
+	TCase *tcase = tcase_create("slots");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_test(tcase, batch_cap);
+	tcase_add_test(tcase, members_count);
+	tcase_add_test(tcase, leases);
+	tcase_add_test(tcase, choice);
+	tcase_add_test(tcase, moved_to_batch);
+	suite_add_tcase(suite, tcase);
+	srunner_set_fork_status(runner, CK_NOFORK);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
