state: fix elections and back-off found by the randomized raft test

Change: candidates as of the committed membership too; disks are recorded together; probes move back by whole terms; a learner with a disk stands for election after ten timeouts.

--- a/state/raft.c
+++ b/state/raft.c
@@ -99,8 +99,8 @@
 	raft_members_encode(&members, data);
 	entry.data.body_t_val = (char *)data->data;
 	entry.data.body_t_len = data->len;
+	/* After a restart the entry alone restores the term. */
 	raft->term = 1;
-	raft_persist_vote(raft);
 	raft_log_append(raft, &entry, true);
 	g_byte_array_unref(data);
 	raft_members_clear(&members);
--- a/state/raft_election.c
+++ b/state/raft_election.c
@@ -43,7 +43,7 @@
 	}
 	g_strlcpy(raft->leader, leader, sizeof(raft->leader));
 	raft_set_state(
-	    raft, raft_self_votes(raft) ? RAFT_FOLLOWER : RAFT_LEARNER_STATE);
+	    raft, raft_may_lead(raft) ? RAFT_FOLLOWER : RAFT_LEARNER_STATE);
 }
 
 /* Asks every other voter for its vote or pre-vote. */
@@ -117,13 +117,31 @@
 		raft_become_leader(raft);
 }
 
+/*
+ * Whether this is a learner with a disk that has long been without a leader.
+ * It can hold the newest entries when the leader's disk was lost, and then
+ * voters with less can elect nobody else.  It leads until its no-op commits.
+ */
+static bool
+is_last_resort(const raft_t *raft)
+{
+	const raft_member_t *self =
+	    raft_members_find(raft_members(raft), raft->id);
+
+	return self != NULL && self->role == MEMBER_LEARNER &&
+	       raft->disk_id != 0 &&
+	       raft->now_ms - raft->contact_ms >=
+		   RAFT_LEARNER_TIMEOUTS * raft->election_timeout_ms;
+}
+
 /* Starts an election when no leader was heard in time. */
 void
 raft_election_tick(raft_t *raft)
 {
-	if (raft->now_ms < raft->election_due_ms || !raft_self_votes(raft))
+	if (raft->now_ms < raft->election_due_ms)
 		return;
-	become_pre_candidate(raft);
+	if (raft_may_lead(raft) || is_last_resort(raft))
+		become_pre_candidate(raft);
 }
 
 /*
--- a/state/raft_follower.c
+++ b/state/raft_follower.c
@@ -59,6 +59,7 @@
 	       raft_log_term(raft, hint) > message->log_term)
 		hint--;
 	reply.index = hint;
+	reply.log_term = raft_log_term(raft, hint);
 	raft_send_message(raft, message->from, &reply);
 }
 
@@ -111,14 +112,26 @@
 static void
 install(raft_t *raft, const raft_message_t *message)
 {
+	raft_members_t members;
+
+	raft_members_copy(&members, &message->members);
+	for (u_int i = 0; i < members.members.members_len; i++) {
+		raft_member_t *member = &members.members.members_val[i];
+
+		/* Entry 1, which proves the bootstrap, is lost with the log. */
+		if (raft->bootstrapped && member->role == MEMBER_VOTER &&
+		    member->disk_id == 0 && strcmp(member->id, raft->id) == 0)
+			member->disk_id = raft->disk_id;
+	}
 	raft_log_reset(raft, message->index, message->log_term);
 	raft->callbacks.snapshot_install(raft->ctx, message->index,
 	    message->log_term, raft->incoming->data, raft->incoming->len,
-	    &message->members);
+	    &members);
 	if (raft->disk_id != 0)
 		raft->write_seq++;
 	raft_config_truncate(raft, 0);
-	raft_config_push(raft, message->index, &message->members);
+	raft_config_push(raft, message->index, &members);
+	raft_members_clear(&members);
 	raft_config_changed(raft);
 }
 
--- a/state/raft_internal.h
+++ b/state/raft_internal.h
@@ -18,6 +18,8 @@
 #define RAFT_MAX_UNCOMMITTED 65536
 /* Rounds whose send time is remembered for the lease. */
 #define RAFT_ROUND_TIMES 256
+/* Election timeouts without a leader before a learner stands for election. */
+#define RAFT_LEARNER_TIMEOUTS 10
 /* Percent of the election timeout that a lease lasts; the rest covers drift. */
 #define RAFT_LEASE_PERCENT 80
 
@@ -72,7 +74,7 @@
 	uint32_t max_batch;
 	raft_members_t bootstrap;
 	bool may_bootstrap;
-	bool bootstrapped; /* entry 1 was written by this participant */
+	bool bootstrapped; /* own records named this disk as that of a voter */
 	uint64_t disk_id;
 
 	raft_state_t state;
@@ -148,6 +150,7 @@
 void raft_config_truncate(raft_t *raft, uint64_t from_index);
 void raft_config_changed(raft_t *raft);
 bool raft_self_votes(const raft_t *raft);
+bool raft_may_lead(const raft_t *raft);
 raft_peer_t *raft_peer_find(const raft_t *raft, const char *id);
 bool raft_peer_counts(const raft_peer_t *peer);
 uint64_t raft_quorum_value(const raft_t *raft,
--- a/state/raft_members.c
+++ b/state/raft_members.c
@@ -94,8 +94,8 @@
 
 	const raft_member_t *self = raft_members_find(members, raft->id);
 
-	/* Others write their own copy of entry 1 with this disk as 0. */
-	if (index == 1 && self != NULL && raft->disk_id != 0 &&
+	/* Others wrote entry 1 with this disk as 0. */
+	if (self != NULL && raft->disk_id != 0 &&
 	    self->disk_id == raft->disk_id)
 		raft->bootstrapped = true;
 	raft_members_copy(&config.members, members);
@@ -152,12 +152,24 @@
 	g_array_unref(old);
 	if (raft->state == RAFT_LEADER)
 		return;
-	if (!raft_self_votes(raft))
+	if (!raft_may_lead(raft))
 		raft_set_state(raft, RAFT_LEARNER_STATE);
 	else if (raft->state == RAFT_LEARNER_STATE)
 		raft_set_state(raft, RAFT_FOLLOWER);
 }
 
+static bool
+votes_in(const raft_t *raft, const raft_members_t *members)
+{
+	const raft_member_t *self = raft_members_find(members, raft->id);
+
+	if (self == NULL || self->role != MEMBER_VOTER || raft->disk_id == 0)
+		return false;
+	if (self->disk_id == 0)
+		return raft->bootstrapped;
+	return self->disk_id == raft->disk_id;
+}
+
 /*
  * Whether this participant is a voter with the disk that its member record
  * names.  With another disk it may have forgotten votes and entries.
@@ -165,14 +177,27 @@
 bool
 raft_self_votes(const raft_t *raft)
 {
-	const raft_member_t *self =
-	    raft_members_find(raft_members(raft), raft->id);
+	return votes_in(raft, raft_members(raft));
+}
 
-	if (self == NULL || self->role != MEMBER_VOTER || raft->disk_id == 0)
-		return false;
-	if (self->disk_id == 0)
-		return raft->bootstrapped;
-	return self->disk_id == raft->disk_id;
+/*
+ * Whether this participant may be elected: as a voter of the newest membership
+ * or of one that the newest may still give way to.  The leader that proposed
+ * its own removal can be the only one with a log that a quorum accepts.
+ */
+bool
+raft_may_lead(const raft_t *raft)
+{
+	for (guint i = raft->configs->len; i > 0; i--) {
+		const raft_config_t *config =
+		    &g_array_index(raft->configs, raft_config_t, i - 1);
+
+		if (votes_in(raft, &config->members))
+			return true;
+		if (config->index <= raft->commit)
+			break;
+	}
+	return false;
 }
 
 raft_peer_t *
@@ -290,7 +315,13 @@
 	if (old->role == MEMBER_VOTER) {
 		if (member->disk_id == 0)
 			member->disk_id = old->disk_id;
-		return member->disk_id == old->disk_id ? 0 : -EINVAL;
+		if (member->disk_id != old->disk_id)
+			return -EINVAL;
+		/* As for raft_bind_disks: no later entry may lack a disk. */
+		if (member->disk_id == 0 && peer != NULL &&
+		    raft_peer_counts(peer))
+			member->disk_id = peer->seen_disk_id;
+		return member->disk_id != 0 ? 0 : -EBUSY;
 	}
 	(*changes)++;
 	if (peer == NULL || peer->seen_disk_id == 0)
@@ -336,7 +367,8 @@
 /*
  * Proposes the whole new membership, which may differ from the present one in
  * one member.  A voter's disk id 0 stands for the disk it has now.  -ENOTCONN:
- * not the leader; -EROFS: the storage failed; -EBUSY: a change is under way;
+ * not the leader; -EROFS: the storage failed; -EBUSY: a change is under way,
+ * or the disk of a first voter is not known yet;
  * -EAGAIN: the new voter has not caught up, or too few voters are in contact;
  * -EINVAL: not a single valid change.
  */
@@ -384,14 +416,17 @@
 }
 
 /*
- * Records the disks of voters whose bootstrap record left them out.  Roles do
- * not change, so any number can be recorded at once.
+ * Records the disks of voters whose bootstrap record left them out, once all of
+ * them have named theirs: a voter that found itself without a disk id in a
+ * later entry could not tell after a restart that it had bootstrapped.  Roles
+ * do not change, so they can be recorded at once.
  */
 void
 raft_bind_disks(raft_t *raft)
 {
 	raft_members_t wanted;
-	bool changed = false;
+	int missing = 0;
+	int named = 0;
 
 	if (!may_change(raft))
 		return;
@@ -400,13 +435,15 @@
 		raft_member_t *member = &wanted.members.members_val[i];
 		const raft_peer_t *peer = raft_peer_find(raft, member->id);
 
-		if (member->disk_id != 0 || peer == NULL ||
-		    !raft_peer_counts(peer))
+		if (member->role != MEMBER_VOTER || member->disk_id != 0)
 			continue;
+		missing++;
+		if (peer == NULL || !raft_peer_counts(peer))
+			continue;
+		named++;
 		member->disk_id = peer->seen_disk_id;
-		changed = true;
 	}
-	if (changed)
+	if (missing > 0 && named == missing)
 		append_members(raft, &wanted, NULL, NULL);
 	raft_members_clear(&wanted);
 }
--- a/state/raft_replication.c
+++ b/state/raft_replication.c
@@ -268,10 +268,15 @@
 		raft_become_follower(raft, raft->term, "");
 }
 
+/*
+ * Moves the probe back by at least one whole term of either log per answer; by
+ * one entry per answer, a long conflicting tail took minutes.
+ */
 static void
-on_reject(raft_peer_t *peer, const raft_message_t *message)
+on_reject(const raft_t *raft, raft_peer_t *peer, const raft_message_t *message)
 {
 	uint64_t rejected = message->offset;
+	uint64_t common = MIN(message->index, rejected - 1);
 
 	if (peer->mode == PEER_SNAPSHOT || rejected == 0 ||
 	    rejected < peer->match ||
@@ -280,7 +285,10 @@
 	/* The member has lost entries: without a disk, by a restart. */
 	if (rejected == peer->match)
 		peer->match = MIN(peer->match, message->index);
-	peer->next = MAX(MIN(message->index, rejected - 1), peer->match) + 1;
+	while (common > MAX(peer->match, raft->base_index) &&
+	       raft_log_term(raft, common) > message->log_term)
+		common--;
+	peer->next = MAX(common, peer->match) + 1;
 	peer->mode = PEER_PROBE;
 	peer->probe_sent = false;
 }
@@ -310,7 +318,7 @@
 		peer->next =
 		    MAX(peer->next, MAX(peer->match, message->commit) + 1);
 	} else {
-		on_reject(peer, message);
+		on_reject(raft, peer, message);
 	}
 	raft_advance_commit(raft);
 	if (raft->state != RAFT_LEADER)
