--- /dev/null
+++ b/policy/cells.c
@@ -0,0 +1,541 @@
+#include "policy/cells.h"
+
+#include <errno.h>
+#include <string.h>
+
+#include "policy/cells_private.h"
+
+static void
+worker_free(void *data)
+{
+	worker_t *worker = data;
+
+	g_ptr_array_unref(worker->jobs);
+	g_free(worker->id);
+	g_free(worker);
+}
+
+static void
+rack_free(void *data)
+{
+	rack_t *rack = data;
+
+	g_array_unref(rack->workers);
+	g_free(rack->name);
+	g_free(rack);
+}
+
+void
+cells_job_free(void *data)
+{
+	job_t *job = data;
+
+	g_free(job->places);
+	g_free(job->id);
+	g_free(job);
+}
+
+/* Creates a failure domain without hardware, guarantees or work. */
+cells_t *
+cells_create(void)
+{
+	cells_t *cells = g_new0(cells_t, 1);
+
+	cells->workers = g_ptr_array_new_with_free_func(worker_free);
+	cells->racks = g_ptr_array_new_with_free_func(rack_free);
+	cells->worker_ids = g_hash_table_new(g_str_hash, g_str_equal);
+	cells->rack_ids = g_hash_table_new(g_str_hash, g_str_equal);
+	cells->jobs = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, cells_job_free);
+	cells->guarantees = g_array_new(FALSE, FALSE, sizeof(guarantee_t));
+	cells->units = g_ptr_array_new_with_free_func(cells_unit_free);
+	return cells;
+}
+
+void
+cells_destroy(cells_t *cells)
+{
+	if (cells == NULL)
+		return;
+	g_hash_table_unref(cells->worker_ids);
+	g_hash_table_unref(cells->rack_ids);
+	g_hash_table_unref(cells->jobs);
+	g_ptr_array_unref(cells->units);
+	g_array_unref(cells->guarantees);
+	g_ptr_array_unref(cells->racks);
+	g_ptr_array_unref(cells->workers);
+	g_free(cells);
+}
+
+/* Returns the position of a worker, CELLS_NONE when there is none. */
+static int
+worker_find(const cells_t *cells, const char *id)
+{
+	void *value = g_hash_table_lookup(cells->worker_ids, id);
+
+	return value != NULL ? GPOINTER_TO_INT(value) - 1 : CELLS_NONE;
+}
+
+static int
+rack_find_or_add(cells_t *cells, const char *name)
+{
+	void *value = g_hash_table_lookup(cells->rack_ids, name);
+	rack_t *rack;
+
+	if (value != NULL)
+		return GPOINTER_TO_INT(value) - 1;
+	rack = g_new0(rack_t, 1);
+	rack->name = g_strdup(name);
+	rack->workers = g_array_new(FALSE, FALSE, sizeof(int));
+	g_ptr_array_add(cells->racks, rack);
+	g_hash_table_insert(
+	    cells->rack_ids, rack->name, GINT_TO_POINTER(cells->racks->len));
+	return (int)cells->racks->len - 1;
+}
+
+/* Puts a worker into a rack, out of the one it was in. */
+static void
+worker_move(cells_t *cells, int id, int to)
+{
+	worker_t *worker = cells_worker_at(cells, id);
+	rack_t *rack;
+
+	if (worker->rack == to)
+		return;
+	if (worker->rack != CELLS_NONE) {
+		for (int view = 0; view < VIEW_COUNT; view++)
+			cells_set_avail(cells, id, (cells_view_t)view, 0);
+		rack = g_ptr_array_index(cells->racks, (guint)worker->rack);
+		for (guint i = 0; i < rack->workers->len; i++) {
+			if (g_array_index(rack->workers, int, i) == id) {
+				g_array_remove_index(rack->workers, i);
+				break;
+			}
+		}
+	}
+	rack = g_ptr_array_index(cells->racks, (guint)to);
+	g_array_append_val(rack->workers, id);
+	worker->rack = to;
+}
+
+/*
+ * Adds a worker, or changes the rack and sizes of a present one.  Returns
+ * -EINVAL for sizes out of range.
+ */
+int
+cells_add_worker(cells_t *cells, const char *worker, const char *rack,
+    int accelerators, int slots)
+{
+	int id = worker_find(cells, worker);
+	worker_t *w;
+
+	if (accelerators < 0 || accelerators > CELLS_MAX_ACCELERATORS ||
+	    slots < 1)
+		return -EINVAL;
+	if (id == CELLS_NONE) {
+		w = g_new0(worker_t, 1);
+		w->id = g_strdup(worker);
+		w->rack = CELLS_NONE;
+		w->jobs = g_ptr_array_new();
+		g_ptr_array_add(cells->workers, w);
+		g_hash_table_insert(cells->worker_ids, w->id,
+		    GINT_TO_POINTER(cells->workers->len));
+		id = (int)cells->workers->len - 1;
+	}
+	w = cells_worker_at(cells, id);
+	if (w->present && w->accelerators != accelerators)
+		cells_remove_worker(cells, worker);
+	worker_move(cells, id, rack_find_or_add(cells, rack));
+	w->accelerators = accelerators;
+	w->slots = slots;
+	w->present = true;
+	w->usable = true;
+	cells_refresh(cells, id);
+	cells_repair(cells);
+	return 0;
+}
+
+/* Removes a worker; work on it stays known until it is released. */
+int
+cells_remove_worker(cells_t *cells, const char *worker)
+{
+	int id = worker_find(cells, worker);
+
+	if (id == CELLS_NONE || !cells_worker_at(cells, id)->present)
+		return -ENOENT;
+	cells_worker_at(cells, id)->present = false;
+	cells_refresh(cells, id);
+	cells_repair(cells);
+	return 0;
+}
+
+/* Marks the hardware of a worker as failed or as repaired. */
+int
+cells_set_usable(cells_t *cells, const char *worker, bool usable)
+{
+	int id = worker_find(cells, worker);
+
+	if (id == CELLS_NONE || !cells_worker_at(cells, id)->present)
+		return -ENOENT;
+	if (cells_worker_at(cells, id)->usable == usable)
+		return 0;
+	cells_worker_at(cells, id)->usable = usable;
+	cells_refresh(cells, id);
+	cells_repair(cells);
+	return 0;
+}
+
+/* Largest count of one guarantee that fits together with the others. */
+static int
+largest_count(const cells_t *cells, GArray *guarantees, guint which)
+{
+	guarantee_t *g = &g_array_index(guarantees, guarantee_t, which);
+	int wanted = g->count;
+	int low = 0;
+	int high = wanted - 1;
+
+	g->count = 0;
+	if (cells_fit_empty(cells, guarantees) != CELLS_NONE)
+		low = CELLS_NONE;
+	while (low >= 0 && low < high) {
+		g->count = (low + high + 1) / 2;
+		if (cells_fit_empty(cells, guarantees) == CELLS_NONE)
+			low = g->count;
+		else
+			high = g->count - 1;
+	}
+	g->count = wanted;
+	return low;
+}
+
+/*
+ * Describes a set that does not fit: the first guarantee without a place, and
+ * the change of one count that takes away the fewest accelerators.
+ */
+static int
+explain_refusal(
+    const cells_t *cells, GArray *guarantees, int failed, err_t *err)
+{
+	const guarantee_t *f =
+	    &g_array_index(guarantees, guarantee_t, (guint)failed);
+	const guarantee_t *best = NULL;
+	int best_count = 0;
+	int best_change = 0;
+
+	for (guint i = 0; i < guarantees->len; i++) {
+		const guarantee_t *g =
+		    &g_array_index(guarantees, guarantee_t, i);
+		int count = largest_count(cells, guarantees, i);
+		int change = (g->count - count) * g->members * g->accelerators;
+
+		if (count < 0 || (best != NULL && change >= best_change))
+			continue;
+		best = g;
+		best_count = count;
+		best_change = change;
+	}
+	if (best == NULL)
+		return err_set(err, -ENOSPC, "guarantees", f->workspace,
+		    "%d of %d x %d accelerators of workspace %s do not fit, and"
+		    " no change of one guarantee alone would make the set fit",
+		    f->count, f->members, f->accelerators, f->workspace);
+	return err_set(err, -ENOSPC, "guarantees", f->workspace,
+	    "%d of %d x %d accelerators of workspace %s do not fit; the set "
+	    "fits with %d instead of %d of %d x %d for workspace %s",
+	    f->count, f->members, f->accelerators, f->workspace, best_count,
+	    best->count, best->members, best->accelerators, best->workspace);
+}
+
+/* See cells.h. */
+int
+cells_set_guarantees(cells_t *cells, const cells_guarantee_t *guarantees,
+    size_t count, err_t *err)
+{
+	GArray *set = g_array_new(FALSE, FALSE, sizeof(guarantee_t));
+	int failed;
+
+	for (size_t i = 0; i < count; i++) {
+		const cells_guarantee_t *g = &guarantees[i];
+		guarantee_t copy = {g_intern_string(g->workspace), g->count,
+		    g->members, g->accelerators, g->adjacency};
+
+		if (g->count < 0 || g->members < 1 ||
+		    g->members > MAX_MEMBERS || g->accelerators < 1 ||
+		    g->accelerators > CELLS_MAX_ACCELERATORS) {
+			g_array_unref(set);
+			return err_set(err, -EINVAL, "guarantees", g->workspace,
+			    "%d of %d x %d accelerators is out of range",
+			    g->count, g->members, g->accelerators);
+		}
+		g_array_append_val(set, copy);
+	}
+	failed = cells_fit_empty(cells, set);
+	if (failed != CELLS_NONE) {
+		int rc = err != NULL ? explain_refusal(cells, set, failed, err)
+				     : -ENOSPC;
+
+		g_array_unref(set);
+		return rc;
+	}
+	cells_replace_units(cells, set);
+	return 0;
+}
+
+/* Checks the places of a job and turns them into positions. */
+static int
+resolve_places(const cells_t *cells, const cells_shape_t *shape,
+    const cells_place_t *places, place_t *out)
+{
+	for (int p = 0; p < shape->members; p++) {
+		int id = worker_find(cells, places[p].worker);
+		uint32_t mask = places[p].accelerator_mask;
+		const worker_t *w;
+
+		if (id == CELLS_NONE)
+			return -ENOENT;
+		w = cells_worker_at(cells, id);
+		if ((mask & ~cells_full_mask(w->accelerators)) != 0 ||
+		    __builtin_popcount(mask) != shape->accelerators)
+			return -EINVAL;
+		if ((w->used & mask) != 0)
+			return -EBUSY;
+		for (int q = 0; q < p; q++) {
+			if (out[q].worker == id && (out[q].mask & mask) != 0)
+				return -EBUSY;
+		}
+		out[p] = (place_t){id, mask};
+	}
+	return 0;
+}
+
+/* Marks the places of a job as used or free. */
+static void
+mark_used(const cells_t *cells, job_t *job, bool used)
+{
+	for (int p = 0; p < job->members; p++) {
+		worker_t *w = cells_worker_at(cells, job->places[p].worker);
+
+		if (used) {
+			w->used |= job->places[p].mask;
+			w->slots_used++;
+			g_ptr_array_add(w->jobs, job);
+		} else {
+			w->used &= ~job->places[p].mask;
+			w->slots_used--;
+			g_ptr_array_remove(w->jobs, job);
+		}
+		cells_refresh(cells, job->places[p].worker);
+	}
+}
+
+/* Remembers which units have their cells. */
+static bool *
+whole_units(const cells_t *cells)
+{
+	bool *whole = g_new0(bool, cells->units->len + 1);
+
+	for (guint i = 0; i < cells->units->len; i++)
+		whole[i] =
+		    cells_unit_is_whole(g_ptr_array_index(cells->units, i));
+	return whole;
+}
+
+static bool
+all_still_whole(const cells_t *cells, const bool *whole)
+{
+	for (guint i = 0; i < cells->units->len; i++) {
+		if (whole[i] &&
+		    !cells_unit_is_whole(g_ptr_array_index(cells->units, i)))
+			return false;
+	}
+	return true;
+}
+
+/* Whether the places overlap cells in which another workspace works. */
+static bool
+overlaps_work(const cells_t *cells, const job_t *job)
+{
+	for (guint i = 0; i < cells->units->len; i++) {
+		const unit_t *unit = g_ptr_array_index(cells->units, i);
+
+		if (unit->work == 0 || unit->workspace == job->workspace)
+			continue;
+		for (int m = 0; m < unit->members; m++) {
+			for (int p = 0; p < job->members; p++) {
+				if (unit->cells[m].work > 0 &&
+				    unit->cells[m].worker ==
+					job->places[p].worker &&
+				    (unit->cells[m].mask &
+					job->places[p].mask) != 0)
+					return true;
+			}
+		}
+	}
+	return false;
+}
+
+/*
+ * Binds a job to the guarantee of its workspace.  Refused with -EBUSY when it
+ * would put the guarantee of another workspace at risk.
+ */
+static int
+bind_checked(cells_t *cells, job_t *job)
+{
+	cell_t *saved;
+	bool *whole;
+	int rc;
+
+	if (cells_is_inside(cells, job))
+		return cells_bind(cells, job);
+	if (overlaps_work(cells, job))
+		return -EBUSY;
+	whole = whole_units(cells);
+	saved = cells_units_save(cells->units);
+	rc = cells_bind(cells, job);
+	if (rc != 0)
+		goto out;
+	cells_repair(cells);
+	if (all_still_whole(cells, whole))
+		goto out;
+	cells_unbind(cells, job);
+	cells_units_load(cells, cells->units, saved);
+	rc = -EBUSY;
+out:
+	g_free(whole);
+	g_free(saved);
+	return rc;
+}
+
+/*
+ * Records that a job runs at these places.  -EBUSY: they are not free, or a
+ * guarantee would be at risk.  -EDQUOT: the guarantee is used up.
+ */
+int
+cells_take(cells_t *cells, const cells_shape_t *shape, bool guaranteed,
+    const cells_place_t *places)
+{
+	place_t resolved[MAX_MEMBERS];
+	job_t *job;
+	int rc;
+
+	if (shape->members < 1 || shape->members > MAX_MEMBERS)
+		return -EINVAL;
+	if (g_hash_table_contains(cells->jobs, shape->job))
+		return -EEXIST;
+	rc = resolve_places(cells, shape, places, resolved);
+	if (rc != 0)
+		return rc;
+	job = g_new0(job_t, 1);
+	job->id = g_strdup(shape->job);
+	job->workspace = g_intern_string(shape->workspace);
+	job->members = shape->members;
+	job->accelerators = shape->accelerators;
+	job->adjacency = shape->adjacency;
+	job->claims_guarantee = guaranteed;
+	job->places =
+	    g_memdup2(resolved, sizeof(place_t) * (gsize)shape->members);
+	if (guaranteed && cells->guarantees->len > 0)
+		rc = bind_checked(cells, job);
+	if (rc != 0) {
+		cells_job_free(job);
+		return rc;
+	}
+	mark_used(cells, job, true);
+	g_hash_table_insert(cells->jobs, job->id, job);
+	return 0;
+}
+
+/* Records that a job runs no longer; -ENOENT when it did not. */
+int
+cells_release(cells_t *cells, const char *id)
+{
+	job_t *job = g_hash_table_lookup(cells->jobs, id);
+	bool guaranteed;
+
+	if (job == NULL)
+		return -ENOENT;
+	guaranteed = job->guaranteed;
+	if (guaranteed)
+		cells_unbind(cells, job);
+	mark_used(cells, job, false);
+	g_hash_table_remove(cells->jobs, id);
+	if (guaranteed)
+		cells_repair(cells);
+	return 0;
+}
+
+int
+cells_set_cost(cells_t *cells, const char *id, int64_t lost_ms)
+{
+	job_t *job = g_hash_table_lookup(cells->jobs, id);
+
+	if (job == NULL)
+		return -ENOENT;
+	job->lost_ms = lost_ms;
+	return 0;
+}
+
+bool
+cells_is_guaranteed(const cells_t *cells, const char *id)
+{
+	const job_t *job = g_hash_table_lookup(cells->jobs, id);
+
+	return job != NULL && job->guaranteed;
+}
+
+/* See cells.h. */
+void
+cells_each_at_risk(const cells_t *cells,
+    void (*visit)(void *ctx, const cells_guarantee_t *guarantee, int units),
+    void *ctx)
+{
+	for (guint i = 0; i < cells->guarantees->len; i++) {
+		const guarantee_t *g =
+		    &g_array_index(cells->guarantees, guarantee_t, i);
+		cells_guarantee_t at_risk = {g->workspace, g->count, g->members,
+		    g->accelerators, g->adjacency};
+		int units = 0;
+
+		for (guint k = 0; k < cells->units->len; k++) {
+			const unit_t *unit = g_ptr_array_index(cells->units, k);
+
+			units += unit->guarantee == (int)i &&
+				 !cells_unit_is_whole(unit);
+		}
+		if (units > 0)
+			visit(ctx, &at_risk, units);
+	}
+}
+
+/* Returns the accelerators on which nothing runs. */
+int
+cells_free_accelerators(const cells_t *cells)
+{
+	return cells_largest_free(cells, ADJACENT_DOMAIN);
+}
+
+/* Returns the most accelerators free on one worker, in one rack or in all. */
+int
+cells_largest_free(const cells_t *cells, adjacency_t adjacency)
+{
+	int total = 0;
+	int largest = 0;
+
+	for (guint i = 0; i < cells->racks->len; i++) {
+		const rack_t *rack = g_ptr_array_index(cells->racks, i);
+
+		total += rack->index[VIEW_FREE].total;
+		largest = MAX(largest, rack->index[VIEW_FREE].total);
+	}
+	if (adjacency == ADJACENT_RACK)
+		return largest;
+	if (adjacency != ADJACENT_WORKER)
+		return total;
+	largest = 0;
+	for (guint i = 0; i < cells->workers->len; i++) {
+		const worker_t *w = cells_worker_at(cells, (int)i);
+
+		largest = MAX(largest, __builtin_popcount(w->avail[VIEW_FREE]));
+	}
+	return largest;
+}
--- a/policy/cells.h
+++ b/policy/cells.h
@@ -44,6 +44,12 @@
     int accelerators, int slots);
 int cells_remove_worker(cells_t *cells, const char *worker);
 int cells_set_usable(cells_t *cells, const char *worker, bool usable);
+/*
+ * Puts guarantees into effect.  -ENOSPC: they do not fit together on the whole
+ * hardware; err names one of them and the smallest change.  Guaranteed jobs
+ * taken before the first call are only noted, and bound by it; a successor
+ * therefore takes every running job first.
+ */
 int cells_set_guarantees(cells_t *cells, const cells_guarantee_t *guarantees,
     size_t count, err_t *err);
 /*
@@ -58,8 +64,18 @@
 int cells_take(cells_t *cells, const cells_shape_t *shape, bool guaranteed,
     const cells_place_t *places);
 int cells_release(cells_t *cells, const char *job);
-/* Verifies that every guarantee can be reclaimed; -ENOSPC names who is at risk.
+/* Work that is lost when the job is stopped now; decides whom to reclaim. */
+int cells_set_cost(cells_t *cells, const char *job, int64_t lost_ms);
+/* Whether the job runs inside its workspace's guarantee. */
+bool cells_is_guaranteed(const cells_t *cells, const char *job);
+/*
+ * Verifies that every guarantee can be reclaimed.  -ENOSPC names who is at risk
+ * for lack of usable hardware; -EIO is a fault of the records.
  */
 int cells_check(const cells_t *cells, err_t *err);
+/* Visits what can't be honoured now: units of a guarantee without cells. */
+void cells_each_at_risk(const cells_t *cells,
+    void (*visit)(void *ctx, const cells_guarantee_t *guarantee, int units),
+    void *ctx);
 int cells_free_accelerators(const cells_t *cells);
 int cells_largest_free(const cells_t *cells, adjacency_t adjacency);
--- /dev/null
+++ b/policy/cells_bind.c
@@ -0,0 +1,411 @@
+#include <errno.h>
+#include <string.h>
+
+#include "policy/cells_private.h"
+
+/* Counts a job in, or out of, the cells that hold its members. */
+static void
+work_in_cells(const cells_t *cells, const job_t *job, int sign)
+{
+	for (guint i = 0; i < cells->units->len; i++) {
+		unit_t *unit = g_ptr_array_index(cells->units, i);
+
+		if (unit->workspace != job->workspace)
+			continue;
+		for (int m = 0; m < unit->members; m++) {
+			cell_t *cell = &unit->cells[m];
+
+			if (cell->worker == CELLS_NONE)
+				continue;
+			for (int p = 0; p < job->members; p++) {
+				if (job->places[p].worker == cell->worker &&
+				    (job->places[p].mask & cell->mask) != 0)
+					cells_unit_work(
+					    cells, unit, cell, sign);
+			}
+		}
+	}
+}
+
+/* Whether the workspace's cells contain every place of the job. */
+bool
+cells_is_inside(const cells_t *cells, const job_t *job)
+{
+	for (int p = 0; p < job->members; p++) {
+		uint32_t left = job->places[p].mask;
+
+		for (guint i = 0; i < cells->units->len && left != 0; i++) {
+			const unit_t *unit = g_ptr_array_index(cells->units, i);
+
+			if (unit->workspace != job->workspace)
+				continue;
+			for (int m = 0; m < unit->members; m++) {
+				if (unit->cells[m].worker ==
+				    job->places[p].worker)
+					left &= ~unit->cells[m].mask;
+			}
+		}
+		if (left != 0)
+			return false;
+	}
+	return true;
+}
+
+/* Accelerators of the block of a unit's cell that holds the mask. */
+static uint32_t
+block_around(const unit_t *unit, uint32_t mask)
+{
+	int level = cells_level(unit->accelerators);
+	int first = __builtin_ctz(mask) >> level << level;
+
+	return cells_full_mask(1 << level) << first;
+}
+
+/*
+ * Plans the cells that a unit needs around the places of a job, members in one
+ * block sharing a cell.  Returns their number, CELLS_NONE when the unit can't
+ * have them.
+ */
+static int
+plan_cells(const cells_t *cells, const unit_t *unit, const job_t *job,
+    place_t *planned)
+{
+	int count = 0;
+
+	for (int p = 0; p < job->members; p++) {
+		const place_t *place = &job->places[p];
+		uint32_t block = block_around(unit, place->mask);
+		int m = 0;
+
+		if ((place->mask & ~block) != 0 ||
+		    job->accelerators > unit->accelerators)
+			return CELLS_NONE;
+		while (m < count &&
+		       (planned[m].worker != place->worker ||
+			   (planned[m].mask & ~block) != 0 ||
+			   __builtin_popcount(planned[m].mask | place->mask) >
+			       unit->accelerators))
+			m++;
+		if (m == unit->members)
+			return CELLS_NONE;
+		if (m == count)
+			planned[count++] = (place_t){place->worker, 0};
+		planned[m].mask |= place->mask;
+		if ((unit->adjacency == ADJACENT_WORKER &&
+			place->worker != planned[0].worker) ||
+		    (unit->adjacency == ADJACENT_RACK &&
+			cells_worker_at(cells, place->worker)->rack !=
+			    cells_worker_at(cells, planned[0].worker)->rack))
+			return CELLS_NONE;
+	}
+	return count;
+}
+
+/* How well a unit suits a job that runs outside its cells; less is better. */
+static int
+misfit(const unit_t *unit, const job_t *job)
+{
+	int cost = unit->members * unit->accelerators * 4;
+
+	if (!cells_unit_same(
+		unit, job->members, job->accelerators, job->adjacency))
+		cost += 2;
+	return cells_unit_is_whole(unit) ? cost : cost + 1;
+}
+
+/* Chooses a unit without work for a job that runs outside its cells. */
+static unit_t *
+choose_unit(const cells_t *cells, const job_t *job)
+{
+	place_t planned[MAX_MEMBERS];
+	unit_t *best = NULL;
+
+	for (guint i = 0; i < cells->units->len; i++) {
+		unit_t *unit = g_ptr_array_index(cells->units, i);
+
+		if (unit->workspace != job->workspace || unit->work > 0 ||
+		    plan_cells(cells, unit, job, planned) == CELLS_NONE)
+			continue;
+		if (best == NULL || misfit(unit, job) < misfit(best, job))
+			best = unit;
+	}
+	return best;
+}
+
+/* Takes the job's accelerators away from one cell. */
+static void
+strip_cell(const cells_t *cells, unit_t *unit, int member, const job_t *job)
+{
+	cell_t *cell = &unit->cells[member];
+
+	for (int p = 0; p < job->members && cell->worker != CELLS_NONE; p++) {
+		uint32_t shared = cell->mask & job->places[p].mask;
+
+		if (cell->worker != job->places[p].worker || shared == 0)
+			continue;
+		if (cell->work == 0) {
+			cells_unit_clear_cell(cells, unit, member);
+			continue;
+		}
+		cell->mask &= ~shared;
+		cells_worker_at(cells, cell->worker)->reserved &= ~shared;
+		cells_refresh(cells, cell->worker);
+	}
+}
+
+/* Takes the job's accelerators away from the cells of every unit. */
+static void
+strip_cells(const cells_t *cells, const job_t *job)
+{
+	for (guint i = 0; i < cells->units->len; i++) {
+		unit_t *unit = g_ptr_array_index(cells->units, i);
+
+		for (int m = 0; m < unit->members; m++)
+			strip_cell(cells, unit, m, job);
+	}
+}
+
+/* Accelerators of a worker on which guaranteed work of a workspace runs. */
+static uint32_t
+work_of(const worker_t *w, int worker, const char *workspace)
+{
+	uint32_t mask = 0;
+
+	for (guint i = 0; i < w->jobs->len; i++) {
+		const job_t *job = g_ptr_array_index(w->jobs, i);
+
+		if (!job->claims_guarantee || job->workspace != workspace)
+			continue;
+		for (int p = 0; p < job->members; p++) {
+			if (job->places[p].worker == worker)
+				mask |= job->places[p].mask;
+		}
+	}
+	return mask;
+}
+
+/* Adds accelerators out of left until the mask has that many. */
+static uint32_t
+add_bits(uint32_t mask, uint32_t left, int accelerators)
+{
+	while (__builtin_popcount(mask) < accelerators && left != 0) {
+		mask |= left & -left;
+		left &= left - 1;
+	}
+	return mask;
+}
+
+/*
+ * Completes a cell from the accelerators of its block; others are those of the
+ * unit's other cells on the same worker.
+ */
+static void
+grow_cell(
+    const cells_t *cells, const unit_t *unit, uint32_t others, place_t *cell)
+{
+	const worker_t *w = cells_worker_at(cells, cell->worker);
+	uint32_t block = block_around(unit, cell->mask) & ~others;
+	uint32_t own = work_of(w, cell->worker, unit->workspace) & block &
+		       ~w->reserved & ~cell->mask;
+	uint32_t left = w->avail[VIEW_HARD] & block & ~cell->mask;
+
+	cell->mask = add_bits(cell->mask, own, unit->accelerators);
+	cell->mask = add_bits(cell->mask, left, unit->accelerators);
+}
+
+/* Moves a unit so that its cells contain the places of a job. */
+static void
+move_unit(const cells_t *cells, unit_t *unit, const job_t *job)
+{
+	place_t planned[MAX_MEMBERS];
+	int count = plan_cells(cells, unit, job, planned);
+
+	strip_cells(cells, job);
+	cells_unit_clear(cells, unit);
+	for (int m = 0; m < count; m++) {
+		uint32_t others = 0;
+
+		for (int k = 0; k < count; k++) {
+			if (k != m && planned[k].worker == planned[m].worker)
+				others |= planned[k].mask;
+		}
+		grow_cell(cells, unit, others, &planned[m]);
+		cells_unit_set_cell(cells, unit, m, &planned[m]);
+	}
+}
+
+/*
+ * Counts a guaranteed job against its workspace's units; a unit without work
+ * moves when the job runs outside its cells.  Returns -EDQUOT when the
+ * workspace has no unit left that holds the job.
+ */
+int
+cells_bind(cells_t *cells, job_t *job)
+{
+	if (!cells_is_inside(cells, job)) {
+		unit_t *unit = choose_unit(cells, job);
+
+		if (unit == NULL)
+			return -EDQUOT;
+		move_unit(cells, unit, job);
+	}
+	job->guaranteed = true;
+	for (int p = 0; p < job->members; p++) {
+		worker_t *w = cells_worker_at(cells, job->places[p].worker);
+
+		w->guaranteed |= job->places[p].mask;
+		w->slots_guaranteed++;
+	}
+	work_in_cells(cells, job, 1);
+	for (int p = 0; p < job->members; p++)
+		cells_refresh(cells, job->places[p].worker);
+	return 0;
+}
+
+/* Undoes cells_bind; the units keep their cells. */
+void
+cells_unbind(cells_t *cells, job_t *job)
+{
+	job->guaranteed = false;
+	for (int p = 0; p < job->members; p++) {
+		worker_t *w = cells_worker_at(cells, job->places[p].worker);
+
+		w->guaranteed &= ~job->places[p].mask;
+		w->slots_guaranteed--;
+	}
+	work_in_cells(cells, job, -1);
+	for (int p = 0; p < job->members; p++)
+		cells_refresh(cells, job->places[p].worker);
+}
+
+/* Lets new units keep the cells of old units of the same shape and owner. */
+static void
+keep_cells(cells_t *cells, GPtrArray *old)
+{
+	bool *kept = g_new0(bool, old->len + 1);
+
+	for (guint i = 0; i < cells->units->len; i++) {
+		unit_t *unit = g_ptr_array_index(cells->units, i);
+		const unit_t *from = NULL;
+		guint chosen = 0;
+
+		for (guint k = 0; k < old->len; k++) {
+			const unit_t *unit_k = g_ptr_array_index(old, k);
+
+			if (kept[k] || unit_k->workspace != unit->workspace ||
+			    unit_k->members != unit->members ||
+			    unit_k->accelerators != unit->accelerators ||
+			    unit_k->adjacency != unit->adjacency ||
+			    (from != NULL && unit_k->work <= from->work))
+				continue;
+			from = unit_k;
+			chosen = k;
+		}
+		if (from == NULL)
+			continue;
+		kept[chosen] = true;
+		unit->honoured = cells_unit_is_whole(from);
+		for (int m = 0; m < unit->members; m++) {
+			place_t place = {
+			    from->cells[m].worker, from->cells[m].mask};
+
+			if (place.worker != CELLS_NONE)
+				cells_unit_set_cell(cells, unit, m, &place);
+		}
+	}
+	g_free(kept);
+}
+
+static int
+compare_jobs(const void *a, const void *b)
+{
+	const job_t *x = *(job_t *const *)a;
+	const job_t *y = *(job_t *const *)b;
+	int size_x = x->members * x->accelerators;
+	int size_y = y->members * y->accelerators;
+
+	return size_x != size_y ? size_y - size_x : strcmp(x->id, y->id);
+}
+
+/* Marks the accelerators of a job as taken by guaranteed work, or not. */
+static void
+mark_guaranteed(const cells_t *cells, const job_t *job, bool guaranteed)
+{
+	for (int p = 0; p < job->members; p++) {
+		worker_t *w = cells_worker_at(cells, job->places[p].worker);
+
+		if (guaranteed)
+			w->guaranteed |= job->places[p].mask;
+		else
+			w->guaranteed &= ~job->places[p].mask;
+		cells_refresh(cells, job->places[p].worker);
+	}
+}
+
+/*
+ * Binds jobs to new units: first those inside cells that stay, then the rest.
+ * All are marked beforehand, so that no cell grows over another workspace's
+ * guaranteed job.
+ */
+static void
+bind_all(cells_t *cells, GPtrArray *jobs)
+{
+	for (guint i = 0; i < jobs->len; i++) {
+		job_t *job = g_ptr_array_index(jobs, i);
+
+		job->guaranteed = false;
+		mark_guaranteed(cells, job, true);
+	}
+	for (int pass = 0; pass < 2; pass++) {
+		for (guint i = 0; i < jobs->len; i++) {
+			job_t *job = g_ptr_array_index(jobs, i);
+
+			if (!job->guaranteed &&
+			    (pass > 0 || cells_is_inside(cells, job)))
+				cells_bind(cells, job);
+		}
+	}
+	for (guint i = 0; i < jobs->len; i++) {
+		job_t *job = g_ptr_array_index(jobs, i);
+
+		if (!job->guaranteed)
+			mark_guaranteed(cells, job, false);
+	}
+}
+
+/*
+ * Puts a set of guarantees into effect and takes it over.  A guaranteed job
+ * that the new set no longer covers goes on as opportunistic work.
+ */
+void
+cells_replace_units(cells_t *cells, GArray *guarantees)
+{
+	GPtrArray *old = cells->units;
+	GPtrArray *jobs = g_ptr_array_new();
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, cells->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (((job_t *)value)->claims_guarantee)
+			g_ptr_array_add(jobs, value);
+	}
+	g_ptr_array_sort(jobs, compare_jobs);
+	for (guint i = 0; i < cells->workers->len; i++) {
+		worker_t *w = cells_worker_at(cells, (int)i);
+
+		w->reserved = 0;
+		w->guaranteed = 0;
+		w->slots_reserved = 0;
+		w->slots_guaranteed = 0;
+		cells_refresh(cells, (int)i);
+	}
+	g_array_unref(cells->guarantees);
+	cells->guarantees = guarantees;
+	cells->units = cells_units_create(guarantees);
+	keep_cells(cells, old);
+	bind_all(cells, jobs);
+	cells_repair(cells);
+	g_ptr_array_unref(jobs);
+	g_ptr_array_unref(old);
+}
--- /dev/null
+++ b/policy/cells_check.c
@@ -0,0 +1,136 @@
+#include <errno.h>
+
+#include "policy/cells_private.h"
+
+/* What a check has placed on a worker so far. */
+typedef struct {
+	uint32_t work;  /* guaranteed work */
+	uint32_t cells; /* cells of units */
+	int slots;
+} tally_t;
+
+/* Places the guaranteed work; nothing else may stay in the end. */
+static int
+place_work(const cells_t *cells, tally_t *tally, err_t *err)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, cells->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const job_t *job = value;
+
+		if (!job->guaranteed)
+			continue;
+		for (int p = 0; p < job->members; p++) {
+			tally_t *t = &tally[job->places[p].worker];
+
+			if ((t->work & job->places[p].mask) != 0)
+				return err_set(err, -EIO, "cells",
+				    job->workspace,
+				    "job %s shares accelerators with other "
+				    "guaranteed work",
+				    job->id);
+			t->work |= job->places[p].mask;
+			t->slots++;
+		}
+	}
+	return 0;
+}
+
+/* Places one cell of a unit; its accelerators must form part of one block. */
+static int
+place_cell(const cells_t *cells, const unit_t *unit, const cell_t *cell,
+    tally_t *tally, err_t *err)
+{
+	const worker_t *w = cells_worker_at(cells, cell->worker);
+	tally_t *t = &tally[cell->worker];
+	int level = cells_level(unit->accelerators);
+	int first = __builtin_ctz(cell->mask) >> level;
+	int last = (31 - __builtin_clz(cell->mask)) >> level;
+
+	if (first != last)
+		return err_set(err, -EIO, "cells", unit->workspace,
+		    "a cell on worker %s is not inside one block", w->id);
+	if ((t->cells & cell->mask) != 0)
+		return err_set(err, -EIO, "cells", unit->workspace,
+		    "cells of two guarantees overlap on worker %s", w->id);
+	t->cells |= cell->mask;
+	if (cell->work > 0)
+		return 0;
+	if (!w->usable || !w->present || (t->work & cell->mask) != 0)
+		return err_set(err, -EIO, "cells", unit->workspace,
+		    "a cell on worker %s can't be reclaimed", w->id);
+	if (++t->slots > w->slots)
+		return err_set(err, -EIO, "cells", unit->workspace,
+		    "no slot on worker %s can be reclaimed", w->id);
+	return 0;
+}
+
+/* Places one unit and checks the adjacency of its cells. */
+static int
+place_unit(const cells_t *cells, const unit_t *unit, tally_t *tally, err_t *err)
+{
+	const cell_t *first = NULL;
+
+	for (int m = 0; m < unit->members; m++) {
+		const cell_t *cell = &unit->cells[m];
+		int rc;
+
+		if (cell->worker == CELLS_NONE)
+			continue;
+		rc = place_cell(cells, unit, cell, tally, err);
+		if (rc != 0)
+			return rc;
+		if (first == NULL)
+			first = cell;
+		if ((unit->adjacency == ADJACENT_WORKER &&
+			cell->worker != first->worker) ||
+		    (unit->adjacency == ADJACENT_RACK &&
+			cells_worker_at(cells, cell->worker)->rack !=
+			    cells_worker_at(cells, first->worker)->rack))
+			return err_set(err, -EIO, "cells", unit->workspace,
+			    "the cells of a guarantee are not adjacent");
+	}
+	return 0;
+}
+
+/*
+ * Verifies the invariant without the records that searches rely on: on hardware
+ * that holds nothing but guaranteed work, every unit of every guarantee is
+ * placed.  -ENOSPC: err names a workspace whose guarantee is at risk for lack
+ * of usable hardware, the others are honoured.  -EIO: a guarantee is not
+ * honoured although the hardware suffices, which is a fault of this module.
+ */
+int
+cells_check(const cells_t *cells, err_t *err)
+{
+	tally_t *tally = g_new0(tally_t, (gsize)cells->workers->len + 1);
+	const unit_t *at_risk = NULL;
+	int rc = place_work(cells, tally, err);
+
+	for (guint i = 0; rc == 0 && i < cells->units->len; i++) {
+		const unit_t *unit = g_ptr_array_index(cells->units, i);
+
+		rc = place_unit(cells, unit, tally, err);
+		if (rc == 0 && at_risk == NULL && !cells_unit_is_whole(unit))
+			at_risk = unit;
+	}
+	for (guint i = 0; rc == 0 && i < cells->workers->len; i++) {
+		const worker_t *w = cells_worker_at(cells, (int)i);
+
+		if ((tally[i].work & ~tally[i].cells) != 0)
+			rc = err_set(err, -EIO, "cells", w->id,
+			    "guaranteed work on worker %s is outside every "
+			    "guarantee",
+			    w->id);
+	}
+	if (rc == 0 && at_risk != NULL)
+		rc = err_set(err, -ENOSPC, "cells", at_risk->workspace,
+		    "the guarantee of %d x %d accelerators of workspace %s is "
+		    "at risk: no usable hardware is left for it",
+		    at_risk->members, at_risk->accelerators,
+		    at_risk->workspace);
+	g_free(tally);
+	return rc;
+}
--- /dev/null
+++ b/policy/cells_search.c
@@ -0,0 +1,488 @@
+#include <errno.h>
+#include <string.h>
+
+#include "policy/cells_private.h"
+
+/* Returns the level of the smallest block that holds that many accelerators. */
+int
+cells_level(int accelerators)
+{
+	int level = 0;
+
+	while ((1 << level) < accelerators)
+		level++;
+	return level;
+}
+
+/* Returns a mask of the lowest accelerators. */
+uint32_t
+cells_full_mask(int accelerators)
+{
+	return accelerators >= 32 ? UINT32_MAX : (1u << accelerators) - 1;
+}
+
+static uint32_t
+block_mask(int level, int index)
+{
+	return cells_full_mask(1 << level) << (index << level);
+}
+
+/* Takes accelerators out of avail, the largest aligned parts first. */
+static uint32_t
+take_bits(uint32_t avail, int accelerators)
+{
+	uint32_t taken = 0;
+
+	for (int level = CELLS_LEVELS - 1; level >= 0; level--) {
+		for (int i = 0; i < (32 >> level); i++) {
+			uint32_t block = block_mask(level, i);
+
+			if ((1 << level) > accelerators)
+				break;
+			if ((avail & ~taken & block) != block)
+				continue;
+			taken |= block;
+			accelerators -= 1 << level;
+		}
+	}
+	return taken;
+}
+
+/*
+ * Returns the accelerators of one member inside one aligned block of avail, 0
+ * when there is none.  The block with the fewest accelerators outside prefer is
+ * chosen, then the one whose larger blocks are the most broken already.
+ */
+uint32_t
+cells_block(uint32_t avail, int accelerators, uint32_t prefer)
+{
+	int level = cells_level(accelerators);
+	uint32_t best = 0;
+	int best_cost = 0;
+
+	for (int i = 0; i < (32 >> level); i++) {
+		uint32_t inside = avail & block_mask(level, i);
+		uint32_t mask;
+		int cost;
+
+		if (__builtin_popcount(inside) < accelerators)
+			continue;
+		if (__builtin_popcount(inside & prefer) >= accelerators)
+			inside &= prefer;
+		mask = take_bits(inside, accelerators);
+		cost = __builtin_popcount(mask & ~prefer) * 1024;
+		for (int up = level; up < CELLS_LEVELS; up++)
+			cost += __builtin_popcount(
+			    avail & block_mask(up, i >> (up - level)));
+		if (best == 0 || cost < best_cost) {
+			best = mask;
+			best_cost = cost;
+		}
+	}
+	return best;
+}
+
+worker_t *
+cells_worker_at(const cells_t *cells, int worker)
+{
+	return g_ptr_array_index(cells->workers, (guint)worker);
+}
+
+static rack_t *
+rack_at(const cells_t *cells, int rack)
+{
+	return g_ptr_array_index(cells->racks, (guint)rack);
+}
+
+/* Adds the blocks of one worker to the index of its rack, or takes them off. */
+static void
+index_add(cells_index_t *index, uint32_t avail, int sign)
+{
+	uint32_t whole = avail; /* first accelerators of whole blocks */
+
+	index->total += sign * __builtin_popcount(avail);
+	for (int level = 0; level < CELLS_LEVELS; level++) {
+		uint32_t larger = 0;
+		int count = __builtin_popcount(whole);
+
+		index->blocks[level] += sign * count;
+		if (level + 1 < CELLS_LEVELS) {
+			/* Positions of blocks of the next level. */
+			static const uint32_t starts[] = {0x55555555,
+			    0x11111111, 0x01010101, 0x00010001, 0x00000001};
+
+			larger =
+			    whole & (whole >> (1 << level)) & starts[level];
+		}
+		index->maximal[level] +=
+		    sign * (count - 2 * __builtin_popcount(larger));
+		whole = larger;
+	}
+}
+
+/* Changes what a view offers of a worker, and the index of its rack. */
+void
+cells_set_avail(
+    const cells_t *cells, int worker, cells_view_t view, uint32_t mask)
+{
+	worker_t *w = cells_worker_at(cells, worker);
+	cells_index_t *index = &rack_at(cells, w->rack)->index[view];
+
+	if (w->avail[view] == mask)
+		return;
+	index_add(index, w->avail[view], -1);
+	index_add(index, mask, 1);
+	w->avail[view] = mask;
+}
+
+/* Recomputes every view of a worker from what runs and is reserved there. */
+void
+cells_refresh(const cells_t *cells, int worker)
+{
+	worker_t *w = cells_worker_at(cells, worker);
+	uint32_t all = w->present ? cells_full_mask(w->accelerators) : 0;
+	uint32_t up = w->usable ? all : 0;
+	uint32_t masks[VIEW_COUNT] = {
+	    [VIEW_OPEN] = up & ~w->used & ~w->reserved,
+	    [VIEW_FREE] = up & ~w->used,
+	    [VIEW_HARD] = up & ~w->guaranteed & ~w->reserved,
+	    [VIEW_ALL] = all,
+	};
+
+	w->slots_left[VIEW_FREE] = w->slots - w->slots_used;
+	w->slots_left[VIEW_HARD] =
+	    w->slots - w->slots_guaranteed - w->slots_reserved;
+	w->slots_left[VIEW_OPEN] =
+	    MIN(w->slots_left[VIEW_FREE], w->slots_left[VIEW_HARD]);
+	w->slots_left[VIEW_ALL] = w->slots;
+	for (int view = 0; view < VIEW_COUNT; view++)
+		cells_set_avail(cells, worker, (cells_view_t)view,
+		    w->slots_left[view] > 0 ? masks[view] : 0);
+}
+
+/* Marks a place as taken in one view, for the rest of a search. */
+static void
+occupy(const cells_t *cells, cells_view_t view, const place_t *place)
+{
+	worker_t *w = cells_worker_at(cells, place->worker);
+
+	w->slots_left[view]--;
+	cells_set_avail(cells, place->worker, view,
+	    w->slots_left[view] > 0 ? w->avail[view] & ~place->mask : 0);
+}
+
+/* Undoes occupy for the first places of a search. */
+static void
+restore(const cells_t *cells, const place_t *places, int count)
+{
+	for (int i = 0; i < count; i++)
+		cells_refresh(cells, places[i].worker);
+}
+
+/* Finds the worker of a rack with a maximal block of exactly that level. */
+static bool
+pick_in_rack(const cells_t *cells, cells_view_t view, int rack, int level,
+    int accelerators, place_t *place)
+{
+	const rack_t *r = rack_at(cells, rack);
+	int best_total = 0;
+
+	place->worker = CELLS_NONE;
+	for (guint i = 0; i < r->workers->len; i++) {
+		int id = g_array_index(r->workers, int, i);
+		uint32_t avail = cells_worker_at(cells, id)->avail[view];
+		int total = __builtin_popcount(avail);
+		cells_index_t index = {0};
+
+		if (total < accelerators ||
+		    (place->worker != CELLS_NONE && total >= best_total))
+			continue;
+		index_add(&index, avail, 1);
+		if (index.maximal[level] == 0)
+			continue;
+		place->worker = id;
+		best_total = total;
+	}
+	if (place->worker == CELLS_NONE)
+		return false;
+	place->mask =
+	    cells_block(cells_worker_at(cells, place->worker)->avail[view],
+		accelerators, UINT32_MAX);
+	return true;
+}
+
+/* Finds a member whose size is no power of two, or that needs only a slot. */
+static bool
+pick_by_scan(const cells_t *cells, cells_view_t view, int rack,
+    int accelerators, place_t *place)
+{
+	const GArray *in_rack =
+	    rack != CELLS_NONE ? rack_at(cells, rack)->workers : NULL;
+	guint count = in_rack != NULL ? in_rack->len : cells->workers->len;
+	int best_total = 0;
+
+	place->worker = CELLS_NONE;
+	for (guint i = 0; i < count; i++) {
+		int id =
+		    in_rack != NULL ? g_array_index(in_rack, int, i) : (int)i;
+		const worker_t *w = cells_worker_at(cells, id);
+		int total = __builtin_popcount(w->avail[view]);
+		uint32_t mask = 0;
+
+		if (!w->present || (!w->usable && view != VIEW_ALL) ||
+		    w->slots_left[view] <= 0 || total < accelerators ||
+		    (place->worker != CELLS_NONE && total >= best_total))
+			continue;
+		if (accelerators > 0)
+			mask = cells_block(
+			    w->avail[view], accelerators, UINT32_MAX);
+		if (accelerators > 0 && mask == 0)
+			continue;
+		*place = (place_t){id, mask};
+		best_total = total;
+	}
+	return place->worker != CELLS_NONE;
+}
+
+/*
+ * Finds the place of one member: the smallest block that holds it, in the rack
+ * with the fewest accelerators left, so that larger cells stay whole.
+ */
+static bool
+pick(const cells_t *cells, cells_view_t view, int rack, int accelerators,
+    place_t *place)
+{
+	int level = cells_level(accelerators);
+
+	if (accelerators != 1 << level)
+		return pick_by_scan(cells, view, rack, accelerators, place);
+	for (; level < CELLS_LEVELS; level++) {
+		int best = CELLS_NONE;
+
+		if (rack != CELLS_NONE) {
+			if (rack_at(cells, rack)->index[view].maximal[level] >
+			    0)
+				best = rack;
+		} else {
+			int best_total = 0;
+
+			for (guint i = 0; i < cells->racks->len; i++) {
+				const cells_index_t *index =
+				    &rack_at(cells, (int)i)->index[view];
+
+				if (index->maximal[level] == 0 ||
+				    (best != CELLS_NONE &&
+					index->total >= best_total))
+					continue;
+				best = (int)i;
+				best_total = index->total;
+			}
+		}
+		if (best != CELLS_NONE)
+			return pick_in_rack(
+			    cells, view, best, level, accelerators, place);
+	}
+	return false;
+}
+
+/* Places members one after the other in a rack, or anywhere. */
+static int
+search_greedy(const cells_t *cells, cells_view_t view, int members,
+    int accelerators, int rack, place_t *places)
+{
+	int i;
+
+	for (i = 0; i < members; i++) {
+		if (!pick(cells, view, rack, accelerators, &places[i]))
+			break;
+		occupy(cells, view, &places[i]);
+	}
+	restore(cells, places, i);
+	return i == members ? 0 : -ENOSPC;
+}
+
+/* Tries the racks that may hold the shape, the one with least room first. */
+static int
+search_rack(const cells_t *cells, cells_view_t view, int members,
+    int accelerators, place_t *places)
+{
+	int level = cells_level(accelerators);
+	bool exact = accelerators == 1 << level;
+	bool *tried = g_new0(bool, cells->racks->len + 1);
+	int rc = -ENOSPC;
+
+	while (rc != 0) {
+		int best = CELLS_NONE;
+		int best_room = 0;
+
+		for (guint i = 0; i < cells->racks->len; i++) {
+			const cells_index_t *index =
+			    &rack_at(cells, (int)i)->index[view];
+			int room = exact ? index->blocks[level] : index->total;
+			int need = exact ? members : members * accelerators;
+
+			if (tried[i] || room < need ||
+			    (best != CELLS_NONE && room >= best_room))
+				continue;
+			best = (int)i;
+			best_room = room;
+		}
+		if (best == CELLS_NONE)
+			break;
+		tried[best] = true;
+		rc = search_greedy(
+		    cells, view, members, accelerators, best, places);
+	}
+	g_free(tried);
+	return rc;
+}
+
+/* Places every member on one worker; false when they do not fit there. */
+bool
+cells_fit_on_worker(
+    uint32_t avail, int worker, int members, int accelerators, place_t *places)
+{
+	for (int i = 0; i < members; i++) {
+		uint32_t mask = 0;
+
+		if (accelerators > 0)
+			mask = cells_block(avail, accelerators, UINT32_MAX);
+		if (accelerators > 0 && mask == 0)
+			return false;
+		avail &= ~mask;
+		places[i] = (place_t){worker, mask};
+	}
+	return true;
+}
+
+/* Finds the worker with the least room that holds every member. */
+static int
+search_worker(const cells_t *cells, cells_view_t view, int members,
+    int accelerators, int rack, place_t *places)
+{
+	place_t tried[MAX_MEMBERS];
+	int best_total = 0;
+	bool found = false;
+
+	for (guint i = 0; i < cells->workers->len; i++) {
+		const worker_t *w = cells_worker_at(cells, (int)i);
+		int total = __builtin_popcount(w->avail[view]);
+
+		if (total < members * accelerators || !w->present ||
+		    (!w->usable && view != VIEW_ALL) ||
+		    w->slots_left[view] < members ||
+		    (rack != CELLS_NONE && w->rack != rack) ||
+		    (found && total >= best_total))
+			continue;
+		if (!cells_fit_on_worker(
+			w->avail[view], (int)i, members, accelerators, tried))
+			continue;
+		memcpy(places, tried, sizeof(*tried) * (size_t)members);
+		best_total = total;
+		found = true;
+	}
+	return found ? 0 : -ENOSPC;
+}
+
+/*
+ * Finds places for a shape among what a view offers; rack restricts the search
+ * to one rack unless it is CELLS_NONE.  Returns -ENOSPC when there are none.
+ */
+int
+cells_search(const cells_t *cells, cells_view_t view, int members,
+    int accelerators, adjacency_t adjacency, int rack, place_t *places)
+{
+	if (adjacency == ADJACENT_WORKER)
+		return search_worker(
+		    cells, view, members, accelerators, rack, places);
+	if (adjacency == ADJACENT_RACK && rack == CELLS_NONE)
+		return search_rack(cells, view, members, accelerators, places);
+	return search_greedy(cells, view, members, accelerators, rack, places);
+}
+
+/* Takes the slot of one member: the reserved one, else a spare one. */
+static void
+take_slot(pool_t *pool, int count, int chosen)
+{
+	if (pool[chosen].has_slot) {
+		pool[chosen].has_slot = false;
+		return;
+	}
+	for (int i = 0; i < count; i++) {
+		if (pool[i].worker == pool[chosen].worker)
+			pool[i].spare--;
+	}
+}
+
+/* Places members in the pool's cells of one rack or worker, or anywhere. */
+static bool
+within_group(const cells_t *cells, pool_t *pool, int count, int rack,
+    int worker, const cells_shape_t *shape, place_t *places)
+{
+	for (int m = 0; m < shape->members; m++) {
+		int best = CELLS_NONE;
+		uint32_t best_mask = 0;
+		int best_cost = 0;
+
+		for (int i = 0; i < count; i++) {
+			const worker_t *w =
+			    cells_worker_at(cells, pool[i].worker);
+			uint32_t mask;
+			int cost;
+
+			if ((rack != CELLS_NONE && w->rack != rack) ||
+			    (worker != CELLS_NONE &&
+				pool[i].worker != worker) ||
+			    (!pool[i].has_slot && pool[i].spare <= 0))
+				continue;
+			mask = cells_block(
+			    pool[i].mask, shape->accelerators, ~w->used);
+			if (mask == 0)
+				continue;
+			cost = __builtin_popcount(mask & w->used) * 1024 +
+			       __builtin_popcount(pool[i].mask);
+			if (best != CELLS_NONE && cost >= best_cost)
+				continue;
+			best = i;
+			best_mask = mask;
+			best_cost = cost;
+		}
+		if (best == CELLS_NONE)
+			return false;
+		places[m] = (place_t){pool[best].worker, best_mask};
+		pool[best].mask &= ~best_mask;
+		take_slot(pool, count, best);
+	}
+	return true;
+}
+
+/*
+ * Finds places for a shape inside a pool of cells, preferring
+ * accelerators on which nothing runs.  Returns -ENOSPC when the pool does not
+ * hold the shape.
+ */
+int
+cells_search_within(const cells_t *cells, const pool_t *pool, int count,
+    const cells_shape_t *shape, place_t *places)
+{
+	pool_t *left = g_new(pool_t, (gsize)count + 1);
+	int rc = -ENOSPC;
+
+	for (int group = 0; group < count; group++) {
+		const worker_t *w = cells_worker_at(cells, pool[group].worker);
+		int rack =
+		    shape->adjacency == ADJACENT_RACK ? w->rack : CELLS_NONE;
+		int worker = shape->adjacency == ADJACENT_WORKER
+				 ? pool[group].worker
+				 : CELLS_NONE;
+
+		memcpy(left, pool, sizeof(*pool) * (size_t)count);
+		if (within_group(
+			cells, left, count, rack, worker, shape, places))
+			rc = 0;
+		if (rc == 0 || (rack == CELLS_NONE && worker == CELLS_NONE))
+			break;
+	}
+	g_free(left);
+	return rc;
+}
