entry: name the operator routes' variable op

clang-format reads headers as C++ and took a variable named operator for the keyword, which misplaced spaces. The check whether another voter may be taken away is now a function of its own, so that it can be tested with the simulated consensus; it allows a member under load to be 1024 entries behind.

--- a/entry/operator.c
+++ b/entry/operator.c
@@ -40,7 +40,7 @@
 
 /* A request whose command is proposed. */
 typedef struct {
-	operator_t *operator; /* NULL once it has been destroyed */
+	operator_t *op; /* NULL once it has been destroyed */
 	http_request_t *request;
 	operator_proposed_t *done;
 	GList link;
@@ -69,7 +69,7 @@
 static void
 serve(void *ctx, http_request_t *request)
 {
-	operator_t *operator= ctx;
+	operator_t *op = ctx;
 	str_t path = http_path(request);
 	bool known_path = false;
 	str_t parameter;
@@ -81,9 +81,8 @@
 		if (!str_equal(
 			http_method(request), str_from(routes[i].method)))
 			continue;
-		if (operator_check_key(operator, request,
-			routes[i].needs_operator))
-			routes[i].handler(operator, request, parameter);
+		if (operator_check_key(op, request, routes[i].needs_operator))
+			routes[i].handler(op, request, parameter);
 		return;
 	}
 	if (known_path)
@@ -97,9 +96,9 @@
 
 /* Returns the state machine of this instance. */
 const machine_t *
-operator_machine(const operator_t *operator)
+operator_machine(const operator_t *op)
 {
-	return replica_machine(operator->replica);
+	return replica_machine(op->replica);
 }
 
 /* Answers a proposal that failed; -ETIMEDOUT may still be applied. */
@@ -123,13 +122,13 @@
 {
 	pending_t *pending = ctx;
 
-	if (pending->operator!= NULL) {
-		g_queue_unlink(pending->operator->pending, &pending->link);
+	if (pending->op != NULL) {
+		g_queue_unlink(pending->op->pending, &pending->link);
 		if (err->code != 0)
 			answer_not_applied(pending->request, err);
 		else
 			pending->done(
-			    pending->operator, pending->request, err, result);
+			    pending->op, pending->request, err, result);
 	}
 	g_free(pending);
 }
@@ -139,18 +138,18 @@
  * is applied; a proposal that fails is answered with 503 or 504.
  */
 void
-operator_propose(operator_t *operator, http_request_t * request,
+operator_propose(operator_t *op, http_request_t *request,
     const command_t *command, operator_proposed_t *done)
 {
 	pending_t *pending = g_new0(pending_t, 1);
 
-	pending->operator= operator;
+	pending->op = op;
 	pending->request = request;
 	pending->done = done;
 	pending->link.data = pending;
-	g_queue_push_tail_link(operator->pending, &pending->link);
-	replica_propose(operator->replica, command, OPERATOR_PROPOSE_MS,
-	    proposed, pending);
+	g_queue_push_tail_link(op->pending, &pending->link);
+	replica_propose(
+	    op->replica, command, OPERATOR_PROPOSE_MS, proposed, pending);
 }
 
 /*
@@ -216,9 +215,9 @@
 static void
 sample(struct ev_loop *loop, ev_timer *timer, int events)
 {
-	operator_t *operator= timer->data;
+	operator_t *op = timer->data;
 
-	burn_sample(operator->burn, clock_real_ms());
+	burn_sample(op->burn, clock_real_ms());
 }
 
 static void
@@ -236,7 +235,7 @@
 operator_create(struct ev_loop *loop, const settings_t *settings,
     replica_t *replica, err_t *err)
 {
-	operator_t *operator= g_new0(operator_t, 1);
+	operator_t *op = g_new0(operator_t, 1);
 	listener_options_t options = {
 	    .address = settings->address,
 	    .port = (uint16_t)settings->operator_port,
@@ -245,27 +244,24 @@
 	    .idle_timeout_s = IDLE_TIMEOUT_S,
 	};
 
-	operator->loop = loop;
-	operator->settings = settings;
-	operator->replica = replica;
-	operator->waits = g_queue_new();
-	operator->pending = g_queue_new();
-	operator->burn = burn_create(clock_real_ms());
-	ev_timer_init(
-	    &operator->burn_timer, sample, BURN_SAMPLE_S, BURN_SAMPLE_S);
-	operator->burn_timer.data = operator;
-	ev_timer_start(loop, &operator->burn_timer);
-	ev_timer_init(
-	    &operator->wait_timer, poll_waits, WAIT_POLL_S, WAIT_POLL_S);
-	operator->wait_timer.data = operator;
-	if (operator_read_keys(operator, err) == 0)
-		operator->listener =
-		    listener_create(loop, &options, serve, operator, err);
-	if (operator->listener == NULL) {
-		operator_destroy(operator);
+	op->loop = loop;
+	op->settings = settings;
+	op->replica = replica;
+	op->waits = g_queue_new();
+	op->pending = g_queue_new();
+	op->burn = burn_create(clock_real_ms());
+	ev_timer_init(&op->burn_timer, sample, BURN_SAMPLE_S, BURN_SAMPLE_S);
+	op->burn_timer.data = op;
+	ev_timer_start(loop, &op->burn_timer);
+	ev_timer_init(&op->wait_timer, poll_waits, WAIT_POLL_S, WAIT_POLL_S);
+	op->wait_timer.data = op;
+	if (operator_read_keys(op, err) == 0)
+		op->listener = listener_create(loop, &options, serve, op, err);
+	if (op->listener == NULL) {
+		operator_destroy(op);
 		return NULL;
 	}
-	return operator;
+	return op;
 }
 
 /*
@@ -273,45 +269,44 @@
  * Proposals that are still open end without effect on their request.
  */
 void
-operator_destroy(operator_t *operator)
+operator_destroy(operator_t *op)
 {
 	pending_t *pending;
 
-	if (operator== NULL)
+	if (op == NULL)
 		return;
-	ev_timer_stop(operator->loop, &operator->burn_timer);
-	operator_answer_waits(operator, true);
-	ev_timer_stop(operator->loop, &operator->wait_timer);
-	while ((pending = g_queue_peek_head(operator->pending)) != NULL) {
-		g_queue_unlink(operator->pending, &pending->link);
-		pending->operator= NULL;
+	ev_timer_stop(op->loop, &op->burn_timer);
+	operator_answer_waits(op, true);
+	ev_timer_stop(op->loop, &op->wait_timer);
+	while ((pending = g_queue_peek_head(op->pending)) != NULL) {
+		g_queue_unlink(op->pending, &pending->link);
+		pending->op = NULL;
 		http_answer_error(pending->request, 503, "unknown", "draining",
 		    "", CLOCK_MS_PER_S,
 		    "this instance stops; the same command can be sent again "
 		    "to another one");
 	}
-	if (operator->listener != NULL)
-		listener_destroy(operator->listener);
-	g_queue_free(operator->waits);
-	g_queue_free(operator->pending);
-	burn_destroy(operator->burn);
-	g_free(operator->operator_key);
-	g_free(operator->reader_key);
-	g_free(operator);
+	if (op->listener != NULL)
+		listener_destroy(op->listener);
+	g_queue_free(op->waits);
+	g_queue_free(op->pending);
+	burn_destroy(op->burn);
+	g_free(op->operator_key);
+	g_free(op->reader_key);
+	g_free(op);
 }
 
 /* Sets the function that tells why a job waits; NULL for none. */
 void
-operator_set_explain(
-    operator_t *operator, operator_explain_t * explain, void *ctx)
+operator_set_explain(operator_t *op, operator_explain_t *explain, void *ctx)
 {
-	operator->explain = explain;
-	operator->explain_ctx = ctx;
+	op->explain = explain;
+	op->explain_ctx = ctx;
 }
 
 /* Returns the port of the listener. */
 uint16_t
-operator_port(const operator_t *operator)
+operator_port(const operator_t *op)
 {
-	return listener_port(operator->listener);
+	return listener_port(op->listener);
 }
--- a/entry/operator.h
+++ b/entry/operator.h
@@ -15,10 +15,10 @@
 
 operator_t *operator_create(struct ev_loop *loop, const settings_t *settings,
     replica_t *replica, err_t *err);
-void operator_destroy(operator_t *operator);
+void operator_destroy(operator_t *op);
 void operator_set_explain(
-    operator_t *operator, operator_explain_t * explain, void *ctx);
+    operator_t *op, operator_explain_t *explain, void *ctx);
 /* To be called for each applied command: counts the objectives. */
-void operator_applied(operator_t *operator, const command_t * command,
-    const command_result_t *result);
-uint16_t operator_port(const operator_t *operator);
+void operator_applied(
+    operator_t *op, const command_t *command, const command_result_t *result);
+uint16_t operator_port(const operator_t *op);
--- a/entry/operator_burn.c
+++ b/entry/operator_burn.c
@@ -5,29 +5,28 @@
 #include "entry/operator_private.h"
 
 static const json_t *
-objectives_of(const operator_t *operator)
+objectives_of(const operator_t *op)
 {
 	return json_object_get(
-	    machine_config(operator_machine(operator)), "objectives");
+	    machine_config(operator_machine(op)), "objectives");
 }
 
 /* GET /v1/burn, or as one HTML page with format=html */
 void
-operator_burn(operator_t *operator, http_request_t * request, str_t parameter)
+operator_burn(operator_t *op, http_request_t *request, str_t parameter)
 {
 	str_t format = http_query(request, "format");
 	int64_t now_ms = clock_real_ms();
 	GString *page;
 
-	burn_sample(operator->burn, now_ms);
+	burn_sample(op->burn, now_ms);
 	if (!str_equal(format, STR_LIT("html"))) {
 		http_answer_json(request, 200,
-		    burn_report(operator->burn, objectives_of(operator),
-			now_ms));
+		    burn_report(op->burn, objectives_of(op), now_ms));
 		return;
 	}
 	page = g_string_new("");
-	burn_html(operator->burn, objectives_of(operator), now_ms, page);
+	burn_html(op->burn, objectives_of(op), now_ms, page);
 	http_answer_bytes(request, 200, "text/html; charset=utf-8",
 	    (str_t){page->str, page->len});
 	g_string_free(page, TRUE);
@@ -35,11 +34,10 @@
 
 /* Counts an event that took ms against the threshold of its objective. */
 static void
-count_duration(const operator_t *operator, const char * name, int64_t ms,
-    const char *cause)
+count_duration(
+    const operator_t *op, const char *name, int64_t ms, const char *cause)
 {
-	const json_t *objective =
-	    json_object_get(objectives_of(operator), name);
+	const json_t *objective = json_object_get(objectives_of(op), name);
 	const json_t *threshold = json_object_get(objective, "threshold_ms");
 
 	if (threshold != NULL)
@@ -53,8 +51,8 @@
  * attempt waited.  To be called for each applied command.
  */
 void
-operator_applied(operator_t *operator, const command_t * command,
-    const command_result_t *result)
+operator_applied(
+    operator_t *op, const command_t *command, const command_result_t *result)
 {
 	const job_go_command_t *go = &command->command_t_u.job_go;
 	const machine_job_t *job;
@@ -62,15 +60,15 @@
 	if (result->code != 0)
 		return;
 	if (command->kind == COMMAND_PATCH)
-		count_duration(operator, OBJECTIVE_CONFIG_IN_FORCE,
+		count_duration(op, OBJECTIVE_CONFIG_IN_FORCE,
 		    clock_real_ms() - command->command_t_u.patch.time_ms,
 		    "late_apply");
 	if (command->kind != COMMAND_JOB_GO)
 		return;
-	job = machine_job(operator_machine(operator), go->job);
+	job = machine_job(operator_machine(op), go->job);
 	/* A later attempt waited for the end of the one before it. */
 	if (job != NULL && job->guaranteed && job->attempt == 1 &&
 	    job->started_ms == go->time_ms)
-		count_duration(operator, OBJECTIVE_GUARANTEES,
+		count_duration(op, OBJECTIVE_GUARANTEES,
 		    job->started_ms - job->submitted_ms, "late_start");
 }
--- a/entry/operator_config.c
+++ b/entry/operator_config.c
@@ -15,60 +15,58 @@
 } wait_t;
 
 static void
-answer_config(const operator_t *operator, http_request_t * request)
+answer_config(const operator_t *op, http_request_t *request)
 {
-	const machine_t *machine = operator_machine(operator);
+	const machine_t *machine = operator_machine(op);
 
 	http_answer_json(request, 200,
 	    json_pack("{s:I, s:b, s:O}", "version",
 		(json_int_t)machine_config_version(machine), "confirmed",
-		replica_is_confirmed(operator->replica), "config",
+		replica_is_confirmed(op->replica), "config",
 		machine_config(machine)));
 }
 
 /* Answers the requests whose version is there or whose time is over. */
 void
-operator_answer_waits(operator_t *operator, bool give_up)
+operator_answer_waits(operator_t *op, bool give_up)
 {
-	uint64_t version = machine_config_version(operator_machine(operator));
+	uint64_t version = machine_config_version(operator_machine(op));
 	GList *next;
 
-	for (GList *at = operator->waits->head; at != NULL; at = next) {
+	for (GList *at = op->waits->head; at != NULL; at = next) {
 		wait_t *wait = at->data;
 
 		next = at->next;
 		if (!give_up && version < wait->version &&
 		    clock_mono_ms() < wait->until_ms)
 			continue;
-		g_queue_delete_link(operator->waits, at);
-		answer_config(operator, wait->request);
+		g_queue_delete_link(op->waits, at);
+		answer_config(op, wait->request);
 		g_free(wait);
 	}
-	if (g_queue_is_empty(operator->waits))
-		ev_timer_stop(operator->loop, &operator->wait_timer);
+	if (g_queue_is_empty(op->waits))
+		ev_timer_stop(op->loop, &op->wait_timer);
 }
 
 /* GET /v1/config?min_version=N */
 void
-operator_get_config(
-    operator_t *operator, http_request_t * request, str_t parameter)
+operator_get_config(operator_t *op, http_request_t *request, str_t parameter)
 {
 	int64_t version = 0;
 	wait_t *wait;
 
 	if (!operator_query_number(request, "min_version", &version))
 		return;
-	if (machine_config_version(operator_machine(operator)) >=
-	    (uint64_t)version) {
-		answer_config(operator, request);
+	if (machine_config_version(operator_machine(op)) >= (uint64_t)version) {
+		answer_config(op, request);
 		return;
 	}
 	wait = g_new0(wait_t, 1);
 	wait->request = request;
 	wait->version = (uint64_t)version;
 	wait->until_ms = clock_mono_ms() + OPERATOR_VERSION_WAIT_MS;
-	g_queue_push_tail(operator->waits, wait);
-	ev_timer_again(operator->loop, &operator->wait_timer);
+	g_queue_push_tail(op->waits, wait);
+	ev_timer_again(op->loop, &op->wait_timer);
 }
 
 static bool
@@ -87,8 +85,7 @@
 
 /* GET /v1/config/history?from=N; at most MAX_HISTORY versions, oldest first. */
 void
-operator_get_history(
-    operator_t *operator, http_request_t * request, str_t parameter)
+operator_get_history(operator_t *op, http_request_t *request, str_t parameter)
 {
 	json_t *list;
 	int64_t from = 0;
@@ -97,7 +94,7 @@
 		return;
 	list = json_array();
 	machine_each_version(
-	    operator_machine(operator), (uint64_t)from, add_version, list);
+	    operator_machine(op), (uint64_t)from, add_version, list);
 	http_answer_json(request, 200, json_pack("{s:o}", "versions", list));
 }
 
@@ -116,10 +113,10 @@
 
 /* Returns the document after a patch with fitting guarantees, else NULL. */
 static json_t *
-check_patch(const operator_t *operator, const json_t * patch, err_t *err)
+check_patch(const operator_t *op, const json_t *patch, err_t *err)
 {
-	json_t *config = config_patch(
-	    machine_config(operator_machine(operator)), patch, err);
+	json_t *config =
+	    config_patch(machine_config(operator_machine(op)), patch, err);
 
 	if (config != NULL && config_check_guarantees(config, err) != 0) {
 		json_decref(config);
@@ -130,7 +127,7 @@
 
 /* Answers a patch by the outcome that the state machine gave it. */
 static void
-patch_applied(operator_t *operator, http_request_t * request, const err_t *err,
+patch_applied(operator_t *op, http_request_t *request, const err_t *err,
     const command_result_t *result)
 {
 	int status = result->code == 0         ? 200
@@ -143,10 +140,9 @@
 
 /* Answers a patch that is only to be checked. */
 static void
-answer_check_only(
-    operator_t *operator, http_request_t * request, const json_t *body)
+answer_check_only(operator_t *op, http_request_t *request, const json_t *body)
 {
-	uint64_t version = machine_config_version(operator_machine(operator));
+	uint64_t version = machine_config_version(operator_machine(op));
 	uint64_t base =
 	    (uint64_t)json_integer_value(json_object_get(body, "base"));
 	json_t *changes = json_array();
@@ -155,7 +151,7 @@
 
 	if (base != version) {
 		machine_each_version(
-		    operator_machine(operator), base + 1, add_version, changes);
+		    operator_machine(op), base + 1, add_version, changes);
 		http_answer_json(request, 409,
 		    json_pack("{s:s, s:s, s:I, s:o}", "outcome", "refused",
 			"error", "conflict", "version", (json_int_t)version,
@@ -163,7 +159,7 @@
 		return;
 	}
 	json_decref(changes);
-	config = check_patch(operator, json_object_get(body, "patch"), &err);
+	config = check_patch(op, json_object_get(body, "patch"), &err);
 	if (config == NULL) {
 		answer_invalid(request, &err);
 		return;
@@ -202,8 +198,7 @@
 
 /* PATCH /v1/config */
 void
-operator_patch_config(
-    operator_t *operator, http_request_t * request, str_t parameter)
+operator_patch_config(operator_t *op, http_request_t *request, str_t parameter)
 {
 	json_t *body = operator_read_body(
 	    request, patch_fields, G_N_ELEMENTS(patch_fields));
@@ -224,7 +219,7 @@
 		return;
 	}
 	if (json_is_true(json_object_get(body, "check_only"))) {
-		answer_check_only(operator, request, body);
+		answer_check_only(op, request, body);
 		json_decref(body);
 		return;
 	}
@@ -237,14 +232,14 @@
 	    .time_ms = clock_real_ms(),
 	    .patch = {.body_t_len = (u_int)strlen(patch), .body_t_val = patch},
 	};
-	operator_propose(operator, request, &command, patch_applied);
+	operator_propose(op, request, &command, patch_applied);
 	g_free(patch);
 	json_decref(body);
 }
 
 /* POST /v1/config/plan; the body is that of PATCH, only patch is required. */
 void
-operator_plan(operator_t *operator, http_request_t * request, str_t parameter)
+operator_plan(operator_t *op, http_request_t *request, str_t parameter)
 {
 	json_t *body = operator_read_body(
 	    request, patch_fields, G_N_ELEMENTS(patch_fields));
@@ -260,7 +255,7 @@
 		json_decref(body);
 		return;
 	}
-	config = check_patch(operator, patch, &err);
+	config = check_patch(op, patch, &err);
 	json_decref(body);
 	if (config == NULL) {
 		const char *split = strstr(err.text, ": expected ");
@@ -275,6 +270,6 @@
 	http_answer_json(request, 200,
 	    json_pack("{s:b, s:s, s:s, s:o}", "valid", true, "path", "", "text",
 		"", "reclaims",
-		operator_reclaims(operator_machine(operator), config)));
+		operator_reclaims(operator_machine(op), config)));
 	json_decref(config);
 }
--- a/entry/operator_explain.c
+++ b/entry/operator_explain.c
@@ -83,10 +83,9 @@
 }
 
 static void
-explain_waiting(
-    operator_t *operator, const machine_job_t * job, json_t *reasons)
+explain_waiting(operator_t *op, const machine_job_t *job, json_t *reasons)
 {
-	const machine_t *machine = operator_machine(operator);
+	const machine_t *machine = operator_machine(op);
 	const machine_placer_t *placer = machine_placer(machine, job->domain);
 	const json_t *tenant = json_object_get(
 	    json_object_get(machine_config(machine), "tenants"), job->tenant);
@@ -102,7 +101,7 @@
 	if (placer == NULL)
 		add_reason(
 		    reasons, "domain %s has no active placer", job->domain);
-	if (!replica_is_confirmed(operator->replica))
+	if (!replica_is_confirmed(op->replica))
 		add_reason(reasons,
 		    "this instance has no contact to the leader; without a "
 		    "majority no attempt starts");
@@ -122,17 +121,17 @@
 	if (job->attempt > 0)
 		add_reason(
 		    reasons, "attempt %u ended: %s", job->attempt, job->reason);
-	if (operator->explain != NULL)
-		operator->explain(operator->explain_ctx, job->id, latest);
+	if (op->explain != NULL)
+		op->explain(op->explain_ctx, job->id, latest);
 	if (latest->len > 0)
 		add_reason(reasons, "placer: %s", latest->str);
 	g_string_free(latest, TRUE);
 }
 
 static void
-explain_placed(operator_t *operator, const machine_job_t * job, json_t *reasons)
+explain_placed(operator_t *op, const machine_job_t *job, json_t *reasons)
 {
-	const json_t *config = machine_config(operator_machine(operator));
+	const json_t *config = machine_config(operator_machine(op));
 
 	add_reason(reasons,
 	    "attempt %u, decided under configuration %" G_GUINT64_FORMAT
@@ -149,8 +148,7 @@
 
 /* GET /v1/explain/{id} */
 void
-operator_explain(
-    operator_t *operator, http_request_t * request, str_t parameter)
+operator_explain(operator_t *op, http_request_t *request, str_t parameter)
 {
 	const chart_t *chart = chart_builtin("job");
 	char id[NAME_MAX_LEN + 1];
@@ -158,7 +156,7 @@
 	json_t *reasons;
 
 	if (str_copy(parameter, id, sizeof(id)) == 0)
-		job = machine_job(operator_machine(operator), id);
+		job = machine_job(operator_machine(op), id);
 	if (job == NULL) {
 		http_answer_error(request, 404, "refused", "not_found", "", 0,
 		    "no job %.*s; ended jobs are kept for a day",
@@ -172,9 +170,9 @@
 			? job->reason
 			: chart_state_name(chart, job->state));
 	else if (job->state == chart_initial(chart))
-		explain_waiting(operator, job, reasons);
+		explain_waiting(op, job, reasons);
 	else
-		explain_placed(operator, job, reasons);
+		explain_placed(op, job, reasons);
 	http_answer_json(request, 200,
 	    json_pack("{s:s, s:s, s:o}", "job", job->id, "state",
 		chart_state_name(chart, job->state), "reasons", reasons));
--- a/entry/operator_keys.c
+++ b/entry/operator_keys.c
@@ -35,15 +35,14 @@
 
 /* Reads the key files of the settings; the keys are never logged. */
 int
-operator_read_keys(operator_t *operator, err_t * err)
+operator_read_keys(operator_t *op, err_t *err)
 {
-	int rc = read_key(operator->settings->operator_key_file,
-	    &operator->operator_key, err);
+	int rc =
+	    read_key(op->settings->operator_key_file, &op->operator_key, err);
 
 	if (rc != 0)
 		return rc;
-	return read_key(operator->settings->reader_key_file,
-	    &operator->reader_key, err);
+	return read_key(op->settings->reader_key_file, &op->reader_key, err);
 }
 
 /* Compares in a time that depends on the length of the given key only. */
@@ -67,11 +66,9 @@
  * and returns false when the key does not suffice.
  */
 bool
-operator_check_key(
-    operator_t *operator, http_request_t * request, bool needs_operator)
+operator_check_key(operator_t *op, http_request_t *request, bool needs_operator)
 {
-	const char *needed =
-	    needs_operator ? operator->operator_key : operator->reader_key;
+	const char *needed = needs_operator ? op->operator_key : op->reader_key;
 	str_t header = http_header(request, "Authorization");
 	str_t bearer = str_from(BEARER);
 	str_t given = {NULL, 0};
@@ -90,8 +87,8 @@
 		    "expected the header Authorization: Bearer KEY");
 		return false;
 	}
-	is_operator = is_key(operator->operator_key, given);
-	is_reader = is_key(operator->reader_key, given);
+	is_operator = is_key(op->operator_key, given);
+	is_reader = is_key(op->reader_key, given);
 	if (is_operator || (is_reader && !needs_operator))
 		return true;
 	http_answer_error(request, 403, "refused", "wrong_key", "", 0, "%s",
--- a/entry/operator_lists.c
+++ b/entry/operator_lists.c
@@ -77,7 +77,7 @@
 
 /* GET /v1/jobs?state=S&tenant=T&limit=N; the newest, in order of submission. */
 void
-operator_jobs(operator_t *operator, http_request_t * request, str_t parameter)
+operator_jobs(operator_t *op, http_request_t *request, str_t parameter)
 {
 	job_filter_t filter = {
 	    .state = http_query(request, "state"),
@@ -92,7 +92,7 @@
 		return;
 	}
 	filter.limit = (guint)MIN(limit, G_MAXINT32);
-	machine_each_job(operator_machine(operator), filter_job, &filter);
+	machine_each_job(operator_machine(op), filter_job, &filter);
 	list = json_array();
 	for (GList *at = filter.jobs->head; at != NULL; at = at->next)
 		json_array_append_new(list, job_json(at->data));
@@ -147,10 +147,9 @@
 
 /* GET /v1/workers */
 void
-operator_workers(
-    operator_t *operator, http_request_t * request, str_t parameter)
+operator_workers(operator_t *op, http_request_t *request, str_t parameter)
 {
-	const machine_t *machine = operator_machine(operator);
+	const machine_t *machine = operator_machine(op);
 	worker_list_t workers = {
 	    .list = json_array(),
 	    .taken = g_hash_table_new(g_str_hash, g_str_equal),
@@ -192,10 +191,9 @@
 
 /* GET /v1/workspaces; uses are in accelerators. */
 void
-operator_workspaces(
-    operator_t *operator, http_request_t * request, str_t parameter)
+operator_workspaces(operator_t *op, http_request_t *request, str_t parameter)
 {
-	const machine_t *machine = operator_machine(operator);
+	const machine_t *machine = operator_machine(op);
 	json_t *list = json_array();
 	const char *name;
 	json_t *workspace;
@@ -222,10 +220,9 @@
 
 /* GET /metrics */
 void
-operator_metrics(
-    operator_t *operator, http_request_t * request, str_t parameter)
+operator_metrics(operator_t *op, http_request_t *request, str_t parameter)
 {
-	const machine_t *machine = operator_machine(operator);
+	const machine_t *machine = operator_machine(op);
 	GString *text = g_string_new("");
 
 	counter_set(gauge_get("config_version", "Version in force."),
--- a/entry/operator_private.h
+++ b/entry/operator_private.h
@@ -26,27 +26,27 @@
 };
 
 typedef void operator_handler_t(
-    operator_t *operator, http_request_t * request, str_t parameter);
+    operator_t *op, http_request_t *request, str_t parameter);
 
 /* Ends a proposal made for a request. */
-typedef void operator_proposed_t(operator_t *operator, http_request_t * request,
+typedef void operator_proposed_t(operator_t *op, http_request_t *request,
     const err_t *err, const command_result_t *result);
 
 /* Proposes a command; a failed proposal is answered here, not by done. */
-void operator_propose(operator_t *operator, http_request_t * request,
+void operator_propose(operator_t *op, http_request_t *request,
     const command_t *command, operator_proposed_t *done);
 /* Reads the body as an object with only the known keys; answers 400. */
 json_t *operator_read_body(
     http_request_t *request, const char *const *known, size_t count);
-const machine_t *operator_machine(const operator_t *operator);
+const machine_t *operator_machine(const operator_t *op);
 /* An optional number in the query; false and 400 when it is no number. */
 bool operator_query_number(
     http_request_t *request, const char *name, int64_t *value);
 
-int operator_read_keys(operator_t *operator, err_t * err);
+int operator_read_keys(operator_t *op, err_t *err);
 /* Answers 401 or 403 and returns false when the key does not suffice. */
 bool operator_check_key(
-    operator_t *operator, http_request_t * request, bool needs_operator);
+    operator_t *op, http_request_t *request, bool needs_operator);
 
 operator_handler_t operator_get_config;
 operator_handler_t operator_patch_config;
@@ -62,5 +62,6 @@
 operator_handler_t operator_burn;
 operator_handler_t operator_metrics;
 
-void operator_answer_waits(operator_t *operator, bool give_up);
+void operator_answer_waits(operator_t *op, bool give_up);
+bool operator_is_safe(const raft_t *raft, int64_t now_ms);
 json_t *operator_reclaims(const machine_t *machine, const json_t *config);
--- a/entry/operator_status.c
+++ b/entry/operator_status.c
@@ -5,6 +5,8 @@
 #include "entry/operator_private.h"
 
 #define MEMBER_SILENT_MS 1500 /* as silent_after_ms of a peer */
+#define MAX_LAG_ENTRIES 1024  /* a member under load is behind by a batch */
+#define MIN_VOTERS 3          /* with fewer the loss of one stops commits */
 
 static const char *
 role_name(raft_state_t state)
@@ -25,13 +27,13 @@
 
 /* Lists the instances of the settings with what the leader saw of them. */
 static json_t *
-instances_json(const operator_t *operator)
+instances_json(const operator_t *op)
 {
-	const machine_t *machine = operator_machine(operator);
+	const machine_t *machine = operator_machine(op);
 	json_t *list = json_array();
 
-	for (size_t i = 0; i < operator->settings->peer_count; i++) {
-		const settings_peer_t *peer = &operator->settings->peers[i];
+	for (size_t i = 0; i < op->settings->peer_count; i++) {
+		const settings_peer_t *peer = &op->settings->peers[i];
 		const machine_instance_t *seen =
 		    machine_instance(machine, peer->id);
 
@@ -46,47 +48,56 @@
 }
 
 /*
- * Lists the members of the log.  On the leader *safe tells whether another
- * voter may be taken away: all voters answer and hold what is committed.
+ * Tells whether a leader sees that another voter may be taken away: there are
+ * at least three, all answer and none lags behind what is committed by more
+ * than what may be in flight.
  */
+bool
+operator_is_safe(const raft_t *raft, int64_t now_ms)
+{
+	const raft_members_t *members = raft_members(raft);
+	uint64_t commit = raft_commit_index(raft);
+	int voters = 0;
+
+	for (u_int i = 0; i < members->members.members_len; i++) {
+		const raft_member_t *member = &members->members.members_val[i];
+
+		if (member->role != MEMBER_VOTER)
+			continue;
+		voters++;
+		if (raft_member_silent_ms(raft, member->id, now_ms) >
+			MEMBER_SILENT_MS ||
+		    raft_member_match(raft, member->id) + MAX_LAG_ENTRIES <
+			commit)
+			return false;
+	}
+	return voters >= MIN_VOTERS;
+}
+
+/* Lists the members of the log; a leader also knows how far each has come. */
 static json_t *
-members_json(const operator_t *operator, bool * safe)
+members_json(const raft_t *raft)
 {
-	const raft_t *raft = replica_raft(operator->replica);
 	const raft_members_t *members = raft_members(raft);
+	bool leads = raft_state(raft) == RAFT_LEADER;
 	int64_t now_ms = clock_mono_ms();
 	json_t *list = json_array();
-	int voters = 0;
 
-	*safe = true;
 	for (u_int i = 0; i < members->members.members_len; i++) {
 		const raft_member_t *member = &members->members.members_val[i];
-		bool is_self =
-		    g_strcmp0(member->id, operator->settings->instance) == 0;
-		bool is_voter = member->role == MEMBER_VOTER;
 		json_t *entry = json_pack("{s:s, s:s}", "instance", member->id,
-		    "role", is_voter ? "voter" : "learner");
-		int64_t silent_ms = 0;
-		uint64_t match = raft_commit_index(raft);
-
-		voters += is_voter;
-		if (replica_is_leader(operator->replica) && !is_self) {
-			silent_ms =
-			    raft_member_silent_ms(raft, member->id, now_ms);
-			match = raft_member_match(raft, member->id);
-			json_object_set_new(
-			    entry, "silent_ms", json_integer(silent_ms));
-			json_object_set_new(
-			    entry, "match", json_integer((json_int_t)match));
+		    "role", member->role == MEMBER_VOTER ? "voter" : "learner");
+
+		if (leads) {
+			json_object_set_new(entry, "silent_ms",
+			    json_integer(raft_member_silent_ms(
+				raft, member->id, now_ms)));
+			json_object_set_new(entry, "match",
+			    json_integer((json_int_t)raft_member_match(
+				raft, member->id)));
 		}
-		if (is_voter &&
-		    (silent_ms < 0 || silent_ms > MEMBER_SILENT_MS ||
-			match < raft_commit_index(raft)))
-			*safe = false;
 		json_array_append_new(list, entry);
 	}
-	if (voters < 3)
-		*safe = false;
 	return list;
 }
 
@@ -95,33 +106,32 @@
  * which does not know it.
  */
 void
-operator_status(operator_t *operator, http_request_t * request, str_t parameter)
+operator_status(operator_t *op, http_request_t *request, str_t parameter)
 {
-	const machine_t *machine = operator_machine(operator);
-	const raft_t *raft = replica_raft(operator->replica);
-	const char *leader = replica_leader(operator->replica);
-	bool safe;
-	json_t *members = members_json(operator, & safe);
+	const machine_t *machine = operator_machine(op);
+	const raft_t *raft = replica_raft(op->replica);
+	const char *leader = replica_leader(op->replica);
+	bool leads = raft_state(raft) == RAFT_LEADER;
 
 	http_answer_json(request, 200,
 	    json_pack("{s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:b, s:o, s:o, s:o}",
-		"instance", operator->settings->instance, "role",
+		"instance", op->settings->instance, "role",
 		role_name(raft_state(raft)), "leader",
 		leader != NULL ? leader : "", "term",
 		(json_int_t)raft_term(raft), "commit",
 		(json_int_t)raft_commit_index(raft), "applied",
 		(json_int_t)machine_index(machine), "config_version",
 		(json_int_t)machine_config_version(machine), "confirmed",
-		replica_is_confirmed(operator->replica), "instances",
-		instances_json(operator), "members", members,
+		replica_is_confirmed(op->replica), "instances",
+		instances_json(op), "members", members_json(raft),
 		"safe_to_continue",
-		replica_is_leader(operator->replica) ? json_boolean(safe)
-						     : json_null()));
+		leads ? json_boolean(operator_is_safe(raft, clock_mono_ms()))
+		      : json_null()));
 }
 
 static void
-instance_applied(operator_t *operator, http_request_t * request,
-    const err_t *err, const command_result_t *result)
+instance_applied(operator_t *op, http_request_t *request, const err_t *err,
+    const command_result_t *result)
 {
 	if (result->code == -ENOENT) {
 		http_answer_error(request, 404, "refused", "not_found", "", 0,
@@ -134,13 +144,13 @@
 
 /* Returns a known instance, NULL after answering 404. */
 static const machine_instance_t *
-find_instance(operator_t *operator, http_request_t * request, str_t parameter)
+find_instance(operator_t *op, http_request_t *request, str_t parameter)
 {
 	char id[NAME_MAX_LEN + 1];
 	const machine_instance_t *instance = NULL;
 
 	if (str_copy(parameter, id, sizeof(id)) == 0)
-		instance = machine_instance(operator_machine(operator), id);
+		instance = machine_instance(operator_machine(op), id);
 	if (instance == NULL)
 		http_answer_error(request, 404, "refused", "not_found", "", 0,
 		    "no instance %.*s; GET /v1/status lists them",
@@ -150,10 +160,10 @@
 
 /* POST /v1/instances/{id}/drain */
 void
-operator_drain(operator_t *operator, http_request_t * request, str_t parameter)
+operator_drain(operator_t *op, http_request_t *request, str_t parameter)
 {
 	const machine_instance_t *instance =
-	    find_instance(operator, request, parameter);
+	    find_instance(op, request, parameter);
 	command_t command = {.kind = COMMAND_INSTANCE};
 
 	if (instance == NULL)
@@ -165,20 +175,19 @@
 	    .incarnation = instance->incarnation,
 	    .time_ms = clock_real_ms(),
 	};
-	operator_propose(operator, request, &command, instance_applied);
+	operator_propose(op, request, &command, instance_applied);
 }
 
 /* POST /v1/instances/{id}/replace */
 void
-operator_replace(
-    operator_t *operator, http_request_t * request, str_t parameter)
+operator_replace(operator_t *op, http_request_t *request, str_t parameter)
 {
 	const machine_instance_t *instance =
-	    find_instance(operator, request, parameter);
+	    find_instance(op, request, parameter);
 	command_t command = {.kind = COMMAND_REPLACE};
 
 	if (instance == NULL)
 		return;
 	command.command_t_u.replace = instance->id;
-	operator_propose(operator, request, &command, instance_applied);
+	operator_propose(op, request, &command, instance_applied);
 }
--- a/state/machine_claims.c
+++ b/state/machine_claims.c
@@ -49,7 +49,7 @@
 void
 machine_claims_insert(machine_t *machine, claim_entry_t *entry)
 {
-	g_tree_insert(machine->claims, entry, entry);
+	g_tree_replace(machine->claims, entry, entry);
 }
 
 /* Drops the claims whose key has expired, the oldest time stamp first. */
--- a/state/machine_jobs.c
+++ b/state/machine_jobs.c
@@ -102,7 +102,7 @@
 void
 machine_jobs_insert_key(machine_t *machine, job_key_t *key)
 {
-	g_tree_insert(machine->job_keys, key, key);
+	g_tree_replace(machine->job_keys, key, key);
 }
 
 /*
--- a/state/machine_snapshot.c
+++ b/state/machine_snapshot.c
@@ -126,11 +126,12 @@
 {
 	u_int count = (u_int)job->placed_count;
 
-	if (!xdr_array(xdr, (char **)&job->members, &count, MAX_MEMBERS,
-		sizeof(machine_member_t), (xdrproc_t)xdr_member))
-		return FALSE;
+	bool_t done = xdr_array(xdr, (char **)&job->members, &count,
+	    MAX_MEMBERS, sizeof(machine_member_t), (xdrproc_t)xdr_member);
+
+	/* Set also on failure: the members read so far have to be freed. */
 	job->placed_count = count;
-	return TRUE;
+	return done;
 }
 
 /* States are saved by name, so that a chart may get further states. */
@@ -319,18 +320,14 @@
 
 /* ---- load ---- */
 
-/* Decodes one record into zeroed memory; NULL when it is not valid. */
-static void *
-get(XDR *xdr, xdrproc_t proc, size_t size)
+/* Frees a record that the machine does not own. */
+static void
+release(xdrproc_t proc, void *record)
 {
-	void *record = g_malloc0(size);
-	XDR release = {.x_op = XDR_FREE};
+	XDR xdr = {.x_op = XDR_FREE};
 
-	if (proc(xdr, record))
-		return record;
-	proc(&release, record);
+	proc(&xdr, record);
 	g_free(record);
-	return NULL;
 }
 
 static bool
@@ -356,65 +353,84 @@
 	return true;
 }
 
-static void
+static bool
 insert_version(machine_t *machine, void *record)
 {
 	machine_version_add(machine, record);
+	return true;
 }
 
-static void
+/* Refuses a second outcome of one patch id. */
+static bool
 insert_outcome(machine_t *machine, void *record)
 {
+	const patch_outcome_t *outcome = record;
+
+	if (g_hash_table_contains(machine->outcomes, outcome->id))
+		return false;
 	machine_outcome_add(machine, record);
+	return true;
 }
 
-static void
+static bool
 insert_claim(machine_t *machine, void *record)
 {
 	machine_claims_insert(machine, record);
+	return true;
 }
 
-static void
+static bool
 insert_key(machine_t *machine, void *record)
 {
 	machine_jobs_insert_key(machine, record);
+	return true;
 }
 
-static void
+static bool
 insert_worker(machine_t *machine, void *record)
 {
 	machine_worker_t *worker = record;
 
-	g_tree_insert(machine->workers, worker->id, worker);
+	g_tree_replace(machine->workers, worker->id, worker);
+	return true;
 }
 
-static void
+static bool
 insert_instance(machine_t *machine, void *record)
 {
 	machine_instance_t *instance = record;
 
-	g_tree_insert(machine->instances, instance->id, instance);
+	g_tree_replace(machine->instances, instance->id, instance);
+	return true;
 }
 
-static void
+static bool
 insert_placer(machine_t *machine, void *record)
 {
 	machine_placer_t *placer = record;
 
-	g_tree_insert(machine->placers, placer->domain, placer);
+	g_tree_replace(machine->placers, placer->domain, placer);
+	return true;
 }
 
-static void
+/* Refuses a job whose id or sequence number is there already. */
+static bool
 insert_job(machine_t *machine, void *record)
 {
+	const job_entry_t *entry = record;
+
+	if (g_hash_table_contains(machine->jobs, entry->job.id) ||
+	    g_tree_lookup(machine->job_order, entry) != NULL)
+		return false;
 	machine_jobs_insert(machine, record);
+	return true;
 }
 
 /* The lists after the header, in the order in which they are saved. */
 static const struct {
 	xdrproc_t proc;
 	size_t size;
-	void (*insert)(machine_t *machine, void *record);
+	bool (*insert)(machine_t *machine, void *record);
 } lists[] = {
     {(xdrproc_t)xdr_version, sizeof(machine_version_t), insert_version},
     {(xdrproc_t)xdr_outcome, sizeof(patch_outcome_t), insert_outcome},
@@ -459,12 +475,13 @@
 		if (!xdr_u_int(xdr, &count))
 			return false;
 		for (u_int i = 0; i < count; i++) {
-			void *record =
-			    get(xdr, lists[list].proc, lists[list].size);
+			void *record = g_malloc0(lists[list].size);
 
-			if (record == NULL)
-				return false;
-			lists[list].insert(machine, record);
+			if (lists[list].proc(xdr, record) &&
+			    lists[list].insert(machine, record))
+				continue;
+			release(lists[list].proc, record);
+			return false;
 		}
 	}
 	return get_finished(xdr, machine);
