state: add the replica task and its storage thread

Need: raft, the state machine, the storage and the endpoint have to be joined so that the main loop never waits for a sync.

Entries that raft commits are applied after the call into raft has returned, because callbacks may propose again and raft must not be entered twice. A proposal forwarded to a leader ends once this instance has applied it as well, so that its caller reads its own write. A bootstrap asks the other replicas by an empty proposal and needs answers of so many that a committed entry would be seen even if this replica was one of its holders and lost its disk; for three replicas that is both others. A replaced voter stays a learner with the disk id it had, and only another disk is promoted in its place.

Not run yet: the code is only compiled, as the wal is not there.

--- a/rpc/peer.c
+++ b/rpc/peer.c
@@ -147,6 +147,15 @@
 	schedule_deadlines(set, true);
 }
 
+static void
+start_refused_timer(peer_set_t *set)
+{
+	if (ev_is_active(&set->refused_timer))
+		return;
+	ev_timer_set(&set->refused_timer, 0, 0);
+	ev_timer_start(set->connections->loop, &set->refused_timer);
+}
+
 static void
 on_refused(struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -160,7 +169,7 @@
 		call_end(call, &err, NULL);
 	}
 	if (set->refused.length > 0)
-		ev_timer_start(loop, watcher);
+		start_refused_timer(set);
 }
 
 /* Ends a call that is not sent; its callback runs in a later event. */
@@ -171,7 +180,7 @@
 	counter_add(set->dropped, 1);
 	err_set(&call->err, code, "rpc call", peer, "%s", text);
 	g_queue_push_tail(&set->refused, call);
-	ev_timer_start(set->connections->loop, &set->refused_timer);
+	start_refused_timer(set);
 }
 
 static bool
--- /dev/null
+++ b/state/replica.c
@@ -0,0 +1,680 @@
+#include "state/replica.h"
+
+#include <errno.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "rpc/codec.h"
+#include "state/replica_private.h"
+
+/* Contact with a leader within this time counts as confirmed. */
+#define CONFIRMED_MS 2000
+/* Raft's clock ticks several times in a heartbeat, but not needlessly often. */
+#define TICKS_PER_HEARTBEAT 10
+#define TICK_MAX_MS 10
+#define MAX_BATCH_ENTRIES 1024
+
+/* ---- committed entries ---- */
+
+static void
+entry_free(raft_entry_t *entry)
+{
+	g_free(entry->data.body_t_val);
+	g_free(entry);
+}
+
+static raft_entry_t *
+entry_copy(const raft_entry_t *entry)
+{
+	raft_entry_t *copy = g_memdup2(entry, sizeof(*entry));
+
+	copy->data.body_t_val =
+	    g_memdup2(entry->data.body_t_val, entry->data.body_t_len);
+	return copy;
+}
+
+static str_t
+entry_bytes(const raft_entry_t *entry)
+{
+	return (str_t){entry->data.body_t_val, entry->data.body_t_len};
+}
+
+static void
+apply_members(replica_t *replica, const raft_entry_t *entry)
+{
+	raft_members_t members = {0};
+
+	if (codec_decode((xdrproc_t)xdr_raft_members_t, entry_bytes(entry),
+		&members) != 0)
+		return;
+	storage_members_clear(&replica->members);
+	storage_members_copy(&replica->members, &members);
+	codec_free((xdrproc_t)xdr_raft_members_t, &members);
+	replica_note_members(replica);
+}
+
+static void
+apply_command(replica_t *replica, const raft_entry_t *entry)
+{
+	command_result_t result = {0};
+	command_t command = {0};
+
+	/* Every instance skips an entry that this version cannot read. */
+	if (codec_decode(
+		(xdrproc_t)xdr_command_t, entry_bytes(entry), &command) != 0) {
+		result.code = -EBADMSG;
+		result.index = entry->index;
+		result.text = (char *)"command cannot be decoded";
+		replica_proposals_applied(
+		    replica, entry->index, entry->term, &result);
+		return;
+	}
+	machine_apply(replica->machine, entry->index, &command, &result);
+	if (command.kind == COMMAND_REPLACE && result.code == 0)
+		replica_note_replace(replica, command.command_t_u.replace);
+	if (replica->applied != NULL)
+		replica->applied(
+		    replica->applied_ctx, entry->index, &command, &result);
+	replica_proposals_applied(replica, entry->index, entry->term, &result);
+	machine_result_free(&result);
+	codec_free((xdrproc_t)xdr_command_t, &command);
+}
+
+static void
+note_confirmation(replica_t *replica)
+{
+	bool leads = raft_state(replica->raft) == RAFT_LEADER;
+
+	/*
+	 * A new leader may not know the latest commit index; an applied entry
+	 * of its own term shows that it does.
+	 */
+	if (replica->applied_term != raft_term(replica->raft))
+		return;
+	if (leads || (replica->heard_commit &&
+			 replica->applied_index >= replica->first_commit))
+		replica->confirmed = true;
+}
+
+static void
+note_leader(replica_t *replica)
+{
+	const char *leader = raft_leader(replica->raft);
+
+	if (strcmp(leader, replica->last_leader) == 0)
+		return;
+	g_strlcpy(replica->last_leader, leader, sizeof(replica->last_leader));
+	log_line(LOG_NOTICE, "raft: term %llu: leader is %s",
+	    (unsigned long long)raft_term(replica->raft),
+	    leader[0] != '\0' ? leader : "unknown");
+	replica_proposals_leader_changed(replica);
+}
+
+static void
+set_snapshot(replica_t *replica, GBytes *data, uint64_t index, uint64_t term,
+    const raft_members_t *members)
+{
+	if (replica->snapshot != NULL)
+		g_bytes_unref(replica->snapshot);
+	replica->snapshot = data;
+	replica->snapshot_index = index;
+	replica->snapshot_term = term;
+	storage_members_clear(&replica->snapshot_members);
+	storage_members_copy(&replica->snapshot_members, members);
+}
+
+/* Serializes the machine; the storage thread makes it durable. */
+static void
+take_snapshot(replica_t *replica)
+{
+	GByteArray *bytes = g_byte_array_new();
+	int64_t start_us = clock_mono_us();
+	int code = machine_save(replica->machine, bytes);
+	int64_t took_us = clock_mono_us() - start_us;
+	guint len = bytes->len;
+
+	if (code != 0) {
+		g_byte_array_unref(bytes);
+		log_line(LOG_ERR, "snapshot: not serialized: error %d", -code);
+		return;
+	}
+	counter_add(replica->snapshots, 1);
+	histogram_record(replica->snapshot_time, took_us);
+	log_line(LOG_INFO,
+	    "snapshot: index %llu, %u bytes, serialized in %lld us",
+	    (unsigned long long)replica->applied_index, len,
+	    (long long)took_us);
+	replica->saving_snapshot = true;
+	replica->next_snapshot = g_byte_array_free_to_bytes(bytes);
+	replica->next_index = replica->applied_index;
+	replica->next_term = replica->applied_term;
+	storage_members_clear(&replica->next_members);
+	storage_members_copy(&replica->next_members, &replica->members);
+	storage_save_snapshot(replica->storage, replica->next_index,
+	    replica->next_term, &replica->next_members, replica->next_snapshot);
+}
+
+/*
+ * Shortens the log every snapshot_entries applied entries.  A learner without a
+ * disk never sends a snapshot, so it needs none to forget its log.
+ */
+static void
+maybe_snapshot(replica_t *replica)
+{
+	uint64_t since = replica->applied_index - replica->trim_index;
+
+	if (replica->broken ||
+	    since < (uint64_t)replica->settings->snapshot_entries)
+		return;
+	if (replica->storage == NULL) {
+		replica->trim_index = replica->applied_index;
+		raft_compacted(replica->raft, replica->applied_index,
+		    replica->applied_term);
+	} else if (!replica->saving_snapshot && replica->storage_code == 0) {
+		replica->trim_index = replica->applied_index;
+		take_snapshot(replica);
+	}
+}
+
+/*
+ * Follows every call into raft: applies what became committed and informs those
+ * who wait.  Callbacks run here, when raft is not in the middle of a step.
+ */
+void
+replica_deliver(replica_t *replica)
+{
+	raft_entry_t *entry;
+
+	if (replica->delivering)
+		return;
+	replica->delivering = true;
+	note_leader(replica);
+	while ((entry = g_queue_pop_head(&replica->committed)) != NULL) {
+		if (!replica->broken) {
+			replica->applied_index = entry->index;
+			replica->applied_term = entry->term;
+			if (entry->kind == ENTRY_MEMBERS)
+				apply_members(replica, entry);
+			else
+				apply_command(replica, entry);
+		}
+		entry_free(entry);
+	}
+	replica_proposals_progress(replica);
+	note_confirmation(replica);
+	maybe_snapshot(replica);
+	replica->delivering = false;
+}
+
+/* ---- raft's callbacks ---- */
+
+static void
+on_send(void *ctx, const raft_message_t *message)
+{
+	replica_t *replica = ctx;
+
+	/* Raft repeats what is lost. */
+	endpoint_send(replica->endpoint, message->to, RPC_RAFT,
+	    (raft_message_t *)message);
+}
+
+static void
+on_save_vote(void *ctx, uint64_t term, const char *vote)
+{
+	replica_t *replica = ctx;
+
+	if (replica->storage != NULL)
+		storage_save_vote(replica->storage, term, vote);
+}
+
+static void
+on_append(void *ctx, const raft_entry_t *entry)
+{
+	replica_t *replica = ctx;
+
+	if (replica->storage != NULL)
+		storage_append(replica->storage, entry);
+}
+
+static void
+on_truncate(void *ctx, uint64_t from_index)
+{
+	replica_t *replica = ctx;
+
+	if (replica->storage != NULL)
+		storage_truncate(replica->storage, from_index);
+}
+
+static void
+on_sync(void *ctx, uint64_t ticket)
+{
+	replica_t *replica = ctx;
+
+	if (replica->storage != NULL)
+		storage_sync(replica->storage, ticket);
+}
+
+static void
+on_apply(void *ctx, const raft_entry_t *entry)
+{
+	replica_t *replica = ctx;
+
+	g_queue_push_tail(&replica->committed, entry_copy(entry));
+}
+
+static void
+on_snapshot_read(void *ctx, uint64_t *index, uint64_t *term,
+    const uint8_t **data, size_t *len, raft_members_t *members)
+{
+	replica_t *replica = ctx;
+
+	*index = 0;
+	*term = 0;
+	*data = NULL;
+	*len = 0;
+	*members = (raft_members_t){0};
+	if (replica->snapshot == NULL)
+		return;
+	*index = replica->snapshot_index;
+	*term = replica->snapshot_term;
+	*data = g_bytes_get_data(replica->snapshot, len);
+	*members = replica->snapshot_members;
+}
+
+static void
+load_machine(replica_t *replica, const void *data, size_t len, uint64_t index,
+    uint64_t term, const raft_members_t *members)
+{
+	if (machine_load(replica->machine, (str_t){data, len}) != 0) {
+		log_line(LOG_CRIT,
+		    "snapshot: index %llu has an unknown format; this instance "
+		    "applies nothing more",
+		    (unsigned long long)index);
+		replica->broken = true;
+		return;
+	}
+	replica->applied_index = index;
+	replica->applied_term = term;
+	replica->trim_index = index;
+	storage_members_clear(&replica->members);
+	storage_members_copy(&replica->members, members);
+}
+
+static void
+on_snapshot_install(void *ctx, uint64_t index, uint64_t term,
+    const uint8_t *data, size_t len, const raft_members_t *members)
+{
+	replica_t *replica = ctx;
+	raft_entry_t *entry;
+
+	/* Entries committed before are part of the snapshot. */
+	while ((entry = g_queue_pop_head(&replica->committed)) != NULL)
+		entry_free(entry);
+	log_line(LOG_NOTICE, "snapshot: index %llu received, %zu bytes",
+	    (unsigned long long)index, len);
+	load_machine(replica, data, len, index, term, members);
+	if (replica->storage == NULL)
+		return;
+	set_snapshot(replica, g_bytes_new(data, len), index, term, members);
+	storage_save_snapshot(
+	    replica->storage, index, term, members, replica->snapshot);
+}
+
+static void
+on_state_changed(void *ctx, raft_state_t state, uint64_t term)
+{
+	static const char *const names[] = {
+	    [RAFT_LEARNER_STATE] = "learner",
+	    [RAFT_FOLLOWER] = "follower",
+	    [RAFT_PRE_CANDIDATE] = "pre-candidate",
+	    [RAFT_CANDIDATE] = "candidate",
+	    [RAFT_LEADER] = "leader",
+	};
+	replica_t *replica = ctx;
+
+	if (state == RAFT_LEADER)
+		replica->leader_since_ms = clock_mono_ms();
+	log_line(LOG_INFO, "raft: term %llu: %s", (unsigned long long)term,
+	    names[state]);
+}
+
+/* ---- storage ---- */
+
+static void
+snapshot_saved(replica_t *replica, const storage_event_t *event)
+{
+	if (replica->saving_snapshot && event->index == replica->next_index) {
+		/* A received snapshot may have overtaken it. */
+		if (event->index > replica->snapshot_index)
+			set_snapshot(replica,
+			    g_bytes_ref(replica->next_snapshot),
+			    replica->next_index, replica->next_term,
+			    &replica->next_members);
+		g_bytes_unref(replica->next_snapshot);
+		replica->next_snapshot = NULL;
+		replica->saving_snapshot = false;
+	}
+	raft_compacted(replica->raft, event->index, event->term);
+}
+
+static void
+on_storage(void *ctx, const storage_event_t *event)
+{
+	replica_t *replica = ctx;
+	int64_t now_ms = clock_mono_ms();
+
+	switch (event->kind) {
+	case STORAGE_SYNCED:
+		raft_synced(replica->raft, event->ticket, now_ms);
+		break;
+	case STORAGE_SNAPSHOT_SAVED:
+		snapshot_saved(replica, event);
+		break;
+	case STORAGE_FAILED:
+		log_err(LOG_CRIT, &event->err);
+		replica->storage_code =
+		    event->err.code == -ENOSPC ? -ENOSPC : -EROFS;
+		raft_storage_failed(replica->raft, now_ms);
+		break;
+	}
+	replica_deliver(replica);
+}
+
+static void
+collect_entry(void *ctx, const raft_entry_t *entry)
+{
+	g_ptr_array_add(ctx, entry_copy(entry));
+}
+
+static int
+load_snapshot(replica_t *replica, wal_t *wal, err_t *err)
+{
+	GByteArray *data = g_byte_array_new();
+	raft_members_t members = {0};
+	uint64_t index;
+	uint64_t term;
+
+	if (wal_load_snapshot(wal, &index, &term, &members, data, err) != 0) {
+		g_byte_array_unref(data);
+		return err->code;
+	}
+	load_machine(replica, data->data, data->len, index, term, &members);
+	set_snapshot(
+	    replica, g_byte_array_free_to_bytes(data), index, term, &members);
+	storage_members_clear(&members);
+	if (replica->broken)
+		return err_set(err, -EBADMSG, "snapshot load",
+		    replica->settings->data_folder,
+		    "written by another version");
+	return 0;
+}
+
+/* Opens the data folder; entries get what the log holds after the snapshot. */
+static int
+open_storage(replica_t *replica, GPtrArray *entries, err_t *err)
+{
+	const char *folder = replica->settings->data_folder;
+	wal_t *wal;
+
+	if (g_mkdir_with_parents(folder, 0700) != 0)
+		return err_set(err, -errno, "create folder", folder,
+		    "data folder cannot be made");
+	wal = wal_open(folder, &replica->saved, collect_entry, entries, err);
+	if (wal == NULL)
+		return err->code;
+	if (replica->saved.snapshot_index > 0 &&
+	    load_snapshot(replica, wal, err) != 0) {
+		wal_close(wal);
+		return err->code;
+	}
+	replica->may_bootstrap = replica->saved.term == 0 &&
+				 replica->saved.snapshot_index == 0 &&
+				 entries->len == 0;
+	replica->storage =
+	    storage_start(replica->loop, wal, on_storage, replica);
+	return 0;
+}
+
+/* ---- start and end ---- */
+
+static raft_members_t
+bootstrap_members(const replica_t *replica)
+{
+	const settings_t *settings = replica->settings;
+	raft_members_t members = {0};
+
+	members.members.members_val =
+	    g_new0(raft_member_t, settings->peer_count);
+	for (size_t i = 0; i < settings->peer_count; i++) {
+		if (settings->peers[i].is_replica)
+			members.members
+			    .members_val[members.members.members_len++] =
+			    (raft_member_t){
+				.id = settings->peers[i].id,
+				.role = MEMBER_VOTER,
+			    };
+	}
+	return members;
+}
+
+/*
+ * Creates the raft participant from what was saved; it still has to be started.
+ */
+void
+replica_create_raft(replica_t *replica, bool may_bootstrap)
+{
+	static const raft_callbacks_t callbacks = {
+	    .send = on_send,
+	    .save_vote = on_save_vote,
+	    .append = on_append,
+	    .truncate = on_truncate,
+	    .sync = on_sync,
+	    .apply = on_apply,
+	    .snapshot_read = on_snapshot_read,
+	    .snapshot_install = on_snapshot_install,
+	    .state_changed = on_state_changed,
+	};
+	const settings_t *settings = replica->settings;
+	raft_options_t options = {
+	    .id = settings->instance,
+	    .election_timeout_ms = settings->election_timeout_ms,
+	    .heartbeat_ms = settings->heartbeat_ms,
+	    .seed =
+		g_str_hash(settings->instance) ^ (uint32_t)replica->incarnation,
+	    .max_batch_entries = MAX_BATCH_ENTRIES,
+	    .bootstrap = bootstrap_members(replica),
+	    .may_bootstrap = may_bootstrap,
+	    .saved = replica->saved,
+	};
+
+	raft_destroy(replica->raft);
+	replica->raft = raft_create(&options, &callbacks, replica);
+	g_free(options.bootstrap.members.members_val);
+}
+
+static void
+on_tick(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	replica_t *replica = watcher->data;
+	int64_t now_ms = clock_mono_ms();
+
+	raft_tick(replica->raft, now_ms);
+	replica_deliver(replica);
+	replica_proposals_tick(replica, now_ms);
+	replica_watch(replica, now_ms);
+}
+
+static void
+start_tick(replica_t *replica)
+{
+	int64_t tick_ms =
+	    CLAMP(replica->settings->heartbeat_ms / TICKS_PER_HEARTBEAT, 1,
+		TICK_MAX_MS);
+	double tick_s = (double)tick_ms / CLOCK_MS_PER_S;
+
+	ev_timer_init(&replica->tick, on_tick, tick_s, tick_s);
+	replica->tick.data = replica;
+	ev_timer_start(replica->loop, &replica->tick);
+}
+
+static replica_t *
+replica_new(struct ev_loop *loop, const settings_t *settings,
+    endpoint_t *endpoint, uint64_t incarnation)
+{
+	replica_t *replica = g_new0(replica_t, 1);
+
+	replica->loop = loop;
+	replica->settings = settings;
+	replica->endpoint = endpoint;
+	replica->incarnation = incarnation;
+	replica->machine = machine_create();
+	replica->seen =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g_queue_init(&replica->committed);
+	g_queue_init(&replica->pending);
+	replica_proposals_init(replica);
+	replica->proposed =
+	    counter_get("replica_proposals_total", "proposals made here");
+	replica->forwarded = counter_get(
+	    "replica_forwarded_total", "proposals sent to a leader elsewhere");
+	replica->snapshots =
+	    counter_get("replica_snapshots_total", "snapshots taken");
+	replica->snapshot_time = histogram_get(
+	    "replica_snapshot_seconds", "time to serialize the state machine");
+	return replica;
+}
+
+/*
+ * Starts the replica task; settings and endpoint must outlive its use.  With
+ * the replica role it opens the data folder, which blocks.  Returns NULL with
+ * err when that fails.
+ */
+replica_t *
+replica_create(struct ev_loop *loop, const settings_t *settings,
+    endpoint_t *endpoint, uint64_t incarnation, err_t *err)
+{
+	GPtrArray *entries =
+	    g_ptr_array_new_with_free_func((GDestroyNotify)entry_free);
+	replica_t *replica = replica_new(loop, settings, endpoint, incarnation);
+
+	if (settings->role_replica &&
+	    open_storage(replica, entries, err) != 0) {
+		g_ptr_array_unref(entries);
+		replica_destroy(replica);
+		return NULL;
+	}
+	replica_create_raft(replica, false);
+	for (guint i = 0; i < entries->len; i++) {
+		const raft_entry_t *entry = g_ptr_array_index(entries, i);
+
+		if (entry->index > replica->saved.snapshot_index)
+			raft_restore_entry(replica->raft, entry);
+	}
+	g_ptr_array_unref(entries);
+	raft_start(replica->raft, clock_mono_ms());
+	start_tick(replica);
+	return replica;
+}
+
+/*
+ * Ends the task; what was handed to the storage is written.  Proposals end with
+ * -ENOTCONN or -ETIMEDOUT.  Must not be called from a callback of the replica.
+ */
+void
+replica_destroy(replica_t *replica)
+{
+	raft_entry_t *entry;
+
+	if (replica == NULL)
+		return;
+	ev_timer_stop(replica->loop, &replica->tick);
+	replica_proposals_clear(replica);
+	storage_stop(replica->storage);
+	raft_destroy(replica->raft);
+	machine_destroy(replica->machine);
+	while ((entry = g_queue_pop_head(&replica->committed)) != NULL)
+		entry_free(entry);
+	if (replica->snapshot != NULL)
+		g_bytes_unref(replica->snapshot);
+	if (replica->next_snapshot != NULL)
+		g_bytes_unref(replica->next_snapshot);
+	storage_members_clear(&replica->members);
+	storage_members_clear(&replica->snapshot_members);
+	storage_members_clear(&replica->next_members);
+	storage_members_clear(&replica->saved.members);
+	g_hash_table_unref(replica->seen);
+	g_free(replica);
+}
+
+/* Sets the function that is told of each applied command. */
+void
+replica_set_applied(replica_t *replica, replica_applied_t *applied, void *ctx)
+{
+	replica->applied = applied;
+	replica->applied_ctx = ctx;
+}
+
+/* Handles RPC_RAFT. */
+void
+replica_serve_raft(replica_t *replica, raft_message_t *message)
+{
+	seen_t *seen = replica_seen(replica, message->from);
+	bool from_leader =
+	    message->kind == RAFT_APPEND || message->kind == RAFT_SNAPSHOT;
+
+	seen->disk_id = message->disk_id;
+	if (message->kind != RAFT_SNAPSHOT)
+		seen->claims_vote = message->last_chunk;
+	if (from_leader && !replica->heard_commit &&
+	    message->term >= raft_term(replica->raft)) {
+		replica->heard_commit = true;
+		replica->first_commit = message->commit;
+		if (message->kind == RAFT_SNAPSHOT)
+			replica->first_commit =
+			    MAX(message->commit, message->index);
+	}
+	raft_receive(replica->raft, message, clock_mono_ms());
+	replica_deliver(replica);
+}
+
+/* The state as applied here; owned by the replica and never replaced. */
+const machine_t *
+replica_machine(const replica_t *replica)
+{
+	return replica->machine;
+}
+
+/* Whether this instance leads; it stops to when it loses its quorum. */
+bool
+replica_is_leader(const replica_t *replica)
+{
+	return raft_state(replica->raft) == RAFT_LEADER;
+}
+
+/* Returns the leader's name, empty when it is unknown. */
+const char *
+replica_leader(const replica_t *replica)
+{
+	return raft_leader(replica->raft);
+}
+
+bool
+replica_is_confirmed(const replica_t *replica)
+{
+	return replica->confirmed && !replica->broken &&
+	       raft_leader_silent_ms(replica->raft, clock_mono_ms()) <
+		   CONFIRMED_MS;
+}
+
+bool
+replica_was_confirmed(const replica_t *replica)
+{
+	return replica->confirmed && !replica->broken;
+}
+
+const raft_t *
+replica_raft(const replica_t *replica)
+{
+	return replica->raft;
+}
--- a/state/replica.h
+++ b/state/replica.h
@@ -19,7 +19,8 @@
 /*
  * Ends a proposal.  err->code 0: committed and applied, result is valid until
  * the function returns.  -ENOTCONN, -EROFS and -ENOSPC: certainly not proposed.
- * -ETIMEDOUT: it may still be applied.
+ * -EINVAL and -EMSGSIZE: the command breaks a limit, not proposed.  -ETIMEDOUT:
+ * it may still be applied.
  */
 typedef void replica_done_t(
     void *ctx, const err_t *err, const command_result_t *result);
@@ -48,5 +49,12 @@
 bool replica_is_confirmed(const replica_t *replica);
 /* Whether the state was ever confirmed since this process started. */
 bool replica_was_confirmed(const replica_t *replica);
+/*
+ * Whether the next replica may be replaced: all voters present and caught up.
+ * Only the leader knows; false on every other instance.
+ */
+bool replica_safe_to_replace(const replica_t *replica);
+/* Makes known to every instance that this one drains. */
+void replica_set_draining(replica_t *replica, bool draining);
 /* The raft participant, for status reports. */
 const raft_t *replica_raft(const replica_t *replica);
--- /dev/null
+++ b/state/replica_members.c
@@ -0,0 +1,445 @@
+#include <errno.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "state/replica_private.h"
+
+/* Interval of the leader's look at the other instances. */
+#define WATCH_MS 200
+/* Silence after which an instance is reported as lost. */
+#define LOST_MS 2000
+/* Entries that a voter may be behind when another one is replaced. */
+#define SAFE_ENTRIES 100
+/* Age of an answer that may still count for a bootstrap. */
+#define ANSWER_MAX_MS 1000
+#define PROBE_DEADLINE_MS 500
+#define ANNOUNCE_DEADLINE_MS 5000
+
+/* Returns what is known of an instance; made on first use. */
+seen_t *
+replica_seen(replica_t *replica, const char *instance)
+{
+	seen_t *seen = g_hash_table_lookup(replica->seen, instance);
+
+	if (seen == NULL) {
+		seen = g_new0(seen_t, 1);
+		g_hash_table_insert(replica->seen, g_strdup(instance), seen);
+	}
+	return seen;
+}
+
+static const raft_member_t *
+find_member(const raft_members_t *members, const char *id)
+{
+	for (u_int i = 0; i < members->members.members_len; i++) {
+		if (strcmp(members->members.members_val[i].id, id) == 0)
+			return &members->members.members_val[i];
+	}
+	return NULL;
+}
+
+/* ---- bootstrap ---- */
+
+/*
+ * Number of other replicas that must have no log before a system is begun.  Any
+ * committed entry is on a majority of the replicas; were this instance one of
+ * them and lost its disk, at least one of so many others still has it.
+ */
+static size_t
+answers_needed(const replica_t *replica)
+{
+	const settings_t *settings = replica->settings;
+	size_t replicas = 0;
+	size_t majority;
+
+	for (size_t i = 0; i < settings->peer_count; i++)
+		replicas += settings->peers[i].is_replica;
+	majority = replicas / 2 + 1;
+	return MIN(replicas - majority + 1, replicas - 1);
+}
+
+static bool
+is_virgin(const replica_t *replica)
+{
+	return raft_last_index(replica->raft) == 0 &&
+	       raft_term(replica->raft) == 0 &&
+	       raft_leader(replica->raft)[0] == '\0';
+}
+
+/*
+ * Tells another replica whether this one knows a leader or has a log, as the
+ * answer to an empty proposal.
+ */
+void
+replica_serve_probe(replica_t *replica, endpoint_request_t *request)
+{
+	propose_result_t answer = {
+	    .leader = (char *)raft_leader(replica->raft),
+	    .result =
+		{
+		    .index = raft_last_index(replica->raft),
+		    .text = (char *)"",
+		},
+	};
+
+	endpoint_answer(request, &answer);
+}
+
+static void
+on_probed(void *ctx, const err_t *err, void *value)
+{
+	pending_t *pending = ctx;
+	const propose_result_t *answer = value;
+	replica_t *replica = replica_pending_end(pending);
+	seen_t *seen;
+
+	if (replica == NULL || answer == NULL || !replica->may_bootstrap)
+		goto done;
+	seen = replica_seen(replica, pending->instance);
+	/* Entry 1 alone was written by a bootstrap and is never committed. */
+	if (answer->leader[0] == '\0' && answer->result.index <= 1) {
+		seen->clear_ms = clock_mono_ms();
+		goto done;
+	}
+	replica->may_bootstrap = false;
+	log_line(LOG_NOTICE,
+	    "bootstrap: %s belongs to a running system; this replica joins it "
+	    "as a learner",
+	    pending->instance);
+done:
+	replica_pending_free(pending);
+}
+
+static void
+bootstrap(replica_t *replica)
+{
+	log_line(LOG_NOTICE, "bootstrap: a new system is begun");
+	replica->may_bootstrap = false;
+	replica_create_raft(replica, true);
+	raft_start(replica->raft, clock_mono_ms());
+	replica_deliver(replica);
+}
+
+/* Asks the other replicas whether a system exists and begins one if none does.
+ */
+static void
+try_bootstrap(replica_t *replica, int64_t now_ms)
+{
+	const settings_t *settings = replica->settings;
+	size_t clear = 0;
+
+	if (!is_virgin(replica)) {
+		replica->may_bootstrap = false;
+		return;
+	}
+	for (size_t i = 0; i < settings->peer_count; i++) {
+		const settings_peer_t *peer = &settings->peers[i];
+		const seen_t *seen = replica_seen(replica, peer->id);
+		propose_args_t probe = {.deadline_ms = PROBE_DEADLINE_MS};
+
+		if (!peer->is_replica ||
+		    strcmp(peer->id, settings->instance) == 0)
+			continue;
+		if (seen->clear_ms > 0 &&
+		    now_ms - seen->clear_ms <= ANSWER_MAX_MS)
+			clear++;
+		if (endpoint_peer_is_up(replica->endpoint, peer->id))
+			endpoint_call(replica->endpoint, peer->id, RPC_PROPOSE,
+			    &probe, PROBE_DEADLINE_MS, on_probed,
+			    replica_pending_add(replica, peer->id));
+	}
+	if (clear >= answers_needed(replica))
+		bootstrap(replica);
+}
+
+/* ---- instances ---- */
+
+static void
+on_announced(void *ctx, const err_t *err, const command_result_t *result)
+{
+	replica_t *replica = ctx;
+
+	replica->announcing = false;
+}
+
+static void
+on_reported(void *ctx, const err_t *err, const command_result_t *result)
+{
+	pending_t *pending = ctx;
+	replica_t *replica = replica_pending_end(pending);
+
+	if (replica != NULL)
+		replica_seen(replica, pending->instance)->has_change_in_flight =
+		    false;
+	replica_pending_free(pending);
+}
+
+/* Proposes this instance's own state when the machine has another one. */
+static void
+announce_self(replica_t *replica)
+{
+	const char *id = replica->settings->instance;
+	const machine_instance_t *known =
+	    machine_instance(replica->machine, id);
+	command_t command = {.kind = COMMAND_INSTANCE};
+
+	if (replica->announcing || !replica_is_confirmed(replica))
+		return;
+	/* A drain ordered by an operator lasts until the next start. */
+	if (known != NULL && known->alive &&
+	    known->incarnation == replica->incarnation &&
+	    (known->draining || !replica->draining))
+		return;
+	command.command_t_u.instance = (instance_command_t){
+	    .id = (char *)id,
+	    .alive = TRUE,
+	    .draining = replica->draining ||
+			(known != NULL && known->draining &&
+			    known->incarnation == replica->incarnation),
+	    .incarnation = replica->incarnation,
+	    .time_ms = clock_real_ms(),
+	};
+	replica->announcing = true;
+	replica_propose(
+	    replica, &command, ANNOUNCE_DEADLINE_MS, on_announced, replica);
+}
+
+/* As leader, reports an instance that has gone silent or is back. */
+static void
+report_instance(replica_t *replica, const char *id, int64_t now_ms)
+{
+	int64_t silent_ms = raft_member_silent_ms(replica->raft, id, now_ms);
+	const machine_instance_t *known =
+	    machine_instance(replica->machine, id);
+	seen_t *seen = replica_seen(replica, id);
+	bool lost = silent_ms >= LOST_MS;
+	command_t command = {.kind = COMMAND_INSTANCE};
+
+	if (silent_ms == INT64_MAX || known == NULL ||
+	    seen->has_change_in_flight || known->alive == !lost)
+		return;
+	/* Silence counts from the start of the leadership at first. */
+	if (!lost && silent_ms >= now_ms - replica->leader_since_ms)
+		return;
+	seen->has_change_in_flight = true;
+	log_line(LOG_NOTICE, "instance %s is %s", id, lost ? "lost" : "back");
+	command.command_t_u.instance = (instance_command_t){
+	    .id = (char *)id,
+	    .alive = !lost,
+	    .draining = known->draining,
+	    .incarnation = known->incarnation,
+	    .time_ms = clock_real_ms(),
+	};
+	replica_propose(replica, &command, ANNOUNCE_DEADLINE_MS, on_reported,
+	    replica_pending_add(replica, id));
+}
+
+/* ---- membership ---- */
+
+/* Remembers that the voter is to give way to one with another disk. */
+void
+replica_note_replace(replica_t *replica, const char *instance)
+{
+	replica_seen(replica, instance)->replace_wanted = true;
+}
+
+/* A new membership was committed: replacements that began are noted. */
+void
+replica_note_members(replica_t *replica)
+{
+	GHashTableIter iter;
+	gpointer id;
+	gpointer seen;
+
+	g_hash_table_iter_init(&iter, replica->seen);
+	while (g_hash_table_iter_next(&iter, &id, &seen)) {
+		const raft_member_t *member =
+		    find_member(&replica->members, id);
+
+		if (member == NULL || member->role == MEMBER_LEARNER)
+			((seen_t *)seen)->replace_wanted = false;
+	}
+}
+
+static uint64_t
+disk_of(replica_t *replica, const char *id)
+{
+	if (strcmp(id, replica->settings->instance) == 0)
+		return replica->saved.disk_id;
+	return replica_seen(replica, id)->disk_id;
+}
+
+static bool
+claims_vote(replica_t *replica, const char *id)
+{
+	return strcmp(id, replica->settings->instance) == 0 ||
+	       replica_seen(replica, id)->claims_vote;
+}
+
+/*
+ * Whether a voter must give way: its replacement was ordered, or it has a disk
+ * but no vote because it came too late for the bootstrap.
+ */
+static bool
+must_give_way(replica_t *replica, const raft_member_t *member, int64_t now_ms)
+{
+	bool answered = raft_member_silent_ms(replica->raft, member->id,
+			    now_ms) < now_ms - replica->leader_since_ms;
+
+	if (replica_seen(replica, member->id)->replace_wanted)
+		return true;
+	return member->disk_id == 0 && answered &&
+	       raft_member_match(replica->raft, member->id) > 0 &&
+	       disk_of(replica, member->id) != 0 &&
+	       !claims_vote(replica, member->id);
+}
+
+/*
+ * Changes the record of an instance of the settings by at most one step.  A
+ * learner keeps the disk id that it had as a voter, so that only another disk
+ * becomes a voter in its place.  Returns whether anything changes.
+ */
+static bool
+change_member(replica_t *replica, raft_members_t *wanted,
+    const settings_peer_t *peer, int64_t now_ms)
+{
+	raft_member_t *member = (raft_member_t *)find_member(wanted, peer->id);
+	u_int *len = &wanted->members.members_len;
+	uint64_t disk = disk_of(replica, peer->id);
+
+	if (member == NULL) {
+		if (*len >= MAX_MEMBERS)
+			return false;
+		wanted->members.members_val = g_renew(
+		    raft_member_t, wanted->members.members_val, *len + 1);
+		wanted->members.members_val[(*len)++] =
+		    (raft_member_t){.id = g_strdup(peer->id)};
+		return true;
+	}
+	if (member->role == MEMBER_VOTER) {
+		if (!must_give_way(replica, member, now_ms))
+			return false;
+		member->role = MEMBER_LEARNER;
+		return true;
+	}
+	if (!peer->is_replica || disk == 0 || disk == member->disk_id ||
+	    raft_member_match(replica->raft, peer->id) + SAFE_ENTRIES <
+		raft_commit_index(replica->raft))
+		return false;
+	member->role = MEMBER_VOTER;
+	member->disk_id = disk;
+	return true;
+}
+
+static const char *
+role_name(const raft_members_t *members, const char *id)
+{
+	const raft_member_t *member = find_member(members, id);
+
+	if (member == NULL)
+		return "none";
+	return member->role == MEMBER_VOTER ? "voter" : "learner";
+}
+
+/*
+ * Proposes the next membership change, one instance at a time.  Raft refuses it
+ * while another one is under way or too few voters are in contact.
+ */
+static void
+change_members(replica_t *replica, int64_t now_ms)
+{
+	const settings_t *settings = replica->settings;
+
+	for (size_t i = 0; i < settings->peer_count; i++) {
+		const char *id = settings->peers[i].id;
+		raft_members_t wanted;
+		bool changed;
+		int code = -EAGAIN;
+
+		storage_members_copy(&wanted, raft_members(replica->raft));
+		changed = change_member(
+		    replica, &wanted, &settings->peers[i], now_ms);
+		if (changed)
+			code = raft_propose_members(
+			    replica->raft, &wanted, NULL, NULL);
+		if (code == 0)
+			log_line(LOG_NOTICE, "members: %s becomes %s", id,
+			    role_name(&wanted, id));
+		storage_members_clear(&wanted);
+		if (changed && (code == 0 || code == -EBUSY))
+			return;
+	}
+}
+
+/* ---- */
+
+/* The regular look at instances and members; called at each tick. */
+void
+replica_watch(replica_t *replica, int64_t now_ms)
+{
+	const settings_t *settings = replica->settings;
+
+	if (now_ms < replica->next_watch_ms)
+		return;
+	replica->next_watch_ms = now_ms + WATCH_MS;
+	if (replica->may_bootstrap)
+		try_bootstrap(replica, now_ms);
+	announce_self(replica);
+	if (raft_state(replica->raft) != RAFT_LEADER ||
+	    !replica_is_confirmed(replica))
+		return;
+	for (size_t i = 0; i < settings->peer_count; i++) {
+		if (strcmp(settings->peers[i].id, settings->instance) != 0)
+			report_instance(replica, settings->peers[i].id, now_ms);
+	}
+	change_members(replica, now_ms);
+	replica_deliver(replica);
+}
+
+/*
+ * Whether another replica may be replaced now.  Only the leader can tell: every
+ * replica of the settings must be a voter with the disk of its record, in
+ * contact, and at most 100 entries behind.  False on every other instance.
+ */
+bool
+replica_safe_to_replace(const replica_t *replica)
+{
+	const settings_t *settings = replica->settings;
+	const raft_t *raft = replica->raft;
+	int64_t now_ms = clock_mono_ms();
+
+	if (raft_state(raft) != RAFT_LEADER || !replica_is_confirmed(replica))
+		return false;
+	for (size_t i = 0; i < settings->peer_count; i++) {
+		const settings_peer_t *peer = &settings->peers[i];
+		const raft_member_t *member =
+		    find_member(&replica->members, peer->id);
+		const seen_t *seen =
+		    g_hash_table_lookup(replica->seen, peer->id);
+
+		if (!peer->is_replica)
+			continue;
+		if (member == NULL || member->role != MEMBER_VOTER ||
+		    raft_member_silent_ms(raft, peer->id, now_ms) >= LOST_MS ||
+		    raft_member_match(raft, peer->id) + SAFE_ENTRIES <
+			raft_commit_index(raft))
+			return false;
+		if (seen != NULL && (seen->replace_wanted ||
+					(seen->disk_id != 0 &&
+					    seen->disk_id != member->disk_id)))
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Reports to every instance that this one drains or has ended to; takes effect
+ * once it is committed.
+ */
+void
+replica_set_draining(replica_t *replica, bool draining)
+{
+	replica->draining = draining;
+	announce_self(replica);
+}
--- /dev/null
+++ b/state/replica_private.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "common/counters.h"
+#include "state/replica.h"
+#include "state/storage.h"
+
+/* A proposal or a read barrier that has not ended. */
+typedef enum {
+	PROPOSAL_WAITING,   /* for a leader, or for the time of the next try */
+	PROPOSAL_LOCAL,     /* in the log of this leader at index and term */
+	PROPOSAL_FORWARDED, /* sent to target */
+	PROPOSAL_READ,      /* barrier; waits for ticket */
+	PROPOSAL_APPLYING,  /* has its result; waits for the local apply */
+} proposal_state_t;
+
+typedef struct {
+	uint64_t id;
+	proposal_state_t state;
+	bool is_barrier;
+	bool only_here;      /* made by another instance; never forwarded */
+	bool maybe_proposed; /* some attempt may still be applied */
+	GByteArray *command;
+	int64_t deadline_ms;
+	int64_t retry_ms;
+	uint64_t attempt;
+	uint64_t index;
+	uint64_t term;
+	uint64_t ticket;
+	char target[NAME_MAX_LEN + 1];
+	GByteArray *result;      /* encoded; PROPOSAL_APPLYING */
+	GSequenceIter *position; /* in applying */
+	replica_done_t *done;
+	void *ctx;
+} proposal_t;
+
+/* What an instance last said of itself in a raft message. */
+typedef struct {
+	uint64_t disk_id;
+	bool claims_vote;
+	int64_t clear_ms; /* when it said that it has no log and no leader */
+	bool has_change_in_flight; /* a COMMAND_INSTANCE about it */
+	bool replace_wanted;
+} seen_t;
+
+/* An RPC or a proposal of the replica itself that has not ended. */
+typedef struct {
+	replica_t *replica; /* NULL once the replica is gone */
+	uint64_t id;        /* of the proposal */
+	uint64_t attempt;
+	char *instance;
+} pending_t;
+
+struct replica_t {
+	struct ev_loop *loop;
+	const settings_t *settings;
+	endpoint_t *endpoint;
+	uint64_t incarnation;
+	bool draining;
+	machine_t *machine;
+	replica_applied_t *applied;
+	void *applied_ctx;
+
+	raft_t *raft;
+	raft_saved_t saved;
+	ev_timer tick;
+	int64_t leader_since_ms;
+	char last_leader[NAME_MAX_LEN + 1];
+
+	/* Entries that raft has committed during the present call into it. */
+	GQueue committed;
+	bool delivering;
+	uint64_t applied_index;
+	uint64_t applied_term;
+	raft_members_t members; /* as of applied_index */
+	bool broken;            /* a snapshot could not be loaded */
+
+	storage_t *storage; /* NULL without a disk */
+	int storage_code;   /* why the storage failed, or 0 */
+	GBytes *snapshot;   /* newest one; NULL without a disk */
+	uint64_t snapshot_index;
+	uint64_t snapshot_term;
+	uint64_t trim_index; /* where the log was last shortened */
+	raft_members_t snapshot_members;
+	bool saving_snapshot;
+	GBytes *next_snapshot;
+	uint64_t next_index;
+	uint64_t next_term;
+	raft_members_t next_members;
+
+	/* Confirmation by a leader. */
+	bool heard_commit;
+	uint64_t first_commit;
+	bool confirmed;
+
+	GHashTable *proposals; /* proposal_t by id */
+	GHashTable *by_index;  /* local proposals by log index */
+	uint64_t next_id;
+	GSequence *applying; /* proposals in PROPOSAL_APPLYING, by index */
+	GQueue reading;      /* proposals in PROPOSAL_READ */
+	GQueue fresh;        /* ids of proposals not tried yet */
+	bool leader_is_new;  /* every waiting proposal is to be tried */
+	ev_timer soon;
+	GQueue pending; /* pending_t */
+
+	bool may_bootstrap; /* until another replica shows that it must not */
+	bool announcing;    /* an own COMMAND_INSTANCE is under way */
+	int64_t next_watch_ms;
+	GHashTable *seen; /* seen_t by instance */
+
+	counter_t *proposed;
+	counter_t *forwarded;
+	counter_t *snapshots;
+	histogram_t *snapshot_time;
+};
+
+/* replica.c */
+void replica_create_raft(replica_t *replica, bool may_bootstrap);
+void replica_deliver(replica_t *replica);
+
+/* replica_proposals.c */
+void replica_proposals_init(replica_t *replica);
+void replica_proposals_clear(replica_t *replica);
+void replica_proposals_applied(replica_t *replica, uint64_t index,
+    uint64_t term, const command_result_t *result);
+void replica_proposals_progress(replica_t *replica);
+void replica_proposals_tick(replica_t *replica, int64_t now_ms);
+void replica_proposals_leader_changed(replica_t *replica);
+pending_t *replica_pending_add(replica_t *replica, const char *instance);
+replica_t *replica_pending_end(pending_t *pending);
+void replica_pending_free(pending_t *pending);
+
+/* replica_members.c */
+void replica_watch(replica_t *replica, int64_t now_ms);
+seen_t *replica_seen(replica_t *replica, const char *instance);
+void replica_note_members(replica_t *replica);
+void replica_note_replace(replica_t *replica, const char *instance);
+void replica_serve_probe(replica_t *replica, endpoint_request_t *request);
--- /dev/null
+++ b/state/storage.c
@@ -0,0 +1,263 @@
+#include "state/storage.h"
+
+#include <string.h>
+
+#include "common/counters.h"
+#include "common/log.h"
+#include "common/task.h"
+
+typedef enum {
+	REQUEST_VOTE,
+	REQUEST_APPEND,
+	REQUEST_TRUNCATE,
+	REQUEST_SYNC,
+	REQUEST_SNAPSHOT,
+	REQUEST_STOP,
+} request_kind_t;
+
+typedef struct {
+	uint64_t ticket;
+	uint64_t index;
+	uint64_t term;
+	char vote[NAME_MAX_LEN + 1];
+	raft_entry_t entry;
+	raft_members_t members;
+	GBytes *snapshot;
+} request_t;
+
+struct storage_t {
+	wal_t *wal;
+	GThread *thread;
+	struct ev_loop *loop; /* of the thread */
+	task_t *requests;     /* on the thread's loop */
+	task_t *events;       /* on the owner's loop */
+	storage_handler_t *handler;
+	void *ctx;
+	bool failed; /* used by the thread only */
+	counter_t *syncs;
+};
+
+/* Copies a membership; to is ended by storage_members_clear. */
+void
+storage_members_copy(raft_members_t *to, const raft_members_t *from)
+{
+	u_int len = from->members.members_len;
+
+	to->members.members_len = len;
+	to->members.members_val = g_new0(raft_member_t, len);
+	for (u_int i = 0; i < len; i++) {
+		to->members.members_val[i] = from->members.members_val[i];
+		to->members.members_val[i].id =
+		    g_strdup(from->members.members_val[i].id);
+	}
+}
+
+/* Frees what a membership holds and empties it. */
+void
+storage_members_clear(raft_members_t *members)
+{
+	for (u_int i = 0; i < members->members.members_len; i++)
+		g_free(members->members.members_val[i].id);
+	g_free(members->members.members_val);
+	memset(members, 0, sizeof(*members));
+}
+
+static void
+request_free(void *body)
+{
+	request_t *request = body;
+
+	g_free(request->entry.data.body_t_val);
+	storage_members_clear(&request->members);
+	if (request->snapshot != NULL)
+		g_bytes_unref(request->snapshot);
+	g_free(request);
+}
+
+/* ---- on the thread ---- */
+
+static void
+post_event(storage_t *storage, const storage_event_t *event)
+{
+	task_post(storage->events, (int)event->kind,
+	    g_memdup2(event, sizeof(*event)), g_free);
+}
+
+static int
+save_snapshot(storage_t *storage, const request_t *request, err_t *err)
+{
+	gsize len;
+	const uint8_t *data = g_bytes_get_data(request->snapshot, &len);
+
+	return wal_save_snapshot(storage->wal, request->index, request->term,
+	    &request->members, data, len, err);
+}
+
+static int
+carry_out(storage_t *storage, request_kind_t kind, const request_t *request,
+    err_t *err)
+{
+	switch (kind) {
+	case REQUEST_VOTE:
+		return wal_save_vote(
+		    storage->wal, request->term, request->vote, err);
+	case REQUEST_APPEND:
+		return wal_append(storage->wal, &request->entry, err);
+	case REQUEST_TRUNCATE:
+		return wal_truncate(storage->wal, request->index, err);
+	case REQUEST_SYNC:
+		counter_add(storage->syncs, 1);
+		return wal_sync(storage->wal, err);
+	case REQUEST_SNAPSHOT:
+		return save_snapshot(storage, request, err);
+	case REQUEST_STOP:
+		ev_break(storage->loop, EVBREAK_ALL);
+		return 0;
+	}
+	return 0;
+}
+
+static void
+on_request(void *ctx, task_message_t *message)
+{
+	storage_t *storage = ctx;
+	const request_t *request = message->body;
+	storage_event_t event = {.kind = STORAGE_FAILED};
+
+	if (storage->failed && message->kind != REQUEST_STOP)
+		return;
+	if (carry_out(storage, message->kind, request, &event.err) != 0) {
+		/* A later sync would vouch for what this request lost. */
+		storage->failed = true;
+		post_event(storage, &event);
+		return;
+	}
+	if (message->kind == REQUEST_SYNC) {
+		event.kind = STORAGE_SYNCED;
+		event.ticket = request->ticket;
+		post_event(storage, &event);
+	} else if (message->kind == REQUEST_SNAPSHOT) {
+		event.kind = STORAGE_SNAPSHOT_SAVED;
+		event.index = request->index;
+		event.term = request->term;
+		post_event(storage, &event);
+	}
+}
+
+static void *
+thread_main(void *data)
+{
+	storage_t *storage = data;
+
+	ev_run(storage->loop, 0);
+	return NULL;
+}
+
+/* ---- on the owner's loop ---- */
+
+static void
+on_event(void *ctx, task_message_t *message)
+{
+	storage_t *storage = ctx;
+
+	storage->handler(storage->ctx, message->body);
+}
+
+/* Starts the thread, which owns wal from now on. */
+storage_t *
+storage_start(
+    struct ev_loop *loop, wal_t *wal, storage_handler_t *handler, void *ctx)
+{
+	storage_t *storage = g_new0(storage_t, 1);
+
+	storage->wal = wal;
+	storage->handler = handler;
+	storage->ctx = ctx;
+	storage->syncs =
+	    counter_get("storage_syncs_total", "syncs of the replica's log");
+	storage->loop = ev_loop_new(EVFLAG_AUTO);
+	storage->requests =
+	    task_create(storage->loop, "storage", on_request, storage);
+	storage->events =
+	    task_create(loop, "storage events", on_event, storage);
+	storage->thread = g_thread_new("storage", thread_main, storage);
+	return storage;
+}
+
+static void
+post(storage_t *storage, request_kind_t kind, request_t *request)
+{
+	task_post(storage->requests, (int)kind, request, request_free);
+}
+
+/* Carries out what was requested, ends the thread and closes the wal. */
+void
+storage_stop(storage_t *storage)
+{
+	if (storage == NULL)
+		return;
+	post(storage, REQUEST_STOP, g_new0(request_t, 1));
+	g_thread_join(storage->thread);
+	task_destroy(storage->requests);
+	task_destroy(storage->events);
+	ev_loop_destroy(storage->loop);
+	wal_close(storage->wal);
+	g_free(storage);
+}
+
+/* Durable after the next sync. */
+void
+storage_save_vote(storage_t *storage, uint64_t term, const char *vote)
+{
+	request_t *request = g_new0(request_t, 1);
+
+	request->term = term;
+	g_strlcpy(request->vote, vote, sizeof(request->vote));
+	post(storage, REQUEST_VOTE, request);
+}
+
+/* Appends a copy of the entry; durable after the next sync. */
+void
+storage_append(storage_t *storage, const raft_entry_t *entry)
+{
+	request_t *request = g_new0(request_t, 1);
+
+	request->entry = *entry;
+	request->entry.data.body_t_val =
+	    g_memdup2(entry->data.body_t_val, entry->data.body_t_len);
+	post(storage, REQUEST_APPEND, request);
+}
+
+/* Drops the entries from from_index on. */
+void
+storage_truncate(storage_t *storage, uint64_t from_index)
+{
+	request_t *request = g_new0(request_t, 1);
+
+	request->index = from_index;
+	post(storage, REQUEST_TRUNCATE, request);
+}
+
+/* Ends in STORAGE_SYNCED with the ticket. */
+void
+storage_sync(storage_t *storage, uint64_t ticket)
+{
+	request_t *request = g_new0(request_t, 1);
+
+	request->ticket = ticket;
+	post(storage, REQUEST_SYNC, request);
+}
+
+/* Ends in STORAGE_SNAPSHOT_SAVED. */
+void
+storage_save_snapshot(storage_t *storage, uint64_t index, uint64_t term,
+    const raft_members_t *members, GBytes *data)
+{
+	request_t *request = g_new0(request_t, 1);
+
+	request->index = index;
+	request->term = term;
+	storage_members_copy(&request->members, members);
+	request->snapshot = g_bytes_ref(data);
+	post(storage, REQUEST_SNAPSHOT, request);
+}
