--- a/policy/health.c
+++ b/policy/health.c
@@ -222,6 +222,23 @@
 						       : HEALTH_RETRY_ELSEWHERE;
 }
 
+/*
+ * Notes that no connection to a worker could be made.  That says nothing about
+ * the request, which was not sent.
+ */
+void
+health_unreachable(health_t *health, const char *worker, int64_t now_ms)
+{
+	worker_t *found = find(health, worker);
+
+	if (found == NULL)
+		return;
+	found->failures_in_row++;
+	found->rest_until_ms = now_ms + SUSPECT_REST_MS;
+	if (found->on_trial)
+		quarantine(health, found, now_ms);
+}
+
 /* Notes that a request ended on a worker without a verdict, as when stopped. */
 void
 health_ended(health_t *health, const char *worker)
--- a/policy/health.h
+++ b/policy/health.h
@@ -36,6 +36,7 @@
     health_request_t *request, int64_t now_ms);
 health_verdict_t health_failed(health_t *health, const char *worker,
     health_request_t *request, int64_t now_ms);
+void health_unreachable(health_t *health, const char *worker, int64_t now_ms);
 void health_ended(health_t *health, const char *worker);
 void health_forget(health_request_t *request);
 bool health_is_quarantined(
--- a/policy/lanes.c
+++ b/policy/lanes.c
@@ -228,6 +228,28 @@
 	return lanes->lane[lane].waiting;
 }
 
+/*
+ * Estimates how many requests are served before a new one of the tenant: its
+ * own, and of each other tenant as many as its weight earns it meanwhile.
+ */
+int
+lanes_ahead(const lanes_t *lanes, lane_t lane, const char *tenant, int weight)
+{
+	const lane_state_t *state = &lanes->lane[lane];
+	const lanes_tenant_t *own = g_hash_table_lookup(state->tenants, tenant);
+	int own_waiting = own != NULL ? (int)own->waiting.length : 0;
+	int ahead = own_waiting;
+
+	for (GList *at = state->turns.head; at != NULL; at = at->next) {
+		const lanes_tenant_t *other = at->data;
+		int share = (own_waiting + 1) * other->weight / MAX(weight, 1);
+
+		if (other != own)
+			ahead += MIN((int)other->waiting.length, share);
+	}
+	return ahead;
+}
+
 /*
  * Judges a running short request: after 2 s it counts as batch; if it may run
  * twice and short requests wait, it is stopped and requeued as batch, once.
--- a/policy/lanes.h
+++ b/policy/lanes.h
@@ -46,5 +46,7 @@
 lanes_item_t *lanes_cancel(lanes_t *lanes, const char *id);
 lanes_item_t *lanes_expired(lanes_t *lanes, int64_t now_ms);
 int lanes_waiting(const lanes_t *lanes, lane_t lane);
+int lanes_ahead(
+    const lanes_t *lanes, lane_t lane, const char *tenant, int weight);
 lanes_verdict_t lanes_judge(int64_t running_ms, bool repeatable,
     bool requeued_before, int short_waiting);
--- a/rpc/protocol.h
+++ b/rpc/protocol.h
@@ -384,6 +384,7 @@
 struct ask_args_t {
 	name_t task;
 	int wait_ms;
+	bool_t cancel;
 };
 typedef struct ask_args_t ask_args_t;
 
--- a/rpc/protocol.x
+++ b/rpc/protocol.x
@@ -351,10 +351,14 @@
 	body_t answer;
 };
 
-/* Asks the instance that made a claim what became of the task. */
+/*
+ * Asks the instance that made a claim what became of the task, or, with
+ * cancel, to cancel the request of that id.
+ */
 struct ask_args_t {
 	name_t task;
 	int wait_ms;
+	bool cancel;
 };
 
 struct seen_item_t {
--- a/rpc/protocol_xdr.c
+++ b/rpc/protocol_xdr.c
@@ -750,6 +750,8 @@
 		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->wait_ms))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->cancel))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/tests/unit/test_lanes.c
+++ b/tests/unit/test_lanes.c
@@ -149,6 +149,20 @@
 }
 END_TEST
 
+/* Guards against a light tenant that is refused for another one's queue. */
+START_TEST(ahead_by_weight)
+{
+	lanes_t *lanes = lanes_create(ITEM_COUNT);
+
+	for (int i = 0; i < 20; i++)
+		lanes_add(lanes, item(i, LANE_SHORT, 1000), "a", 2, 100);
+	ck_assert_int_eq(lanes_ahead(lanes, LANE_SHORT, "a", 2), 20);
+	ck_assert_int_eq(lanes_ahead(lanes, LANE_SHORT, "b", 1), 2);
+	ck_assert_int_eq(lanes_ahead(lanes, LANE_BATCH, "b", 1), 0);
+	lanes_destroy(lanes);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -163,6 +177,7 @@
 	tcase_add_test(tcase, bounds);
 	tcase_add_test(tcase, deadlines);
 	tcase_add_test(tcase, cancel);
+	tcase_add_test(tcase, ahead_by_weight);
 	tcase_add_test(tcase, reclassification);
 	suite_add_tcase(suite, tcase);
 	srunner_set_fork_status(runner, CK_NOFORK);
