--- a/entry/claims.c
+++ b/entry/claims.c
@@ -212,6 +212,9 @@
 {
 	str_t answer = {claim->answer, claim->answer_len};
 	char *worker = g_strdup(claim->worker);
+	bool is_unknown = claim->http_status != 200 &&
+			  g_strstr_len(answer.data, (gssize)answer.len,
+			      "\"outcome\":\"unknown\"") != NULL;
 
 	if (claim->answer_dropped || claim->answer_len == 0) {
 		json_t *body = json_pack("{s:s, s:s, s:s, s:b}", "request",
@@ -220,8 +223,9 @@
 
 		request_end(request, OUTCOME_DONE, claim->http_status, body);
 	} else {
-		request_end_text(
-		    request, OUTCOME_DONE, claim->http_status, answer, worker);
+		request_end_text(request,
+		    is_unknown ? OUTCOME_UNKNOWN : OUTCOME_DONE,
+		    claim->http_status, answer, worker);
 	}
 	g_free(worker);
 }
@@ -320,6 +324,18 @@
 	    ticket_create(request));
 }
 
+static bool
+end_is_pending(const entry_t *entry, const char *task)
+{
+	for (GList *at = entry->claim_ends.head; at != NULL; at = at->next) {
+		const claim_end_t *end = at->data;
+
+		if (strcmp(end->command.task, task) == 0)
+			return true;
+	}
+	return false;
+}
+
 /* The claim was made here: what is kept of that request decides. */
 static void
 ask_self(request_t *request)
@@ -331,7 +347,8 @@
 	gsize len;
 	const char *data;
 
-	if (running != NULL && running != request) {
+	if ((running != NULL && running != request) ||
+	    end_is_pending(entry, request->task)) {
 		request->next_check_ms = clock_mono_ms() + ASK_RETRY_MS;
 		request->task[0] = '\0';
 		return;
@@ -379,6 +396,8 @@
 		answer_from_claim(request, claim);
 		return;
 	}
+	request->known_ms =
+	    clock_mono_ms() - MAX(clock_real_ms() - claim->time_ms, 0);
 	g_strlcpy(request->task, claim->task, sizeof(request->task));
 	g_free(request->worker);
 	request->worker = g_strdup(claim->worker);
--- a/entry/dispatch.c
+++ b/entry/dispatch.c
@@ -195,6 +195,7 @@
 	request->may_have_run = true;
 	request->started_ms = now_ms;
 	request->renewed_ms = now_ms;
+	request->known_ms = now_ms;
 	request->next_check_ms =
 	    now_ms + MAX(SILENT_AFTER_MS, 2 * request->declared_ms);
 	request->call = client_start(entry->client, &call, on_put, request);
@@ -339,31 +340,36 @@
 		request_requeue(request);
 }
 
-/* Ends a request whose task was stopped for its caller. */
+/*
+ * Ends a request whose task was stopped after it had started.  It is recorded
+ * as ended, because the key must never start it again.
+ */
 void
-dispatch_cancelled(request_t *request, task_fate_t fate)
+dispatch_end_partly_run(
+    request_t *request, int status, const char *error, const char *text)
 {
-	json_t *body;
-	char *text;
+	json_t *body =
+	    entry_error(request->entry, "unknown", error, "", 0, text);
+	char *bytes = json_dumps(body, JSON_COMPACT);
 
-	if (fate == TASK_STOPPED_NOT_RUN) {
+	if (request->key != NULL)
+		claims_end(request, CLAIM_DONE, status, str_from(bytes));
+	free(bytes);
+	request_end(request, OUTCOME_UNKNOWN, status, body);
+}
+
+/* Ends a request whose task was to be stopped for its caller. */
+void
+dispatch_cancelled(request_t *request, task_fate_t fate)
+{
+	if (fate == TASK_STOPPED_NOT_RUN)
 		dispatch_did_not_run(request);
-		return;
-	}
-	if (fate != TASK_STOPPED_RAN || request->key == NULL) {
+	else if (fate == TASK_STOPPED_RAN)
+		dispatch_end_partly_run(
+		    request, 409, "cancelled", "stopped after it had started");
+	else
 		request_fail(request, OUTCOME_UNKNOWN, 409, "cancelled", 0,
-		    "%s",
-		    fate == TASK_STOPPED_RAN ? "stopped after it had started"
-					     : "the stop was not confirmed");
-		return;
-	}
-	/* It has started, so the key must never start it again. */
-	body = entry_error(request->entry, "unknown", "cancelled", "", 0,
-	    "stopped after it had started");
-	text = json_dumps(body, JSON_COMPACT);
-	claims_end(request, CLAIM_DONE, 409, str_from(text));
-	free(text);
-	request_end(request, OUTCOME_UNKNOWN, 409, body);
+		    "the stop was not confirmed");
 }
 
 static void
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -95,6 +95,7 @@
 	int64_t next_check_ms;
 	int64_t renewed_ms;
 	int64_t stopped_ms; /* answered "never ran" to a stop; 0 before */
+	int64_t known_ms;   /* when the task was certainly not forgotten */
 	int probe_failures;
 	char *forwarded_to;
 	int forwards;
@@ -315,6 +316,8 @@
 void dispatch_failed(request_t *request, const char *text);
 void dispatch_did_not_run(request_t *request);
 void dispatch_requeue(request_t *request);
+void dispatch_end_partly_run(
+    request_t *request, int status, const char *error, const char *text);
 void dispatch_cancelled(request_t *request, task_fate_t fate);
 void dispatch_retry(request_t *request, int status, const char *error,
     outcome_t outcome, const char *text);
--- a/entry/probe.c
+++ b/entry/probe.c
@@ -13,6 +13,8 @@
  * answer counts only after this.
  */
 #define RESTART_SHOWS_MS 1500
+/* Backend servers keep ended tasks for 10 min; less a margin for clocks. */
+#define FORGOTTEN_AFTER_MS 540000
 
 static task_fate_t
 fate_of_state(const char *state, const json_t *body)
@@ -165,6 +167,8 @@
 {
 	if (!task_generation_is_current(request))
 		fate_stays_unknown(request, "it has restarted");
+	else if (clock_mono_ms() - request->known_ms >= FORGOTTEN_AFTER_MS)
+		fate_stays_unknown(request, "it may have forgotten the task");
 	else
 		probe_stop(request, STOP_NEVER_SEEN);
 }
@@ -200,7 +204,7 @@
 		dispatch_retry(
 		    request, 502, "backend_failed", OUTCOME_UNKNOWN, text);
 	else
-		fate_stays_unknown(request, text);
+		dispatch_end_partly_run(request, 502, "backend_failed", text);
 }
 
 /* Puts an answer about the task into effect. */
@@ -220,6 +224,7 @@
 		dispatch_failed(request, text != NULL ? text : "");
 		break;
 	case TASK_ACTIVE:
+		request->known_ms = clock_mono_ms();
 		request->next_check_ms = clock_mono_ms() + PROBE_RUNNING_MS;
 		break;
 	case TASK_STOPPED_NOT_RUN:
