state: add the write-ahead log

Ruled out: one record per entry, because a power loss can leave a later record of the same sync intact after a torn one, which looks like corruption; there is one record per sync. Overwriting on truncation, because a crash in between can lose entries before it; a truncation is an item of the log. fdatasync for folders, because it may skip new names.

--- /dev/null
+++ b/state/wal_replay.c
@@ -0,0 +1,446 @@
+#include "state/wal_internal.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include "common/log.h"
+
+/* A segment file in memory. */
+typedef struct {
+	char *name;
+	uint8_t *data;
+	gsize len;
+	wal_segment_t header;
+	bool complete; /* the header is whole and valid */
+} file_t;
+
+static void
+free_entry(gpointer data)
+{
+	xdr_free((xdrproc_t)xdr_raft_entry_t, data);
+	g_free(data);
+}
+
+void
+wal_log_clear(wal_log_t *log)
+{
+	if (log->entries != NULL)
+		g_ptr_array_unref(log->entries);
+	memset(log, 0, sizeof(*log));
+}
+
+/* Drops the entries up to index. */
+void
+wal_log_drop(wal_log_t *log, uint64_t up_to)
+{
+	while (log->entries->len > 0 && log->first_index <= up_to) {
+		uint64_t n =
+		    MIN(up_to - log->first_index + 1, log->entries->len);
+
+		g_ptr_array_remove_range(log->entries, 0, (guint)n);
+		log->first_index += n;
+	}
+}
+
+static void
+free_file(gpointer data)
+{
+	file_t *file = data;
+
+	g_free(file->name);
+	g_free(file->data);
+	g_free(file);
+}
+
+static int
+bad(wal_t *wal, const file_t *file, uint64_t offset, const char *what,
+    err_t *err)
+{
+	return err_set(err, -EBADMSG, "read log", NULL,
+	    "%s/%s: offset %" PRIu64 ": %s", wal->folder, file->name, offset,
+	    what);
+}
+
+/* Decodes one entry and adds it; returns the bytes used, 0 when malformed. */
+static size_t
+read_entry(wal_log_t *log, const uint8_t *data, size_t len)
+{
+	raft_entry_t *entry = g_new0(raft_entry_t, 1);
+	size_t used = 0;
+	XDR xdr;
+
+	xdrmem_create(&xdr, (char *)data, (u_int)len, XDR_DECODE);
+	if (xdr_raft_entry_t(&xdr, entry) &&
+	    entry->index == log->last_index + 1)
+		used = xdr_getpos(&xdr);
+	xdr_destroy(&xdr);
+	if (used == 0) {
+		free_entry(entry);
+		return 0;
+	}
+	log->last_index = entry->index;
+	log->last_term = entry->term;
+	g_ptr_array_add(log->entries, entry);
+	return used;
+}
+
+static size_t
+read_truncation(wal_log_t *log, const uint8_t *data, size_t len)
+{
+	uint32_t words[2];
+	uint64_t from;
+
+	if (len < sizeof(words))
+		return 0;
+	memcpy(words, data, sizeof(words));
+	from = (uint64_t)GUINT32_FROM_BE(words[0]) << 32 |
+	       GUINT32_FROM_BE(words[1]);
+	if (from == 0 || from > log->last_index)
+		return 0;
+	if (from <= log->first_index) {
+		g_ptr_array_set_size(log->entries, 0);
+		if (from < log->first_index)
+			log->start_term = 0;
+		log->first_index = from;
+	} else {
+		g_ptr_array_set_size(
+		    log->entries, (gint)(from - log->first_index));
+	}
+	log->last_index = from - 1;
+	log->last_term = from == log->first_index ? log->start_term : 0;
+	if (log->entries->len > 0)
+		log->last_term = ((raft_entry_t *)g_ptr_array_index(
+				      log->entries, log->entries->len - 1))
+				     ->term;
+	return sizeof(words);
+}
+
+static bool
+read_items(wal_log_t *log, const uint8_t *data, size_t len)
+{
+	while (len > 0) {
+		uint32_t kind;
+		size_t used = 0;
+
+		if (len < sizeof(kind))
+			return false;
+		memcpy(&kind, data, sizeof(kind));
+		data += sizeof(kind);
+		len -= sizeof(kind);
+		if (kind == GUINT32_TO_BE(WAL_ITEM_ENTRY))
+			used = read_entry(log, data, len);
+		else if (kind == GUINT32_TO_BE(WAL_ITEM_TRUNCATE))
+			used = read_truncation(log, data, len);
+		if (used == 0 || used > len)
+			return false;
+		data += used;
+		len -= used;
+	}
+	return true;
+}
+
+/* Whether a valid record, apart from its chain, starts at offset. */
+static bool
+is_record(const file_t *file, uint64_t offset, wal_record_t *record)
+{
+	uint32_t len;
+
+	if (file->len - offset < sizeof(*record))
+		return false;
+	memcpy(record, file->data + offset, sizeof(*record));
+	len = GUINT32_FROM_LE(record->len);
+	return record->magic == GUINT32_TO_LE(WAL_RECORD_MAGIC) &&
+	       record->head == GUINT64_TO_LE(wal_record_head(record)) &&
+	       len >= sizeof(uint32_t) &&
+	       len <= file->len - offset - sizeof(*record) &&
+	       record->sum ==
+		   GUINT64_TO_LE(
+		       XXH64(file->data + offset + sizeof(*record), len, 0));
+}
+
+static bool
+is_zero(const uint8_t *data, size_t len)
+{
+	for (size_t i = 0; i < len; i++) {
+		if (data[i] != 0)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Whether the bad bytes from offset to the end of the newest segment can be a
+ * write that was interrupted: the file ends early, or sectors or the end were
+ * never written and read as zeros.  A complete record with changed bytes is
+ * corruption.  Damage that looks like an interrupted write, such as the synced
+ * last record cut short or overwritten by zeros, cannot be told apart.
+ */
+static bool
+is_torn(const file_t *file, uint64_t offset)
+{
+	const uint8_t *data = file->data;
+	uint64_t left = file->len - offset;
+	wal_record_t record;
+	uint64_t at = offset;
+
+	if (left < sizeof(record))
+		return true;
+	memcpy(&record, data + offset, sizeof(record));
+	if (record.head == GUINT64_TO_LE(wal_record_head(&record)) &&
+	    left < sizeof(record) + GUINT32_FROM_LE(record.len))
+		return true;
+	while (at < file->len) {
+		uint64_t end = MIN(
+		    (at / WAL_SECTOR_BYTES + 1) * WAL_SECTOR_BYTES, file->len);
+
+		if (is_zero(data + at, end - at))
+			return true;
+		at = end;
+	}
+	return is_zero(data + file->len - sizeof(uint32_t), sizeof(uint32_t));
+}
+
+/* Whether a valid record lies anywhere after offset. */
+static bool
+record_follows(const file_t *file, uint64_t offset)
+{
+	wal_record_t record;
+
+	for (uint64_t at = offset + 1; at + sizeof(wal_record_t) <= file->len;
+	     at++) {
+		if (is_record(file, at, &record))
+			return true;
+	}
+	return false;
+}
+
+/* Cuts the newest segment at offset; what was there was never synced. */
+static int
+cut_tail(wal_t *wal, file_t *file, uint64_t offset, err_t *err)
+{
+	int fd = openat(wal->folder_fd, file->name, O_RDWR | O_CLOEXEC);
+	int code = 0;
+
+	log_line(LOG_WARNING,
+	    "%s/%s: incomplete record of %" PRIu64 " bytes at offset %" PRIu64
+	    " removed",
+	    wal->folder, file->name, (uint64_t)file->len - offset, offset);
+	if (fd < 0 || ftruncate(fd, (off_t)offset) < 0 || wal_ops.sync(fd) < 0)
+		code = err_set(err, -errno, "cut", NULL, "%s/%s: %s",
+		    wal->folder, file->name, strerror(errno));
+	if (fd >= 0)
+		close(fd);
+	file->len = offset;
+	return code;
+}
+
+static int
+read_segment(wal_t *wal, file_t *file, bool is_last, wal_log_t *log, err_t *err)
+{
+	uint64_t offset = sizeof(wal_segment_t);
+
+	wal->chain = GUINT64_FROM_LE(file->header.head);
+	while (offset < file->len) {
+		wal_record_t record;
+		size_t payload;
+
+		if (!is_record(file, offset, &record)) {
+			if (!is_last || record_follows(file, offset))
+				return bad(wal, file, offset,
+				    "corrupt record before valid ones", err);
+			if (!is_torn(file, offset))
+				return bad(
+				    wal, file, offset, "corrupt record", err);
+			return cut_tail(wal, file, offset, err);
+		}
+		if (GUINT64_FROM_LE(record.prev) != wal->chain)
+			return bad(wal, file, offset,
+			    "record does not follow the one before", err);
+		wal->chain = GUINT64_FROM_LE(record.head);
+		payload = GUINT32_FROM_LE(record.len);
+		offset += sizeof(record);
+		if (!read_items(
+			log, file->data + offset, payload - sizeof(uint32_t)))
+			return bad(wal, file, offset, "malformed record", err);
+		offset += payload;
+	}
+	return 0;
+}
+
+static gint
+compare_files(gconstpointer a, gconstpointer b)
+{
+	return strcmp((*(file_t *const *)a)->name, (*(file_t *const *)b)->name);
+}
+
+/* Reads all segment files, sorted; NULL with err set when one cannot be read.
+ */
+static GPtrArray *
+read_files(wal_t *wal, err_t *err)
+{
+	GPtrArray *files = g_ptr_array_new_with_free_func(free_file);
+	GDir *dir = g_dir_open(wal->folder, 0, NULL);
+	GError *error = NULL;
+	const char *name;
+
+	while (dir != NULL && (name = g_dir_read_name(dir)) != NULL) {
+		file_t *file;
+		char *path;
+
+		if (!g_str_has_prefix(name, "log-"))
+			continue;
+		file = g_new0(file_t, 1);
+		file->name = g_strdup(name);
+		g_ptr_array_add(files, file);
+		path = g_build_filename(wal->folder, name, NULL);
+		g_file_get_contents(
+		    path, (gchar **)&file->data, &file->len, &error);
+		g_free(path);
+		if (error != NULL)
+			break;
+		if (file->len < sizeof(file->header))
+			continue;
+		memcpy(&file->header, file->data, sizeof(file->header));
+		file->complete =
+		    file->header.magic == GUINT32_TO_LE(WAL_SEGMENT_MAGIC) &&
+		    file->header.head ==
+			GUINT64_TO_LE(wal_segment_head(&file->header));
+	}
+	if (dir == NULL || error != NULL) {
+		err_set(err, -EIO, "read log", NULL, "%s: %s", wal->folder,
+		    error != NULL ? error->message : "cannot be listed");
+		g_clear_error(&error);
+		g_clear_pointer(&files, g_ptr_array_unref);
+	}
+	if (dir != NULL)
+		g_dir_close(dir);
+	if (files != NULL)
+		g_ptr_array_sort(files, compare_files);
+	return files;
+}
+
+/*
+ * Checks the headers and removes a newest segment whose creation was
+ * interrupted, which is one that the vote file does not know.
+ */
+static int
+check_headers(wal_t *wal, GPtrArray *files, err_t *err)
+{
+	for (guint i = 0; i < files->len; i++) {
+		file_t *file = g_ptr_array_index(files, i);
+		uint64_t sequence = strtoull(file->name + 4, NULL, 10);
+
+		if (file->complete &&
+		    GUINT64_FROM_LE(file->header.sequence) == sequence)
+			continue;
+		if (i + 1 < files->len || sequence <= wal->vote.newest_segment)
+			return bad(wal, file, 0, "corrupt segment header", err);
+		log_line(LOG_WARNING, "%s/%s: incomplete new segment removed",
+		    wal->folder, file->name);
+		if (unlinkat(wal->folder_fd, file->name, 0) < 0)
+			return err_set(err, -errno, "remove", NULL, "%s/%s: %s",
+			    wal->folder, file->name, strerror(errno));
+		g_ptr_array_set_size(files, (gint)i);
+	}
+	return 0;
+}
+
+/*
+ * Chooses where to start: at the newest segment that discards those before it
+ * or that starts within the snapshot.  Older ones were about to be removed.
+ */
+static int
+choose_start(wal_t *wal, const GPtrArray *files, guint *start, err_t *err)
+{
+	for (guint i = files->len; i > 0; i--) {
+		const file_t *file = g_ptr_array_index(files, i - 1);
+
+		if (file->header.reset != 0 ||
+		    GUINT64_FROM_LE(file->header.start_index) <=
+			wal->snapshot_index) {
+			*start = i - 1;
+			return 0;
+		}
+	}
+	return bad(wal, g_ptr_array_index(files, 0), 0,
+	    "the segments before this one are missing", err);
+}
+
+static int
+read_chain(
+    wal_t *wal, GPtrArray *files, guint start, wal_log_t *log, err_t *err)
+{
+	for (guint i = start; i < files->len; i++) {
+		file_t *file = g_ptr_array_index(files, i);
+		const wal_segment_t *header = &file->header;
+		wal_segment_info_t info = {
+		    .sequence = GUINT64_FROM_LE(header->sequence),
+		    .start_index = GUINT64_FROM_LE(header->start_index)};
+		int code;
+
+		if (i > start && (GUINT64_FROM_LE(header->prev) != wal->chain ||
+				     info.start_index != log->last_index))
+			return bad(wal, file, 0,
+			    "segment does not follow the one before", err);
+		if (i == start) {
+			log->first_index = info.start_index + 1;
+			log->last_index = info.start_index;
+			log->start_term = GUINT64_FROM_LE(header->start_term);
+			log->last_term = log->start_term;
+		}
+		code = read_segment(wal, file, i + 1 == files->len, log, err);
+		if (code < 0)
+			return code;
+		info.size = file->len;
+		g_array_append_val(wal->segments, info);
+	}
+	return 0;
+}
+
+/*
+ * Reads the log back: first_index, entries and the last index and term.  Fills
+ * wal->segments and wal->chain and opens the newest segment.
+ */
+int
+wal_replay(wal_t *wal, wal_log_t *log, err_t *err)
+{
+	GPtrArray *files = read_files(wal, err);
+	guint start = 0;
+	int code;
+
+	log->entries = g_ptr_array_new_with_free_func(free_entry);
+	log->first_index = wal->snapshot_index + 1;
+	log->last_index = wal->snapshot_index;
+	log->last_term = wal->snapshot_term;
+	if (files == NULL)
+		return -EIO;
+	code = check_headers(wal, files, err);
+	if (code == 0 && files->len > 0) {
+		code = choose_start(wal, files, &start, err);
+		if (code == 0)
+			code = read_chain(wal, files, start, log, err);
+		if (code == 0) {
+			const file_t *file =
+			    g_ptr_array_index(files, files->len - 1);
+
+			wal->fd = openat(wal->folder_fd, file->name,
+			    O_RDWR | O_APPEND | O_CLOEXEC);
+			if (wal->fd < 0)
+				code = err_set(err, -errno, "open", NULL,
+				    "%s/%s: %s", wal->folder, file->name,
+				    strerror(errno));
+		}
+		for (guint i = 0; code == 0 && i < start; i++) {
+			const file_t *file = g_ptr_array_index(files, i);
+
+			unlinkat(wal->folder_fd, file->name, 0);
+		}
+	}
+	g_ptr_array_unref(files);
+	return code;
+}
--- /dev/null
+++ b/tests/unit/test_wal.c
@@ -0,0 +1,666 @@
+#include <check.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "common/log.h"
+#include "state/wal_internal.h"
+
+#define DATA_BYTES 40
+#define FIRST_SEGMENT "log-000000000001"
+
+static char *folder;
+static raft_saved_t saved;
+static GArray *restored; /* index and term of each entry */
+static err_t error;
+
+typedef struct {
+	uint64_t index;
+	uint64_t term;
+} restored_t;
+
+static void
+on_restore(void *ctx, const raft_entry_t *entry)
+{
+	restored_t item = {entry->index, entry->term};
+
+	ck_assert_int_eq(entry->data.body_t_len, DATA_BYTES);
+	for (int i = 0; i < DATA_BYTES; i++)
+		ck_assert_int_eq((uint8_t)entry->data.body_t_val[i],
+		    (uint8_t)(entry->index + entry->term + 1));
+	g_array_append_val(restored, item);
+}
+
+static wal_t *
+reopen(void)
+{
+	xdr_free((xdrproc_t)xdr_raft_members_t, &saved.members);
+	g_array_set_size(restored, 0);
+	return wal_open(folder, &saved, on_restore, NULL, &error);
+}
+
+static wal_t *
+must_open(void)
+{
+	wal_t *wal = reopen();
+
+	ck_assert_msg(wal != NULL, "%s: %s", error.step, error.text);
+	return wal;
+}
+
+static int
+append(wal_t *wal, uint64_t index, uint64_t term)
+{
+	char data[DATA_BYTES];
+	raft_entry_t entry = {
+	    .index = index, .term = term, .data = {sizeof(data), data}};
+
+	memset(data, (int)(index + term + 1), sizeof(data));
+	return wal_append(wal, &entry, &error);
+}
+
+/* Appends entries first..last, each with a sync of its own. */
+static void
+fill(wal_t *wal, uint64_t first, uint64_t last, uint64_t term)
+{
+	for (uint64_t i = first; i <= last; i++) {
+		ck_assert_int_eq(append(wal, i, term), 0);
+		ck_assert_int_eq(wal_sync(wal, &error), 0);
+	}
+}
+
+static void
+expect(uint64_t first, uint64_t last, uint64_t term)
+{
+	ck_assert_uint_eq(restored->len, last + 1 - first);
+	for (guint i = 0; i < restored->len; i++) {
+		restored_t item = g_array_index(restored, restored_t, i);
+
+		ck_assert_uint_eq(item.index, first + i);
+		ck_assert_uint_eq(item.term, term);
+	}
+}
+
+static char *
+path_of(const char *name)
+{
+	return g_build_filename(folder, name, NULL);
+}
+
+static GByteArray *
+read_all(const char *name)
+{
+	char *path = path_of(name);
+	gchar *data;
+	gsize len;
+	GByteArray *bytes = g_byte_array_new();
+
+	ck_assert(g_file_get_contents(path, &data, &len, NULL));
+	g_byte_array_append(bytes, (guint8 *)data, (guint)len);
+	g_free(data);
+	g_free(path);
+	return bytes;
+}
+
+static void
+write_all(const char *name, const uint8_t *data, size_t len)
+{
+	char *path = path_of(name);
+
+	ck_assert(
+	    g_file_set_contents(path, (const gchar *)data, (gssize)len, NULL));
+	g_free(path);
+}
+
+static void
+remove_name(const char *name)
+{
+	char *path = path_of(name);
+
+	ck_assert_int_eq(g_unlink(path), 0);
+	g_free(path);
+}
+
+static void
+remove_folder(void)
+{
+	GDir *dir = g_dir_open(folder, 0, NULL);
+	const char *name;
+
+	while (dir != NULL && (name = g_dir_read_name(dir)) != NULL)
+		remove_name(name);
+	if (dir != NULL)
+		g_dir_close(dir);
+	g_rmdir(folder);
+}
+
+static void
+setup(void)
+{
+	char *parent = g_dir_make_tmp("chervilhold-wal-XXXXXX", NULL);
+
+	folder = g_build_filename(parent, "data", NULL);
+	g_free(parent);
+	restored = g_array_new(FALSE, FALSE, sizeof(restored_t));
+	wal_segment_bytes = 8 * 1024 * 1024;
+	log_set_level(LOG_ERR);
+}
+
+static void
+teardown(void)
+{
+	char *parent = g_path_get_dirname(folder);
+
+	remove_folder();
+	g_rmdir(parent);
+	g_free(parent);
+	g_free(folder);
+	g_array_unref(restored);
+	xdr_free((xdrproc_t)xdr_raft_members_t, &saved.members);
+}
+
+/* Guards against losing synced entries, the vote or the identity. */
+START_TEST(keeps_state)
+{
+	wal_t *wal = must_open();
+	uint64_t disk_id = wal_disk_id(wal);
+
+	ck_assert_uint_ne(disk_id, 0);
+	ck_assert_uint_eq(saved.term, 0);
+	fill(wal, 1, 5, 2);
+	ck_assert_int_eq(wal_save_vote(wal, 3, "i2", &error), 0);
+	wal_close(wal);
+	wal = must_open();
+	expect(1, 5, 2);
+	ck_assert_uint_eq(saved.disk_id, disk_id);
+	ck_assert_uint_eq(saved.term, 3);
+	ck_assert_str_eq(saved.vote, "i2");
+	wal_close(wal);
+}
+END_TEST
+
+/* Guards against two processes that write one folder. */
+START_TEST(locks_folder)
+{
+	wal_t *wal = must_open();
+
+	ck_assert_ptr_null(reopen());
+	ck_assert_int_eq(error.code, -EBUSY);
+	wal_close(wal);
+	wal_close(must_open());
+}
+END_TEST
+
+/* Guards against entries that come back after a truncation. */
+START_TEST(truncates)
+{
+	wal_t *wal = must_open();
+	uint64_t disk_id = wal_disk_id(wal);
+
+	fill(wal, 1, 9, 1);
+	ck_assert_int_eq(wal_save_vote(wal, 1, "", &error), 0);
+	ck_assert_int_eq(wal_truncate(wal, 4, &error), 0);
+	ck_assert_int_eq(wal_save_vote(wal, 2, "", &error), 0);
+	ck_assert_int_eq(append(wal, 5, 2), -EINVAL);
+	ck_assert_int_eq(append(wal, 4, 1), 0);
+	ck_assert_int_eq(wal_sync(wal, &error), 0);
+	wal_close(wal);
+	wal = must_open();
+	expect(1, 4, 1);
+	/* A shorter log after a truncation is no lost log. */
+	ck_assert_uint_eq(wal_disk_id(wal), disk_id);
+	wal_close(wal);
+}
+END_TEST
+
+/*
+ * Guards against a torn tail that stops the replica, or that costs synced
+ * entries: the last record cut, or zero from there on, at every byte.
+ */
+START_TEST(torn_tail)
+{
+	wal_t *wal = must_open();
+	GByteArray *before;
+	GByteArray *after;
+
+	fill(wal, 1, 3, 1);
+	before = read_all(FIRST_SEGMENT);
+	fill(wal, 4, 4, 1);
+	after = read_all(FIRST_SEGMENT);
+	wal_close(wal);
+	for (guint len = before->len; len < after->len; len++) {
+		write_all(FIRST_SEGMENT, after->data, len);
+		wal = must_open();
+		expect(1, 3, 1);
+		fill(wal, 4, 4, 1);
+		wal_close(wal);
+		wal_close(must_open());
+		expect(1, 4, 1);
+	}
+	for (guint len = before->len; len < after->len - 4; len++) {
+		GByteArray *zeroed = g_byte_array_new();
+
+		g_byte_array_append(zeroed, after->data, len);
+		g_byte_array_set_size(zeroed, after->len);
+		memset(zeroed->data + len, 0, after->len - len);
+		write_all(FIRST_SEGMENT, zeroed->data, zeroed->len);
+		g_byte_array_unref(zeroed);
+		wal_close(must_open());
+		expect(1, 3, 1);
+	}
+	g_byte_array_unref(before);
+	g_byte_array_unref(after);
+}
+END_TEST
+
+/*
+ * Guards against corruption that is taken for a torn tail: every byte of the
+ * segment changed, the last record included.
+ */
+START_TEST(flipped_byte)
+{
+	wal_t *wal = must_open();
+	GByteArray *good;
+
+	fill(wal, 1, 4, 1);
+	good = read_all(FIRST_SEGMENT);
+	wal_close(wal);
+	for (guint i = 0; i < good->len; i++) {
+		good->data[i] ^= 0x40;
+		write_all(FIRST_SEGMENT, good->data, good->len);
+		good->data[i] ^= 0x40;
+		ck_assert_msg(reopen() == NULL, "byte %u", i);
+		ck_assert_int_eq(error.code, -EBADMSG);
+		ck_assert_ptr_nonnull(strstr(error.text, FIRST_SEGMENT));
+		ck_assert_ptr_nonnull(strstr(error.text, "offset"));
+	}
+	write_all(FIRST_SEGMENT, good->data, good->len);
+	wal_close(must_open());
+	expect(1, 4, 1);
+	g_byte_array_unref(good);
+}
+END_TEST
+
+/* Guards against a record of another log or a doubled one being accepted. */
+START_TEST(broken_chain)
+{
+	wal_t *wal = must_open();
+	GByteArray *one;
+	GByteArray *two;
+
+	fill(wal, 1, 1, 1);
+	one = read_all(FIRST_SEGMENT);
+	fill(wal, 2, 2, 1);
+	two = read_all(FIRST_SEGMENT);
+	wal_close(wal);
+	g_byte_array_append(two, two->data + one->len, two->len - one->len);
+	write_all(FIRST_SEGMENT, two->data, two->len);
+	ck_assert_ptr_null(reopen());
+	ck_assert_int_eq(error.code, -EBADMSG);
+	g_byte_array_unref(one);
+	g_byte_array_unref(two);
+}
+END_TEST
+
+/* Guards against a gap in the log: a first or middle segment missing. */
+START_TEST(missing_segment)
+{
+	wal_t *wal;
+
+	wal_segment_bytes = 300;
+	wal = must_open();
+	fill(wal, 1, 20, 1);
+	wal_close(wal);
+	wal_close(must_open());
+	expect(1, 20, 1);
+	remove_name("log-000000000003");
+	ck_assert_ptr_null(reopen());
+	ck_assert_int_eq(error.code, -EBADMSG);
+	ck_assert_ptr_nonnull(strstr(error.text, "log-000000000004"));
+	remove_name("log-000000000001");
+	remove_name("log-000000000002");
+	ck_assert_ptr_null(reopen());
+	ck_assert_int_eq(error.code, -EBADMSG);
+}
+END_TEST
+
+/*
+ * Guards against a voter that forgets what it promised: without the newest
+ * segment, a part of it, or the vote file, the folder gets another disk id.
+ */
+START_TEST(forgotten_promise)
+{
+	static const char *const lost[] = {
+	    "newest segment", "synced entries", "vote", "identity"};
+	const char *what = lost[_i];
+	wal_t *wal;
+	uint64_t disk_id;
+	GByteArray *bytes;
+	char *newest;
+
+	wal_segment_bytes = 300;
+	wal = must_open();
+	disk_id = wal_disk_id(wal);
+	fill(wal, 1, 20, 1);
+	ck_assert_int_eq(wal_save_vote(wal, 4, "i3", &error), 0);
+	newest = wal_segment_name(wal->vote.newest_segment);
+	wal_close(wal);
+	if (strcmp(what, "newest segment") == 0) {
+		remove_name(newest);
+	} else if (strcmp(what, "synced entries") == 0) {
+		bytes = read_all(newest);
+		ck_assert_uint_gt(bytes->len, sizeof(wal_segment_t));
+		write_all(newest, bytes->data, sizeof(wal_segment_t));
+		g_byte_array_unref(bytes);
+	} else {
+		remove_name(what);
+	}
+	g_free(newest);
+	wal = must_open();
+	ck_assert_uint_ne(wal_disk_id(wal), disk_id);
+	disk_id = wal_disk_id(wal);
+	wal_close(wal);
+	/* The new identity is kept. */
+	wal = must_open();
+	ck_assert_uint_eq(wal_disk_id(wal), disk_id);
+	fill(wal, restored->len + 1, restored->len + 1, 1);
+	wal_close(wal);
+}
+END_TEST
+
+/* Guards against damaged small files that are read as if they were intact. */
+START_TEST(damaged_file)
+{
+	static const char *const names[] = {"vote", "identity", "snapshot"};
+	const char *name = names[_i];
+	const uint8_t state[] = "state";
+	raft_members_t members = {0};
+	wal_t *wal = must_open();
+	GByteArray *good;
+
+	fill(wal, 1, 4, 1);
+	ck_assert_int_eq(wal_save_vote(wal, 4, "i3", &error), 0);
+	ck_assert_int_eq(wal_save_snapshot(
+			     wal, 2, 1, &members, state, sizeof(state), &error),
+	    0);
+	wal_close(wal);
+	good = read_all(name);
+	for (guint i = 0; i < good->len; i++) {
+		good->data[i] ^= 1;
+		write_all(name, good->data, good->len);
+		good->data[i] ^= 1;
+		ck_assert_ptr_null(reopen());
+		ck_assert_int_eq(error.code, -EBADMSG);
+		ck_assert_ptr_nonnull(strstr(error.text, name));
+	}
+	write_all(name, good->data, good->len / 2);
+	ck_assert_ptr_null(reopen());
+	write_all(name, good->data, good->len);
+	wal_close(must_open());
+	g_byte_array_unref(good);
+}
+END_TEST
+
+/* Guards against a lost snapshot that leaves a hole below the log. */
+START_TEST(missing_snapshot)
+{
+	raft_members_t members = {0};
+	wal_t *wal = must_open();
+
+	ck_assert_int_eq(
+	    wal_save_snapshot(wal, 10, 2, &members, NULL, 0, &error), 0);
+	fill(wal, 11, 12, 2);
+	wal_close(wal);
+	remove_name("snapshot");
+	ck_assert_ptr_null(reopen());
+	ck_assert_int_eq(error.code, -EBADMSG);
+}
+END_TEST
+
+/* Guards against a log that grows without bound or loses its end. */
+START_TEST(snapshot_bounds_log)
+{
+	raft_member_t member = {"i1", MEMBER_VOTER, 7};
+	raft_members_t members = {{1, &member}};
+	raft_members_t read;
+	GByteArray *data = g_byte_array_new();
+	uint64_t index;
+	uint64_t term;
+	wal_t *wal;
+
+	wal_segment_bytes = 2000;
+	wal = must_open();
+	for (uint64_t i = 1; i <= 1000; i += 100) {
+		fill(wal, i, i + 99, 1);
+		ck_assert_int_eq(wal_save_snapshot(wal, i + 89, 1, &members,
+				     (const uint8_t *)&i, sizeof(i), &error),
+		    0);
+		ck_assert_uint_lt(wal_size(wal), 8000);
+	}
+	wal_close(wal);
+	wal = must_open();
+	expect(991, 1000, 1);
+	ck_assert_uint_eq(saved.snapshot_index, 990);
+	ck_assert_uint_eq(saved.snapshot_term, 1);
+	ck_assert_uint_eq(saved.members.members.members_len, 1);
+	ck_assert_uint_eq(saved.members.members.members_val[0].disk_id, 7);
+	ck_assert_int_eq(
+	    wal_load_snapshot(wal, &index, &term, &read, data, &error), 0);
+	ck_assert_uint_eq(index, 990);
+	ck_assert_uint_eq(data->len, sizeof(uint64_t));
+	ck_assert_uint_eq(*(uint64_t *)(void *)data->data, 901);
+	xdr_free((xdrproc_t)xdr_raft_members_t, &read);
+	fill(wal, 1001, 1002, 1);
+	wal_close(wal);
+	wal_close(must_open());
+	expect(991, 1002, 1);
+	g_byte_array_unref(data);
+}
+END_TEST
+
+static int writes_left;
+
+static ssize_t
+limited_write(int fd, const void *data, size_t len)
+{
+	if (writes_left-- > 0)
+		return write(fd, data, len);
+	/* A disk that fills up takes a part first. */
+	if (writes_left == -1 && len > 1)
+		return write(fd, data, len / 2);
+	errno = ENOSPC;
+	return -1;
+}
+
+static int
+failing_sync(int fd)
+{
+	errno = EIO;
+	return -1;
+}
+
+/*
+ * Guards against entries of a conflicting log after a received snapshot, and
+ * against a voter that takes itself for outdated then: a crash at every write
+ * leaves the old log or the snapshot, with the same identity.
+ */
+START_TEST(snapshot_replaces_log)
+{
+	raft_members_t members = {0};
+	wal_t *wal = must_open();
+	uint64_t disk_id = wal_disk_id(wal);
+	int code;
+
+	fill(wal, 1, 9, 1);
+	ck_assert_int_eq(wal_save_vote(wal, 1, "", &error), 0);
+	writes_left = _i;
+	wal_ops.write = limited_write;
+	code = wal_save_snapshot(wal, 5, 2, &members, NULL, 0, &error);
+	wal_ops.write = write;
+	ck_assert_int_eq(code, _i < 5 ? -ENOSPC : 0);
+	wal_close(wal);
+	wal = must_open();
+	ck_assert_uint_eq(wal_disk_id(wal), disk_id);
+	if (saved.snapshot_index == 0) {
+		ck_assert_int_lt(_i, 5);
+		expect(1, 9, 1);
+		fill(wal, 10, 11, 1);
+		wal_close(wal);
+		wal = must_open();
+		expect(1, 11, 1);
+	} else {
+		ck_assert_uint_eq(saved.snapshot_index, 5);
+		ck_assert_uint_eq(restored->len, 0);
+		fill(wal, 6, 7, 2);
+		wal_close(wal);
+		wal = must_open();
+		expect(6, 7, 2);
+	}
+	ck_assert_uint_eq(wal_disk_id(wal), disk_id);
+	wal_close(wal);
+}
+END_TEST
+
+/* Guards against entries lost when a compaction is interrupted. */
+START_TEST(interrupted_compaction)
+{
+	raft_members_t members = {0};
+	wal_t *wal;
+	uint64_t disk_id;
+
+	wal_segment_bytes = 300;
+	wal = must_open();
+	disk_id = wal_disk_id(wal);
+	fill(wal, 1, 18, 1);
+	/* Snapshot, truncation and entries that are not written yet. */
+	ck_assert_int_eq(append(wal, 19, 1), 0);
+	ck_assert_int_eq(wal_truncate(wal, 18, &error), 0);
+	writes_left = _i;
+	wal_ops.write = limited_write;
+	wal_save_snapshot(wal, 17, 1, &members, NULL, 0, &error);
+	wal_ops.write = write;
+	wal_close(wal);
+	wal = must_open();
+	ck_assert_uint_eq(wal_disk_id(wal), disk_id);
+	if (saved.snapshot_index == 0) {
+		expect(1, 18, 1);
+	} else {
+		ck_assert_uint_eq(saved.snapshot_index, 17);
+		expect(18, 18, 1);
+	}
+	fill(wal, 19, 20, 1);
+	wal_close(wal);
+	wal = must_open();
+	ck_assert_uint_eq(wal_disk_id(wal), disk_id);
+	expect(saved.snapshot_index + 1, 20, 1);
+	wal_close(wal);
+}
+END_TEST
+
+/* Guards against a full disk that is ignored or costs synced entries. */
+START_TEST(full_disk)
+{
+	wal_t *wal = must_open();
+
+	fill(wal, 1, 3, 1);
+	writes_left = _i;
+	wal_ops.write = limited_write;
+	for (uint64_t i = 4; i < 4 + (uint64_t)_i; i++) {
+		ck_assert_int_eq(append(wal, i, 1), 0);
+		ck_assert_int_eq(wal_sync(wal, &error), 0);
+	}
+	ck_assert_int_eq(append(wal, 4 + (uint64_t)_i, 1), 0);
+	ck_assert_int_eq(wal_sync(wal, &error), -ENOSPC);
+	wal_ops.write = write;
+	/* Unusable until it is opened again. */
+	ck_assert_int_eq(append(wal, 5 + (uint64_t)_i, 1), -ENOSPC);
+	ck_assert_int_eq(wal_sync(wal, &error), -ENOSPC);
+	ck_assert_int_eq(wal_save_vote(wal, 9, "", &error), -ENOSPC);
+	wal_close(wal);
+	wal = must_open();
+	expect(1, 3 + (uint64_t)_i, 1);
+	fill(wal, 4 + (uint64_t)_i, 9, 1);
+	wal_close(wal);
+	wal_close(must_open());
+	expect(1, 9, 1);
+}
+END_TEST
+
+/* Guards against a sync that is tried again after it failed. */
+START_TEST(failed_sync)
+{
+	wal_t *wal = must_open();
+	raft_members_t members = {0};
+
+	fill(wal, 1, 3, 1);
+	ck_assert_int_eq(append(wal, 4, 1), 0);
+	wal_ops.sync = failing_sync;
+	ck_assert_int_eq(wal_sync(wal, &error), -EIO);
+	wal_ops.sync = fdatasync;
+	ck_assert_int_eq(wal_sync(wal, &error), -EIO);
+	ck_assert_int_eq(wal_truncate(wal, 2, &error), -EIO);
+	ck_assert_int_eq(
+	    wal_save_snapshot(wal, 3, 1, &members, NULL, 0, &error), -EIO);
+	wal_close(wal);
+}
+END_TEST
+
+/* Guards against a folder that cannot be opened after any early crash. */
+START_TEST(full_disk_at_creation)
+{
+	wal_t *wal;
+
+	writes_left = _i;
+	wal_ops.write = limited_write;
+	wal = reopen();
+	wal_ops.write = write;
+	if (wal == NULL)
+		ck_assert_int_eq(error.code, -ENOSPC);
+	else
+		wal_close(wal);
+	wal = must_open();
+	fill(wal, 1, 2, 1);
+	wal_close(wal);
+	wal_close(must_open());
+	expect(1, 2, 1);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("wal");
+	TCase *tcase = tcase_create("wal");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_checked_fixture(tcase, setup, teardown);
+	tcase_set_timeout(tcase, 60);
+	tcase_add_test(tcase, keeps_state);
+	tcase_add_test(tcase, locks_folder);
+	tcase_add_test(tcase, truncates);
+	tcase_add_test(tcase, torn_tail);
+	tcase_add_test(tcase, flipped_byte);
+	tcase_add_test(tcase, broken_chain);
+	tcase_add_test(tcase, missing_segment);
+	tcase_add_loop_test(tcase, forgotten_promise, 0, 4);
+	tcase_add_loop_test(tcase, damaged_file, 0, 3);
+	tcase_add_test(tcase, missing_snapshot);
+	tcase_add_test(tcase, snapshot_bounds_log);
+	tcase_add_loop_test(tcase, snapshot_replaces_log, 0, 7);
+	tcase_add_loop_test(tcase, interrupted_compaction, 0, 7);
+	tcase_add_loop_test(tcase, full_disk, 0, 3);
+	tcase_add_test(tcase, failed_sync);
+	tcase_add_loop_test(tcase, full_disk_at_creation, 0, 10);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
