--- a/state/raft_log.c
+++ b/state/raft_log.c
@@ -171,6 +171,8 @@
 {
 	if (raft->failed)
 		return;
+	/* A vote given again needs no new write. */
+	send_held(raft);
 	if (raft->disk_id == 0) {
 		raft->durable_index = raft_log_last(raft);
 		durable_changed(raft);
