policy: add placement decisions with reservations and reclaim

Need: one place that decides which job starts where, in which order, and what makes way for it, testable without processes.

Ruled out: taking the accelerators of a victim only when it has left. Two urgent jobs then reclaimed the same victim; now the claimant has the places at once and its start waits for the victim.

--- a/policy/cells.c
+++ b/policy/cells.c
@@ -47,6 +47,8 @@
 	cells->rack_ids = g_hash_table_new(g_str_hash, g_str_equal);
 	cells->jobs = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, cells_job_free);
+	cells->holds = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_array_unref);
 	cells->guarantees = g_array_new(FALSE, FALSE, sizeof(guarantee_t));
 	cells->units = g_ptr_array_new_with_free_func(cells_unit_free);
 	return cells;
@@ -60,6 +62,7 @@
 	g_hash_table_unref(cells->worker_ids);
 	g_hash_table_unref(cells->rack_ids);
 	g_hash_table_unref(cells->jobs);
+	g_hash_table_unref(cells->holds);
 	g_ptr_array_unref(cells->units);
 	g_array_unref(cells->guarantees);
 	g_ptr_array_unref(cells->racks);
@@ -68,8 +71,8 @@
 }
 
 /* Returns the position of a worker, CELLS_NONE when there is none. */
-static int
-worker_find(const cells_t *cells, const char *id)
+int
+cells_worker_find(const cells_t *cells, const char *id)
 {
 	void *value = g_hash_table_lookup(cells->worker_ids, id);
 
@@ -126,7 +129,7 @@
 cells_add_worker(cells_t *cells, const char *worker, const char *rack,
     int accelerators, int slots)
 {
-	int id = worker_find(cells, worker);
+	int id = cells_worker_find(cells, worker);
 	worker_t *w;
 
 	if (accelerators < 0 || accelerators > CELLS_MAX_ACCELERATORS ||
@@ -159,7 +162,7 @@
 int
 cells_remove_worker(cells_t *cells, const char *worker)
 {
-	int id = worker_find(cells, worker);
+	int id = cells_worker_find(cells, worker);
 
 	if (id == CELLS_NONE || !cells_worker_at(cells, id)->present)
 		return -ENOENT;
@@ -173,7 +176,7 @@
 int
 cells_set_usable(cells_t *cells, const char *worker, bool usable)
 {
-	int id = worker_find(cells, worker);
+	int id = cells_worker_find(cells, worker);
 
 	if (id == CELLS_NONE || !cells_worker_at(cells, id)->present)
 		return -ENOENT;
@@ -287,7 +290,7 @@
     const cells_place_t *places, place_t *out)
 {
 	for (int p = 0; p < shape->members; p++) {
-		int id = worker_find(cells, places[p].worker);
+		int id = cells_worker_find(cells, places[p].worker);
 		uint32_t mask = places[p].accelerator_mask;
 		const worker_t *w;
 
--- a/policy/cells.h
+++ b/policy/cells.h
@@ -61,6 +61,28 @@
 int cells_find(const cells_t *cells, const cells_shape_t *shape,
     bool guaranteed, cells_place_t *places,
     void (*victim)(void *ctx, const char *job), void *ctx, err_t *why);
+/* The same without the reason: -ENOSPC whenever there is no place. */
+int cells_try(const cells_t *cells, const cells_shape_t *shape, bool guaranteed,
+    cells_place_t *places, void (*victim)(void *ctx, const char *job),
+    void *ctx);
+/* Opportunistic places outside every guarantee, with the jobs to reclaim. */
+int cells_find_reclaiming(const cells_t *cells, const cells_shape_t *shape,
+    cells_place_t *places, void (*victim)(void *ctx, const char *job),
+    void *ctx);
+/*
+ * Finds opportunistic places that will be free once the first *needed of the
+ * jobs have ended; *needed is a power of two or count.
+ */
+int cells_plan(const cells_t *cells, const cells_shape_t *shape,
+    const char *const *jobs, size_t count, cells_place_t *places,
+    size_t *needed);
+/* Visits each job with a member on one of the places, some of them twice. */
+void cells_users(const cells_t *cells, const cells_place_t *places, int count,
+    void (*visit)(void *ctx, const char *job), void *ctx);
+/* Keeps opportunistic work off some places until cells_unhold. */
+int cells_hold(
+    cells_t *cells, const char *name, const cells_place_t *places, int count);
+void cells_unhold(cells_t *cells, const char *name);
 int cells_take(cells_t *cells, const cells_shape_t *shape, bool guaranteed,
     const cells_place_t *places);
 int cells_release(cells_t *cells, const char *job);
--- a/policy/cells_find.c
+++ b/policy/cells_find.c
@@ -426,40 +426,90 @@
 	    shape->accelerators, adjacency, CELLS_NONE, places);
 }
 
-/* See cells.h.  Equal states give equal results. */
+/* Whether the sizes of a shape are within what cells can describe. */
+static bool
+in_range(const cells_shape_t *shape)
+{
+	return shape->members >= 1 && shape->members <= MAX_MEMBERS &&
+	       shape->accelerators >= 0 &&
+	       shape->accelerators <= CELLS_MAX_ACCELERATORS;
+}
+
+/* Hands out a found candidate and ends both. */
+static int
+finish(const cells_t *cells, const cells_shape_t *shape, candidate_t *candidate,
+    candidate_t *best, cells_place_t *places,
+    void (*victim)(void *ctx, const char *job), void *ctx)
+{
+	int rc = best->found ? 0 : -ENOSPC;
+
+	if (best->found) {
+		copy_places(cells, best->places, shape->members, places);
+		for (guint i = 0; i < best->victims->len && victim != NULL; i++)
+			victim(ctx,
+			    ((job_t *)g_ptr_array_index(best->victims, i))->id);
+	}
+	g_ptr_array_unref(candidate->victims);
+	g_ptr_array_unref(best->victims);
+	return rc;
+}
+
+/* See cells.h. */
 int
-cells_find(const cells_t *cells, const cells_shape_t *shape, bool guaranteed,
+cells_try(const cells_t *cells, const cells_shape_t *shape, bool guaranteed,
     cells_place_t *places, void (*victim)(void *ctx, const char *job),
-    void *ctx, err_t *why)
+    void *ctx)
 {
-	candidate_t candidate = {0};
-	candidate_t best = {0};
+	candidate_t candidate;
+	candidate_t best;
 
-	if (shape->members < 1 || shape->members > MAX_MEMBERS ||
-	    shape->accelerators < 0 ||
-	    shape->accelerators > CELLS_MAX_ACCELERATORS)
-		return err_set(why, -E2BIG, "cells", shape->workspace,
-		    "%d x %d accelerators exceed %d x %d", shape->members,
-		    shape->accelerators, MAX_MEMBERS, CELLS_MAX_ACCELERATORS);
+	if (!in_range(shape))
+		return -ENOSPC;
 	if (!guaranteed) {
 		if (find_opportunistic(cells, shape, best.places) != 0)
-			return explain(cells, shape, false, why);
+			return -ENOSPC;
 		copy_places(cells, best.places, shape->members, places);
 		return 0;
 	}
-	candidate.victims = g_ptr_array_new();
-	best.victims = g_ptr_array_new();
+	candidate = (candidate_t){.victims = g_ptr_array_new()};
+	best = (candidate_t){.victims = g_ptr_array_new()};
 	if (shape->accelerators == 0)
 		search_slots(cells, shape, &candidate, &best);
 	else
 		search_guaranteed(cells, shape, &candidate, &best);
-	if (best.found) {
-		copy_places(cells, best.places, shape->members, places);
-		for (guint i = 0; i < best.victims->len && victim != NULL; i++)
-			victim(ctx,
-			    ((job_t *)g_ptr_array_index(best.victims, i))->id);
+	return finish(cells, shape, &candidate, &best, places, victim, ctx);
+}
+
+/* See cells.h. */
+int
+cells_find_reclaiming(const cells_t *cells, const cells_shape_t *shape,
+    cells_place_t *places, void (*victim)(void *ctx, const char *job),
+    void *ctx)
+{
+	candidate_t candidate = {.victims = g_ptr_array_new()};
+	candidate_t best = {.victims = g_ptr_array_new()};
+
+	if (in_range(shape) &&
+	    cells_search(cells, VIEW_HARD, shape->members, shape->accelerators,
+		cells_tightest(shape->members, shape->adjacency), CELLS_NONE,
+		candidate.places) == 0) {
+		collect_victims(cells, &candidate, shape->members);
+		consider(&candidate, &best);
 	}
-	g_ptr_array_unref(candidate.victims);
-	g_ptr_array_unref(best.victims);
-	return best.found ? 0 : explain(cells, shape, true, why);
+	return finish(cells, shape, &candidate, &best, places, victim, ctx);
+}
+
+/* See cells.h.  Equal states give equal results. */
+int
+cells_find(const cells_t *cells, const cells_shape_t *shape, bool guaranteed,
+    cells_place_t *places, void (*victim)(void *ctx, const char *job),
+    void *ctx, err_t *why)
+{
+	if (!in_range(shape))
+		return err_set(why, -E2BIG, "cells", shape->workspace,
+		    "%d x %d accelerators exceed %d x %d", shape->members,
+		    shape->accelerators, MAX_MEMBERS, CELLS_MAX_ACCELERATORS);
+	if (cells_try(cells, shape, guaranteed, places, victim, ctx) == 0)
+		return 0;
+	return explain(cells, shape, guaranteed, why);
 }
--- /dev/null
+++ b/policy/cells_hold.c
@@ -0,0 +1,153 @@
+#include <errno.h>
+
+#include "policy/cells_private.h"
+
+/* Recomputes what holds keep of a worker. */
+static void
+refresh_held(const cells_t *cells, int worker)
+{
+	worker_t *w = cells_worker_at(cells, worker);
+	GHashTableIter iter;
+	void *value;
+
+	w->held = 0;
+	g_hash_table_iter_init(&iter, cells->holds);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const GArray *places = value;
+
+		for (guint i = 0; i < places->len; i++) {
+			const place_t *place =
+			    &g_array_index(places, place_t, i);
+
+			if (place->worker == worker)
+				w->held |= place->mask;
+		}
+	}
+	cells_refresh(cells, worker);
+}
+
+/* See cells.h.  -EEXIST: the name holds places already; -ENOENT: no worker. */
+int
+cells_hold(
+    cells_t *cells, const char *name, const cells_place_t *places, int count)
+{
+	GArray *held;
+
+	if (g_hash_table_contains(cells->holds, name))
+		return -EEXIST;
+	held = g_array_new(FALSE, FALSE, sizeof(place_t));
+	for (int i = 0; i < count; i++) {
+		place_t place = {cells_worker_find(cells, places[i].worker),
+		    places[i].accelerator_mask};
+
+		if (place.worker == CELLS_NONE) {
+			g_array_unref(held);
+			return -ENOENT;
+		}
+		g_array_append_val(held, place);
+	}
+	g_hash_table_insert(cells->holds, g_strdup(name), held);
+	for (guint i = 0; i < held->len; i++) {
+		const place_t *place = &g_array_index(held, place_t, i);
+
+		cells_worker_at(cells, place->worker)->held |= place->mask;
+		cells_refresh(cells, place->worker);
+	}
+	return 0;
+}
+
+/* See cells.h.  A name that holds nothing is ignored. */
+void
+cells_unhold(cells_t *cells, const char *name)
+{
+	GArray *held = g_hash_table_lookup(cells->holds, name);
+
+	if (held == NULL)
+		return;
+	g_array_ref(held);
+	g_hash_table_remove(cells->holds, name);
+	for (guint i = 0; i < held->len; i++)
+		refresh_held(cells, g_array_index(held, place_t, i).worker);
+	g_array_unref(held);
+}
+
+/* Supposes that a job has ended, or no longer. */
+static void
+suppose_ended(const cells_t *cells, const char *id, bool ended)
+{
+	const job_t *job = g_hash_table_lookup(cells->jobs, id);
+
+	if (job == NULL)
+		return;
+	for (int p = 0; p < job->members; p++) {
+		worker_t *w = cells_worker_at(cells, job->places[p].worker);
+
+		if (ended) {
+			w->planned |= job->places[p].mask;
+			w->slots_planned++;
+		} else {
+			w->planned &= ~job->places[p].mask;
+			w->slots_planned--;
+		}
+		cells_refresh(cells, job->places[p].worker);
+	}
+}
+
+/* See cells.h. */
+int
+cells_plan(const cells_t *cells, const cells_shape_t *shape,
+    const char *const *jobs, size_t count, cells_place_t *places,
+    size_t *needed)
+{
+	place_t found[MAX_MEMBERS];
+	size_t ended = 0;
+	size_t next = 1;
+	int rc = -ENOSPC;
+
+	while (rc != 0 && ended < count) {
+		for (; ended < MIN(next, count); ended++)
+			suppose_ended(cells, jobs[ended], true);
+		rc = cells_search(cells, VIEW_PLAN, shape->members,
+		    shape->accelerators,
+		    cells_tightest(shape->members, shape->adjacency),
+		    CELLS_NONE, found);
+		next *= 2;
+	}
+	*needed = ended;
+	while (ended > 0)
+		suppose_ended(cells, jobs[--ended], false);
+	for (int i = 0; rc == 0 && i < shape->members; i++) {
+		const worker_t *w = cells_worker_at(cells, found[i].worker);
+
+		g_strlcpy(places[i].worker, w->id, sizeof(places[i].worker));
+		places[i].accelerator_mask = found[i].mask;
+	}
+	return rc;
+}
+
+/* See cells.h. */
+void
+cells_users(const cells_t *cells, const cells_place_t *places, int count,
+    void (*visit)(void *ctx, const char *job), void *ctx)
+{
+	for (int i = 0; i < count; i++) {
+		int id = cells_worker_find(cells, places[i].worker);
+		const worker_t *w;
+
+		if (id == CELLS_NONE)
+			continue;
+		w = cells_worker_at(cells, id);
+		for (guint k = 0; k < w->jobs->len; k++) {
+			const job_t *job = g_ptr_array_index(w->jobs, k);
+
+			for (int p = 0; p < job->members; p++) {
+				if (job->places[p].worker == id &&
+				    (job->places[p].mask &
+					places[i].accelerator_mask) != 0) {
+					visit(ctx, job->id);
+					break;
+				}
+			}
+		}
+	}
+}
--- a/policy/cells_private.h
+++ b/policy/cells_private.h
@@ -13,6 +13,7 @@
 	VIEW_FREE, /* nothing runs there */
 	VIEW_HARD, /* no guaranteed work and nothing reserved */
 	VIEW_ALL,  /* every accelerator, failed ones too */
+	VIEW_PLAN, /* free, or used by work that a plan supposes ended */
 	VIEW_COUNT,
 } cells_view_t;
 
@@ -35,6 +36,9 @@
 	uint32_t reserved;   /* cells of guarantees, used or not */
 	int slots_used;
 	int slots_guaranteed;
+	uint32_t held;    /* by holds, for nobody to use */
+	uint32_t planned; /* supposed to be free in VIEW_PLAN */
+	int slots_planned;
 	int slots_reserved; /* one for each cell without work */
 	uint32_t avail[VIEW_COUNT];
 	int slots_left[VIEW_COUNT];
@@ -105,6 +109,7 @@
 	GHashTable *worker_ids;
 	GHashTable *rack_ids;
 	GHashTable *jobs;
+	GHashTable *holds;  /* GArray of place_t by name */
 	GArray *guarantees; /* guarantee_t */
 	GPtrArray *units;   /* unit_t */
 };
@@ -152,4 +157,5 @@
 void cells_replace_units(cells_t *cells, GArray *guarantees);
 
 /* cells.c */
+int cells_worker_find(const cells_t *cells, const char *id);
 void cells_job_free(void *job);
--- a/policy/cells_search.c
+++ b/policy/cells_search.c
@@ -143,10 +143,11 @@
 	uint32_t all = w->present ? cells_full_mask(w->accelerators) : 0;
 	uint32_t up = w->usable ? all : 0;
 	uint32_t masks[VIEW_COUNT] = {
-	    [VIEW_OPEN] = up & ~w->used & ~w->reserved,
-	    [VIEW_FREE] = up & ~w->used,
+	    [VIEW_OPEN] = up & ~w->used & ~w->held & ~w->reserved,
+	    [VIEW_FREE] = up & ~w->used & ~w->held,
 	    [VIEW_HARD] = up & ~w->guaranteed & ~w->reserved,
 	    [VIEW_ALL] = all,
+	    [VIEW_PLAN] = up & ((~w->used & ~w->held) | w->planned),
 	};
 
 	w->slots_left[VIEW_FREE] = w->slots - w->slots_used;
@@ -155,6 +156,7 @@
 	w->slots_left[VIEW_OPEN] =
 	    MIN(w->slots_left[VIEW_FREE], w->slots_left[VIEW_HARD]);
 	w->slots_left[VIEW_ALL] = w->slots;
+	w->slots_left[VIEW_PLAN] = w->slots_left[VIEW_FREE] + w->slots_planned;
 	for (int view = 0; view < VIEW_COUNT; view++)
 		cells_set_avail(cells, worker, (cells_view_t)view,
 		    w->slots_left[view] > 0 ? masks[view] : 0);
--- /dev/null
+++ b/policy/placement.c
@@ -0,0 +1,442 @@
+#include <errno.h>
+#include <string.h>
+
+#include "policy/placement_private.h"
+
+/* Attained service of the first level above 0, in accelerator milliseconds. */
+#define LEVEL_BASE_MS (10 * 60 * 1000)
+#define MAX_LEVEL 6
+
+static void
+tenant_free(void *data)
+{
+	tenant_t *tenant = data;
+
+	g_ptr_array_unref(tenant->buckets);
+	g_free(tenant->name);
+	g_free(tenant);
+}
+
+static void
+pjob_free(void *data)
+{
+	pjob_t *job = data;
+
+	health_forget(&job->failures);
+	g_free(job->places);
+	g_free(job->id);
+	g_free(job);
+}
+
+/* Creates the decisions for a failure domain without hardware. */
+placement_t *
+placement_create(void)
+{
+	placement_t *placement = g_new0(placement_t, 1);
+
+	placement->cells = cells_create();
+	placement->health = health_create();
+	placement->workers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	placement->suspects =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	placement->tenants =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, tenant_free);
+	placement->tenant_list = g_ptr_array_new();
+	placement->shapes = g_ptr_array_new_with_free_func(g_free);
+	placement->buckets = g_ptr_array_new_with_free_func(g_free);
+	placement->jobs =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pjob_free);
+	placement->version = 1;
+	placement->hardware_version = 1;
+	placement->claimed = g_ptr_array_new();
+	placement->draining = g_ptr_array_new();
+	placement->timed = g_ptr_array_new();
+	return placement;
+}
+
+void
+placement_destroy(placement_t *placement)
+{
+	if (placement == NULL)
+		return;
+	g_ptr_array_unref(placement->claimed);
+	g_ptr_array_unref(placement->draining);
+	g_ptr_array_unref(placement->timed);
+	g_hash_table_unref(placement->jobs);
+	g_ptr_array_unref(placement->buckets);
+	g_ptr_array_unref(placement->shapes);
+	g_ptr_array_unref(placement->tenant_list);
+	g_hash_table_unref(placement->tenants);
+	g_hash_table_unref(placement->suspects);
+	g_hash_table_unref(placement->workers);
+	health_destroy(placement->health);
+	cells_destroy(placement->cells);
+	g_free(placement);
+}
+
+const cells_t *
+placement_cells(const placement_t *placement)
+{
+	return placement->cells;
+}
+
+/* Notes that hardware or guarantees have changed. */
+static void
+hardware_changed(placement_t *placement)
+{
+	placement->version++;
+	placement->hardware_version++;
+	placement_drop_reservation(placement);
+}
+
+/* Adds a worker, or changes its sizes; see cells_add_worker for errors. */
+int
+placement_add_worker(placement_t *placement, const char *worker,
+    const char *rack, int accelerators, int slots)
+{
+	int rc = cells_add_worker(
+	    placement->cells, worker, rack, accelerators, slots);
+
+	if (rc != 0)
+		return rc;
+	g_hash_table_insert(
+	    placement->workers, g_strdup(worker), g_strdup(rack));
+	health_add(placement->health, worker, "");
+	g_hash_table_remove(placement->suspects, worker);
+	hardware_changed(placement);
+	return 0;
+}
+
+void
+placement_remove_worker(placement_t *placement, const char *worker)
+{
+	cells_remove_worker(placement->cells, worker);
+	g_hash_table_remove(placement->workers, worker);
+	g_hash_table_remove(placement->suspects, worker);
+	health_remove(placement->health, worker);
+	hardware_changed(placement);
+}
+
+int
+placement_set_guarantees(placement_t *placement,
+    const cells_guarantee_t *guarantees, size_t count, err_t *err)
+{
+	int rc = cells_set_guarantees(placement->cells, guarantees, count, err);
+
+	if (rc == 0)
+		hardware_changed(placement);
+	return rc;
+}
+
+static tenant_t *
+tenant_of(placement_t *placement, const char *name)
+{
+	tenant_t *tenant = g_hash_table_lookup(placement->tenants, name);
+
+	if (tenant != NULL)
+		return tenant;
+	tenant = g_new0(tenant_t, 1);
+	tenant->name = g_strdup(name);
+	tenant->weight = 1;
+	tenant->stretch = 1;
+	tenant->buckets = g_ptr_array_new();
+	g_hash_table_insert(placement->tenants, tenant->name, tenant);
+	g_ptr_array_add(placement->tenant_list, tenant);
+	return tenant;
+}
+
+void
+placement_set_tenant(
+    placement_t *placement, const char *name, int weight, int quota)
+{
+	tenant_t *tenant = tenant_of(placement, name);
+
+	tenant->weight = MAX(weight, 1);
+	tenant->quota = quota;
+	placement->version++;
+}
+
+static shape_t *
+shape_of(placement_t *placement, const placement_job_t *job)
+{
+	shape_t *shape;
+
+	for (guint i = 0; i < placement->shapes->len; i++) {
+		shape = g_ptr_array_index(placement->shapes, i);
+		if (shape->members == job->members &&
+		    shape->accelerators == job->accelerators &&
+		    shape->adjacency == job->adjacency)
+			return shape;
+	}
+	shape = g_new0(shape_t, 1);
+	shape->members = job->members;
+	shape->accelerators = job->accelerators;
+	shape->adjacency = job->adjacency;
+	g_ptr_array_add(placement->shapes, shape);
+	return shape;
+}
+
+static bucket_t *
+bucket_of(placement_t *placement, const placement_job_t *job)
+{
+	tenant_t *tenant = tenant_of(placement, job->tenant);
+	const char *workspace = g_intern_string(job->workspace);
+	shape_t *shape = shape_of(placement, job);
+	bucket_t *bucket;
+
+	for (guint i = 0; i < tenant->buckets->len; i++) {
+		bucket = g_ptr_array_index(tenant->buckets, i);
+		if (bucket->workspace == workspace &&
+		    bucket->priority == job->priority && bucket->shape == shape)
+			return bucket;
+	}
+	bucket = g_new0(bucket_t, 1);
+	bucket->tenant = tenant;
+	bucket->workspace = workspace;
+	bucket->priority = job->priority;
+	bucket->shape = shape;
+	g_queue_init(&bucket->jobs);
+	g_ptr_array_add(tenant->buckets, bucket);
+	g_ptr_array_add(placement->buckets, bucket);
+	return bucket;
+}
+
+pjob_t *
+placement_find(const placement_t *placement, const char *job)
+{
+	return g_hash_table_lookup(placement->jobs, job);
+}
+
+/* Returns what the job asks of the cells. */
+cells_shape_t
+placement_shape(const pjob_t *job)
+{
+	const shape_t *shape = job->bucket->shape;
+
+	return (cells_shape_t){job->id, job->workspace, shape->members,
+	    shape->accelerators, shape->adjacency};
+}
+
+/* Returns the accelerators of all members. */
+int
+placement_size(const pjob_t *job)
+{
+	return job->bucket->shape->members * job->bucket->shape->accelerators;
+}
+
+/* Whether the tenant may run the job outside its guarantees now. */
+bool
+placement_within_quota(const pjob_t *job)
+{
+	const tenant_t *tenant = job->bucket->tenant;
+
+	return tenant->quota == 0 ||
+	       tenant->used + placement_size(job) <= tenant->quota;
+}
+
+/* Puts a job into its queue: least attained service, then submission. */
+void
+placement_enqueue(placement_t *placement, pjob_t *job)
+{
+	GQueue *queue = &job->bucket->jobs;
+	GList *after = queue->tail;
+
+	job->state = PJOB_WAITING;
+	job->level = 0;
+	for (int64_t limit = LEVEL_BASE_MS;
+	     job->attained >= limit && job->level < MAX_LEVEL; limit *= 4)
+		job->level++;
+	while (after != NULL) {
+		const pjob_t *other = after->data;
+
+		if (other->level < job->level ||
+		    (other->level == job->level &&
+			other->sequence < job->sequence))
+			break;
+		after = after->prev;
+	}
+	job->link = (GList){.data = job};
+	if (after == NULL)
+		g_queue_push_head_link(queue, &job->link);
+	else
+		g_queue_insert_after_link(queue, after, &job->link);
+	placement->waiting++;
+	job->bucket->tenant->waiting++;
+	if (job->deadline_ms > 0)
+		g_ptr_array_add(placement->timed, job);
+}
+
+/* Takes a waiting job out of its queue. */
+void
+placement_dequeue(placement_t *placement, pjob_t *job)
+{
+	g_queue_unlink(&job->bucket->jobs, &job->link);
+	placement->waiting--;
+	job->bucket->tenant->waiting--;
+	if (job->deadline_ms > 0)
+		g_ptr_array_remove_fast(placement->timed, job);
+	if (placement->reservation.job == job)
+		placement_drop_reservation(placement);
+}
+
+/* Creates the record of a job; NULL when it is known already. */
+static pjob_t *
+create_job(placement_t *placement, const placement_job_t *job)
+{
+	pjob_t *created;
+
+	if (placement_find(placement, job->id) != NULL)
+		return NULL;
+	created = g_new0(pjob_t, 1);
+	created->id = g_strdup(job->id);
+	created->bucket = bucket_of(placement, job);
+	created->workspace = created->bucket->workspace;
+	created->declared_ms = MAX(job->declared_ms, 1);
+	created->deadline_ms = job->deadline_ms;
+	created->submitted_ms = job->submitted_ms;
+	created->sequence = job->sequence;
+	created->rule = "not considered yet";
+	g_hash_table_insert(placement->jobs, created->id, created);
+	return created;
+}
+
+/* Adds a waiting job; -EEXIST when it is known already. */
+int
+placement_submit(placement_t *placement, const placement_job_t *job)
+{
+	pjob_t *created = create_job(placement, job);
+
+	if (created == NULL)
+		return -EEXIST;
+	placement_enqueue(placement, created);
+	return 0;
+}
+
+/*
+ * Gives a job its places.  It starts when work that is being reclaimed has left
+ * them.  Errors are those of cells_take.
+ */
+int
+placement_claim(placement_t *placement, pjob_t *job, bool guaranteed,
+    const cells_place_t *places, int64_t now_ms)
+{
+	cells_shape_t shape = placement_shape(job);
+	int rc = cells_take(placement->cells, &shape, guaranteed, places);
+
+	if (rc != 0)
+		return rc;
+	job->places = g_memdup2(places, sizeof(*places) * (gsize)shape.members);
+	job->guaranteed = guaranteed;
+	job->state = PJOB_CLAIMED;
+	job->started_ms = now_ms;
+	if (!guaranteed)
+		job->bucket->tenant->used += placement_size(job);
+	return 0;
+}
+
+/* Takes the places back and counts the service the job has had. */
+void
+placement_unclaim(placement_t *placement, pjob_t *job, int64_t now_ms)
+{
+	cells_release(placement->cells, job->id);
+	if (!job->guaranteed)
+		job->bucket->tenant->used -= placement_size(job);
+	job->attained += MAX(now_ms - job->started_ms, 0) * placement_size(job);
+	job->guaranteed = false;
+	job->backfill = false;
+	placement->version++;
+}
+
+/* See placement.h.  Errors are those of cells_take; -EEXIST: known already. */
+int
+placement_restore(placement_t *placement, const placement_job_t *job,
+    bool guaranteed, const cells_place_t *places, int64_t now_ms)
+{
+	pjob_t *created = create_job(placement, job);
+	int rc;
+
+	if (created == NULL)
+		return -EEXIST;
+	rc = placement_claim(placement, created, guaranteed, places, now_ms);
+	if (rc != 0) {
+		g_hash_table_remove(placement->jobs, created->id);
+		return rc;
+	}
+	created->state = PJOB_RUNNING;
+	created->rule = "found running";
+	return 0;
+}
+
+/* Ends the record of a job that is in no queue and has no places. */
+void
+placement_forget(placement_t *placement, pjob_t *job)
+{
+	g_ptr_array_remove_fast(placement->claimed, job);
+	g_ptr_array_remove_fast(placement->draining, job);
+	g_hash_table_remove(placement->jobs, job->id);
+}
+
+/* Gives up what a job has in its present state. */
+static void
+leave_state(placement_t *placement, pjob_t *job, int64_t now_ms)
+{
+	switch (job->state) {
+	case PJOB_WAITING:
+		placement_dequeue(placement, job);
+		return;
+	case PJOB_DRAINING:
+		g_ptr_array_remove_fast(placement->draining, job);
+		cells_unhold(placement->cells, job->id);
+		placement->version++;
+		break;
+	case PJOB_MIGRATING:
+		g_ptr_array_remove_fast(placement->draining, job);
+		placement_unclaim(placement, job, now_ms);
+		break;
+	case PJOB_CLAIMED:
+		g_ptr_array_remove_fast(placement->claimed, job);
+		job->started_ms = now_ms;
+		placement_unclaim(placement, job, now_ms);
+		break;
+	case PJOB_RUNNING:
+		placement_unclaim(placement, job, now_ms);
+		break;
+	}
+	g_free(job->places);
+	job->places = NULL;
+}
+
+/*
+ * Notes that a job has ended: none of its members run or stay reserved.  An
+ * unknown job is ignored, as ends may be reported twice.
+ */
+void
+placement_ended(
+    placement_t *placement, const char *id, placement_end_t end, int64_t now_ms)
+{
+	pjob_t *job = placement_find(placement, id);
+
+	if (job == NULL ||
+	    (job->state == PJOB_WAITING && end == PLACEMENT_LOST))
+		return;
+	if (end == PLACEMENT_DONE && job->state != PJOB_WAITING) {
+		placement_observe(job, now_ms);
+		for (int m = 0; m < job->bucket->shape->members; m++)
+			health_succeeded(placement->health,
+			    job->places[m].worker, &job->failures, now_ms);
+	}
+	leave_state(placement, job, now_ms);
+	if (end == PLACEMENT_LOST) {
+		job->rule = "waits again after its last attempt ended";
+		placement_enqueue(placement, job);
+	} else {
+		placement_forget(placement, job);
+	}
+}
+
+size_t
+placement_waiting(const placement_t *placement)
+{
+	return placement->waiting;
+}
--- /dev/null
+++ b/policy/placement_decide.c
@@ -0,0 +1,490 @@
+#include <errno.h>
+#include <string.h>
+
+#include "policy/placement_private.h"
+
+#define DEADLINE_CHECK_MS 200
+
+/*
+ * A job that no present hardware holds is refused only when the hardware has
+ * not changed for this long: after a restart workers announce one by one.
+ */
+#define NEVER_AFTER_MS (10 * 1000)
+
+typedef struct {
+	pjob_t *jobs[MAX_MEMBERS * CELLS_MAX_ACCELERATORS];
+	int count;
+	const placement_t *placement;
+} victims_t;
+
+static void
+add_victim(void *ctx, const char *id)
+{
+	victims_t *victims = ctx;
+
+	if (victims->count < (int)G_N_ELEMENTS(victims->jobs))
+		victims->jobs[victims->count++] =
+		    placement_find(victims->placement, id);
+}
+
+/* Drops the reservation when other work takes part of it. */
+static void
+give_way(placement_t *placement, const pjob_t *job, const cells_place_t *places)
+{
+	const reservation_t *reservation = &placement->reservation;
+
+	if (reservation->job != NULL &&
+	    placement_overlap(reservation->places,
+		reservation->job->bucket->shape->members, places,
+		job->bucket->shape->members))
+		placement_drop_reservation(placement);
+}
+
+/* Reclaims the victims and gives the job its places. */
+static bool
+claim(placement_t *placement, pjob_t *job, bool guaranteed,
+    const cells_place_t *places, const victims_t *victims, int64_t now_ms)
+{
+	give_way(placement, job, places);
+	for (int i = 0; victims != NULL && i < victims->count; i++)
+		placement_reclaim(placement, victims->jobs[i], job, now_ms);
+	if (placement_claim(placement, job, guaranteed, places, now_ms) != 0)
+		return false;
+	placement_dequeue(placement, job);
+	g_ptr_array_add(placement->claimed, job);
+	return true;
+}
+
+/* Tries the guarantee of the job's workspace. */
+static bool
+claim_guaranteed(placement_t *placement, pjob_t *job, int64_t now_ms)
+{
+	cells_shape_t shape = placement_shape(job);
+	victims_t victims = {.placement = placement};
+	cells_place_t places[MAX_MEMBERS];
+
+	if (job->bucket->failed_version == placement->version)
+		return false;
+	if (cells_try(placement->cells, &shape, true, places, add_victim,
+		&victims) != 0 ||
+	    !claim(placement, job, true, places, &victims, now_ms)) {
+		job->bucket->failed_version = placement->version;
+		return false;
+	}
+	job->rule = "uses the guarantee of its workspace";
+	return true;
+}
+
+/* Keeps a search off the workers on which the job has failed. */
+static void
+avoid_failed(placement_t *placement, const pjob_t *job)
+{
+	cells_place_t places[HEALTH_BLAME_AFTER];
+
+	if (job->failures.failures == 0)
+		return;
+	for (int i = 0; i < job->failures.failures; i++) {
+		g_strlcpy(places[i].worker, job->failures.failed_on[i],
+		    sizeof(places[i].worker));
+		places[i].accelerator_mask = UINT32_MAX;
+	}
+	cells_hold(
+	    placement->cells, AVOID_HOLD, places, job->failures.failures);
+}
+
+/* Finds free places, else some inside the reservation. */
+static int
+find_free(placement_t *placement, const pjob_t *job, int64_t now_ms,
+    cells_place_t *places, bool *backfill)
+{
+	cells_shape_t wanted = placement_shape(job);
+	shape_t *shape = job->bucket->shape;
+
+	*backfill = false;
+	if (shape->failed_version != placement->version) {
+		if (cells_try(placement->cells, &wanted, false, places, NULL,
+			NULL) == 0)
+			return 0;
+		shape->failed_version = placement->version;
+	}
+	if (job->bucket->backfill_version == placement->version)
+		return -ENOSPC;
+	job->bucket->backfill_version = placement->version;
+	*backfill = true;
+	return placement_backfill(placement, job, now_ms, places);
+}
+
+/* Tries places outside guarantees that need no reclaim. */
+static bool
+claim_free(placement_t *placement, pjob_t *job, int64_t now_ms)
+{
+	cells_place_t places[MAX_MEMBERS];
+	bool backfill;
+	int rc;
+
+	if (!placement_within_quota(job))
+		return false;
+	avoid_failed(placement, job);
+	rc = find_free(placement, job, now_ms, places, &backfill);
+	cells_unhold(placement->cells, AVOID_HOLD);
+	if (rc != 0 ||
+	    placement_claim(placement, job, false, places, now_ms) != 0)
+		return false;
+	placement_dequeue(placement, job);
+	g_ptr_array_add(placement->claimed, job);
+	job->backfill = backfill;
+	job->rule =
+	    backfill ? "backfills the reservation" : "runs outside guarantees";
+	return true;
+}
+
+/* Tries to reclaim opportunistic work for an urgent job. */
+static bool
+claim_reclaiming(placement_t *placement, pjob_t *job, int64_t now_ms)
+{
+	cells_shape_t shape = placement_shape(job);
+	victims_t victims = {.placement = placement};
+	cells_place_t places[MAX_MEMBERS];
+
+	if (!placement_within_quota(job) ||
+	    cells_find_reclaiming(
+		placement->cells, &shape, places, add_victim, &victims) != 0)
+		return false;
+	for (int i = 0; i < victims.count; i++) {
+		if (victims.jobs[i]->bucket->priority == PRIORITY_URGENT)
+			return false;
+	}
+	if (!claim(placement, job, false, places, &victims, now_ms))
+		return false;
+	job->rule = "urgent, reclaims opportunistic work";
+	return true;
+}
+
+/* Returns the waiting job of that priority that was submitted first. */
+static bool
+try_priority(placement_t *placement, job_priority_t priority, int64_t now_ms)
+{
+	for (guint i = 0; i < placement->buckets->len; i++) {
+		bucket_t *bucket = g_ptr_array_index(placement->buckets, i);
+		pjob_t *job = g_queue_peek_head(&bucket->jobs);
+		uint64_t version = placement->version;
+
+		if (job == NULL || bucket->priority != priority)
+			continue;
+		if (claim_guaranteed(placement, job, now_ms))
+			return true;
+		if (priority == PRIORITY_URGENT &&
+		    bucket->urgent_version != version) {
+			if (claim_free(placement, job, now_ms) ||
+			    claim_reclaiming(placement, job, now_ms))
+				return true;
+			bucket->urgent_version = placement->version;
+		}
+	}
+	return false;
+}
+
+static int
+compare_shares(const void *a, const void *b)
+{
+	const tenant_t *x = *(tenant_t *const *)a;
+	const tenant_t *y = *(tenant_t *const *)b;
+	int64_t share_x = (int64_t)x->used * y->weight;
+	int64_t share_y = (int64_t)y->used * x->weight;
+
+	if (share_x != share_y)
+		return share_x < share_y ? -1 : 1;
+	return strcmp(x->name, y->name);
+}
+
+/* Returns the tenant's next job in order whose shape may still fit. */
+static pjob_t *
+next_of(const placement_t *placement, const tenant_t *tenant)
+{
+	pjob_t *best = NULL;
+
+	for (guint i = 0; i < tenant->buckets->len; i++) {
+		bucket_t *bucket = g_ptr_array_index(tenant->buckets, i);
+		pjob_t *job = g_queue_peek_head(&bucket->jobs);
+
+		if (job == NULL ||
+		    (bucket->shape->failed_version == placement->version &&
+			(placement->reservation.job == NULL ||
+			    bucket->backfill_version == placement->version)) ||
+		    !placement_within_quota(job))
+			continue;
+		if (best == NULL || job->level < best->level ||
+		    (job->level == best->level &&
+			job->sequence < best->sequence))
+			best = job;
+	}
+	return best;
+}
+
+/* Tries opportunistic places: the tenant with the least share first. */
+static bool
+try_opportunistic(placement_t *placement, int64_t now_ms)
+{
+	g_ptr_array_sort(placement->tenant_list, compare_shares);
+	for (guint i = 0; i < placement->tenant_list->len; i++) {
+		tenant_t *tenant = g_ptr_array_index(placement->tenant_list, i);
+		pjob_t *job;
+
+		if (tenant->waiting == 0)
+			continue;
+		while ((job = next_of(placement, tenant)) != NULL) {
+			if (claim_free(placement, job, now_ms))
+				return true;
+			/* The claim itself failed: do not try it again. */
+			job->bucket->shape->failed_version = placement->version;
+		}
+	}
+	return false;
+}
+
+static bool
+is_large(const shape_t *shape)
+{
+	return shape->members > 1 ||
+	       shape->accelerators >= PLACEMENT_LARGE_ACCELERATORS;
+}
+
+/* Gives the reservation to the large job that has waited longest. */
+static void
+consider_reservation(placement_t *placement, int64_t now_ms)
+{
+	pjob_t *oldest = NULL;
+
+	if (placement->reservation.job != NULL)
+		return;
+	for (guint i = 0; i < placement->buckets->len; i++) {
+		bucket_t *bucket = g_ptr_array_index(placement->buckets, i);
+		pjob_t *job = g_queue_peek_head(&bucket->jobs);
+
+		if (job == NULL || !is_large(bucket->shape) ||
+		    bucket->shape->never ||
+		    bucket->shape->reserve_version == placement->version ||
+		    now_ms - job->submitted_ms < PLACEMENT_RESERVE_AFTER_MS ||
+		    !placement_within_quota(job))
+			continue;
+		if (oldest == NULL || job->submitted_ms < oldest->submitted_ms)
+			oldest = job;
+	}
+	if (oldest == NULL)
+		return;
+	placement_reserve(placement, oldest, now_ms);
+	if (placement->reservation.job == NULL)
+		oldest->bucket->shape->reserve_version = placement->version;
+}
+
+static void
+refuse(placement_t *placement, pjob_t *job, placement_decision_t *decision,
+    const char *reason)
+{
+	decision->kind = PLACEMENT_REFUSE;
+	decision->members = 0;
+	g_strlcpy(decision->job, job->id, sizeof(decision->job));
+	g_strlcpy(decision->reason, reason, sizeof(decision->reason));
+	placement_dequeue(placement, job);
+	placement_forget(placement, job);
+}
+
+/* Refuses a job whose deadline to start has passed. */
+static bool
+refuse_late(
+    placement_t *placement, int64_t now_ms, placement_decision_t *decision)
+{
+	if (now_ms - placement->deadlines_checked_ms < DEADLINE_CHECK_MS)
+		return false;
+	for (guint i = 0; i < placement->timed->len; i++) {
+		pjob_t *job = g_ptr_array_index(placement->timed, i);
+
+		if (now_ms >= job->deadline_ms) {
+			refuse(placement, job, decision,
+			    "not started before its deadline");
+			return true;
+		}
+	}
+	placement->deadlines_checked_ms = now_ms;
+	return false;
+}
+
+/* Whether the hardware never holds the shape; remembered until it changes. */
+static bool
+is_never(placement_t *placement, const pjob_t *job)
+{
+	shape_t *shape = job->bucket->shape;
+	cells_shape_t wanted = placement_shape(job);
+	cells_place_t places[MAX_MEMBERS];
+	err_t why = {0};
+
+	if (shape->checked_version == placement->hardware_version)
+		return shape->never;
+	shape->checked_version = placement->hardware_version;
+	shape->never = cells_find(placement->cells, &wanted, false, places,
+			   NULL, NULL, &why) == -E2BIG;
+	g_strlcpy(shape->why, why.text, sizeof(shape->why));
+	return shape->never;
+}
+
+/* Refuses a job that no hardware or quota could ever hold. */
+static bool
+refuse_never(
+    placement_t *placement, int64_t now_ms, placement_decision_t *decision)
+{
+	if (placement->hardware_seen != placement->hardware_version) {
+		placement->hardware_seen = placement->hardware_version;
+		placement->hardware_seen_ms = now_ms;
+	}
+	if (now_ms - placement->hardware_seen_ms < NEVER_AFTER_MS)
+		return false;
+	for (guint i = 0; i < placement->buckets->len; i++) {
+		bucket_t *bucket = g_ptr_array_index(placement->buckets, i);
+		pjob_t *job = g_queue_peek_head(&bucket->jobs);
+
+		if (job == NULL)
+			continue;
+		if (is_never(placement, job)) {
+			refuse(placement, job, decision, bucket->shape->why);
+			return true;
+		}
+		if (bucket->priority == PRIORITY_OPPORTUNISTIC &&
+		    bucket->tenant->quota > 0 &&
+		    placement_size(job) > bucket->tenant->quota) {
+			refuse(placement, job, decision,
+			    "exceeds the quota of its tenant");
+			return true;
+		}
+	}
+	return false;
+}
+
+/* Starts a job whose places are free of reclaimed work. */
+static bool
+start_claimed(
+    placement_t *placement, int64_t now_ms, placement_decision_t *decision)
+{
+	for (guint i = 0; i < placement->claimed->len; i++) {
+		pjob_t *job = g_ptr_array_index(placement->claimed, i);
+
+		if (placement_is_blocked(placement, job))
+			continue;
+		g_ptr_array_remove_index_fast(placement->claimed, i);
+		job->state = PJOB_RUNNING;
+		job->started_ms = now_ms;
+		decision->kind = PLACEMENT_START;
+		decision->guaranteed = job->guaranteed;
+		decision->members = job->bucket->shape->members;
+		memcpy(decision->places, job->places,
+		    sizeof(*job->places) * (size_t)decision->members);
+		g_strlcpy(decision->job, job->id, sizeof(decision->job));
+		g_strlcpy(
+		    decision->reason, job->rule, sizeof(decision->reason));
+		return true;
+	}
+	return false;
+}
+
+/* Takes the next decision; see placement.h. */
+bool
+placement_decide(
+    placement_t *placement, int64_t now_ms, placement_decision_t *decision)
+{
+	placement_check_health(placement, now_ms);
+	for (;;) {
+		if (placement_drain(placement, now_ms, decision) ||
+		    start_claimed(placement, now_ms, decision) ||
+		    refuse_late(placement, now_ms, decision) ||
+		    refuse_never(placement, now_ms, decision))
+			return true;
+		if (try_priority(placement, PRIORITY_URGENT, now_ms) ||
+		    try_priority(placement, PRIORITY_GUARANTEED, now_ms) ||
+		    placement_use_reservation(placement, now_ms))
+			continue;
+		consider_reservation(placement, now_ms);
+		if (placement_use_reservation(placement, now_ms) ||
+		    try_opportunistic(placement, now_ms))
+			continue;
+		placement_migrate(placement, now_ms);
+		return placement_drain(placement, now_ms, decision);
+	}
+}
+
+static const char *
+state_text(const pjob_t *job)
+{
+	switch (job->state) {
+	case PJOB_WAITING:
+		return "waiting";
+	case PJOB_CLAIMED:
+		return "has places, waits for reclaimed work to leave them";
+	case PJOB_RUNNING:
+		return "running";
+	case PJOB_MIGRATING:
+		return "running, to be moved from a checkpoint";
+	case PJOB_DRAINING:
+		return "being reclaimed";
+	}
+	return "";
+}
+
+/* Tells what a waiting job waits for. */
+static void
+explain_waiting(const placement_t *placement, const pjob_t *job, GString *out)
+{
+	cells_shape_t shape = placement_shape(job);
+	cells_place_t places[MAX_MEMBERS];
+	err_t why = {0};
+	bool guaranteed = job->bucket->priority != PRIORITY_OPPORTUNISTIC;
+
+	if (guaranteed && cells_find(placement->cells, &shape, true, places,
+			      NULL, NULL, &why) != 0)
+		g_string_append_printf(out, "; guarantee of workspace %s: %s",
+		    job->workspace, why.text);
+	if (!placement_within_quota(job))
+		g_string_append_printf(out,
+		    "; tenant %s uses %d of %d opportunistic accelerators",
+		    job->bucket->tenant->name, job->bucket->tenant->used,
+		    job->bucket->tenant->quota);
+	else if (cells_find(placement->cells, &shape, false, places, NULL, NULL,
+		     &why) != 0)
+		g_string_append_printf(
+		    out, "; outside guarantees: %s", why.text);
+	if (placement->reservation.job == job)
+		g_string_append_printf(out,
+		    "; %d places from worker %s on are reserved for it",
+		    shape.members, placement->reservation.places[0].worker);
+	else if (placement->reservation.job != NULL)
+		g_string_append_printf(out,
+		    "; a reservation is held for job %s",
+		    placement->reservation.job->id);
+}
+
+/* See placement.h. */
+int
+placement_explain(
+    const placement_t *placement, const char *id, int64_t now_ms, GString *out)
+{
+	static const char *const adjacencies[] = {
+	    [ADJACENT_ANY] = "any",
+	    [ADJACENT_DOMAIN] = "domain",
+	    [ADJACENT_RACK] = "rack",
+	    [ADJACENT_WORKER] = "worker",
+	};
+	const pjob_t *job = placement_find(placement, id);
+
+	if (job == NULL)
+		return -ENOENT;
+	g_string_append_printf(out,
+	    "%s, %d x %d accelerators, adjacency %s, for %" G_GINT64_FORMAT
+	    " ms: %s",
+	    state_text(job), job->bucket->shape->members,
+	    job->bucket->shape->accelerators,
+	    adjacencies[job->bucket->shape->adjacency],
+	    now_ms - job->submitted_ms, job->rule);
+	if (job->state == PJOB_WAITING)
+		explain_waiting(placement, job, out);
+	if (job->state == PJOB_DRAINING || job->state == PJOB_MIGRATING)
+		g_string_append_printf(out, " for job %s", job->claimant);
+	return 0;
+}
--- /dev/null
+++ b/policy/placement_health.c
@@ -0,0 +1,86 @@
+#include "policy/placement_private.h"
+
+#define HEALTH_CHECK_MS 200
+
+/* A rack with this many workers in quarantine is not used at all. */
+#define RACK_SUSPECT_WORKERS 3
+
+/* See placement.h. */
+bool
+placement_failed_on(
+    placement_t *placement, const char *id, const char *worker, int64_t now_ms)
+{
+	pjob_t *job = placement_find(placement, id);
+
+	if (job == NULL)
+		return false;
+	placement->health_checked_ms = 0;
+	return health_failed(placement->health, worker, &job->failures,
+		   now_ms) == HEALTH_BLAME_REQUEST;
+}
+
+/* Counts the workers of each rack that are in quarantine. */
+static GHashTable *
+quarantined_by_rack(const placement_t *placement, int64_t now_ms)
+{
+	GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter iter;
+	void *worker;
+	void *rack;
+
+	g_hash_table_iter_init(&iter, placement->workers);
+	while (g_hash_table_iter_next(&iter, &worker, &rack)) {
+		int count = GPOINTER_TO_INT(g_hash_table_lookup(counts, rack));
+
+		if (health_is_quarantined(placement->health, worker, now_ms))
+			g_hash_table_insert(
+			    counts, rack, GINT_TO_POINTER(count + 1));
+	}
+	return counts;
+}
+
+/* Takes a worker out of use, or back into it. */
+static void
+set_suspect(placement_t *placement, const char *worker, bool suspect)
+{
+	if (suspect == g_hash_table_contains(placement->suspects, worker))
+		return;
+	if (suspect)
+		g_hash_table_add(placement->suspects, g_strdup(worker));
+	else
+		g_hash_table_remove(placement->suspects, worker);
+	cells_set_usable(placement->cells, worker, !suspect);
+	placement->version++;
+	placement->hardware_version++;
+	placement_drop_reservation(placement);
+}
+
+/*
+ * Brings the usable hardware in line with the health of workers and racks.  A
+ * worker whose quarantine is over is used again; its next job is the trial.
+ */
+void
+placement_check_health(placement_t *placement, int64_t now_ms)
+{
+	GHashTable *counts;
+	GHashTableIter iter;
+	void *worker;
+	void *rack;
+
+	if (health_quarantine_count(placement->health) == 0 ||
+	    now_ms - placement->health_checked_ms < HEALTH_CHECK_MS)
+		return;
+	placement->health_checked_ms = now_ms;
+	counts = quarantined_by_rack(placement, now_ms);
+	g_hash_table_iter_init(&iter, placement->workers);
+	while (g_hash_table_iter_next(&iter, &worker, &rack)) {
+		int in_rack =
+		    GPOINTER_TO_INT(g_hash_table_lookup(counts, rack));
+
+		set_suspect(placement, worker,
+		    in_rack >= RACK_SUSPECT_WORKERS ||
+			health_is_quarantined(
+			    placement->health, worker, now_ms));
+	}
+	g_hash_table_unref(counts);
+}
