--- a/state/replica.c
+++ b/state/replica.c
@@ -17,23 +17,6 @@
 
 /* ---- committed entries ---- */
 
-static void
-entry_free(raft_entry_t *entry)
-{
-	g_free(entry->data.body_t_val);
-	g_free(entry);
-}
-
-static raft_entry_t *
-entry_copy(const raft_entry_t *entry)
-{
-	raft_entry_t *copy = g_memdup2(entry, sizeof(*entry));
-
-	copy->data.body_t_val =
-	    g_memdup2(entry->data.body_t_val, entry->data.body_t_len);
-	return copy;
-}
-
 static str_t
 entry_bytes(const raft_entry_t *entry)
 {
@@ -111,72 +94,6 @@
 	replica_proposals_leader_changed(replica);
 }
 
-static void
-set_snapshot(replica_t *replica, GBytes *data, uint64_t index, uint64_t term,
-    const raft_members_t *members)
-{
-	if (replica->snapshot != NULL)
-		g_bytes_unref(replica->snapshot);
-	replica->snapshot = data;
-	replica->snapshot_index = index;
-	replica->snapshot_term = term;
-	storage_members_clear(&replica->snapshot_members);
-	storage_members_copy(&replica->snapshot_members, members);
-}
-
-/* Serializes the machine; the storage thread makes it durable. */
-static void
-take_snapshot(replica_t *replica)
-{
-	GByteArray *bytes = g_byte_array_new();
-	int64_t start_us = clock_mono_us();
-	int code = machine_save(replica->machine, bytes);
-	int64_t took_us = clock_mono_us() - start_us;
-	guint len = bytes->len;
-
-	if (code != 0) {
-		g_byte_array_unref(bytes);
-		log_line(LOG_ERR, "snapshot: not serialized: error %d", -code);
-		return;
-	}
-	counter_add(replica->snapshots, 1);
-	histogram_record(replica->snapshot_time, took_us);
-	log_line(LOG_INFO,
-	    "snapshot: index %llu, %u bytes, serialized in %lld us",
-	    (unsigned long long)replica->applied_index, len,
-	    (long long)took_us);
-	replica->saving_snapshot = true;
-	replica->next_snapshot = g_byte_array_free_to_bytes(bytes);
-	replica->next_index = replica->applied_index;
-	replica->next_term = replica->applied_term;
-	storage_members_clear(&replica->next_members);
-	storage_members_copy(&replica->next_members, &replica->members);
-	storage_save_snapshot(replica->storage, replica->next_index,
-	    replica->next_term, &replica->next_members, replica->next_snapshot);
-}
-
-/*
- * Shortens the log every snapshot_entries applied entries.  A learner without a
- * disk never sends a snapshot, so it needs none to forget its log.
- */
-static void
-maybe_snapshot(replica_t *replica)
-{
-	uint64_t since = replica->applied_index - replica->trim_index;
-
-	if (replica->broken ||
-	    since < (uint64_t)replica->settings->snapshot_entries)
-		return;
-	if (replica->storage == NULL) {
-		replica->trim_index = replica->applied_index;
-		raft_compacted(replica->raft, replica->applied_index,
-		    replica->applied_term);
-	} else if (!replica->saving_snapshot && replica->storage_code == 0) {
-		replica->trim_index = replica->applied_index;
-		take_snapshot(replica);
-	}
-}
-
 /*
  * Follows every call into raft: applies what became committed and informs those
  * who wait.  Callbacks run here, when raft is not in the middle of a step.
@@ -199,11 +116,11 @@
 			else
 				apply_command(replica, entry);
 		}
-		entry_free(entry);
+		replica_entry_free(entry);
 	}
 	replica_proposals_progress(replica);
 	note_confirmation(replica);
-	maybe_snapshot(replica);
+	replica_maybe_snapshot(replica);
 	replica->delivering = false;
 }
 
@@ -260,65 +177,7 @@
 {
 	replica_t *replica = ctx;
 
-	g_queue_push_tail(&replica->committed, entry_copy(entry));
-}
-
-static void
-on_snapshot_read(void *ctx, uint64_t *index, uint64_t *term,
-    const uint8_t **data, size_t *len, raft_members_t *members)
-{
-	replica_t *replica = ctx;
-
-	*index = 0;
-	*term = 0;
-	*data = NULL;
-	*len = 0;
-	*members = (raft_members_t){0};
-	if (replica->snapshot == NULL)
-		return;
-	*index = replica->snapshot_index;
-	*term = replica->snapshot_term;
-	*data = g_bytes_get_data(replica->snapshot, len);
-	*members = replica->snapshot_members;
-}
-
-static void
-load_machine(replica_t *replica, const void *data, size_t len, uint64_t index,
-    uint64_t term, const raft_members_t *members)
-{
-	if (machine_load(replica->machine, (str_t){data, len}) != 0) {
-		log_line(LOG_CRIT,
-		    "snapshot: index %llu has an unknown format; this instance "
-		    "applies nothing more",
-		    (unsigned long long)index);
-		replica->broken = true;
-		return;
-	}
-	replica->applied_index = index;
-	replica->applied_term = term;
-	replica->trim_index = index;
-	storage_members_clear(&replica->members);
-	storage_members_copy(&replica->members, members);
-}
-
-static void
-on_snapshot_install(void *ctx, uint64_t index, uint64_t term,
-    const uint8_t *data, size_t len, const raft_members_t *members)
-{
-	replica_t *replica = ctx;
-	raft_entry_t *entry;
-
-	/* Entries committed before are part of the snapshot. */
-	while ((entry = g_queue_pop_head(&replica->committed)) != NULL)
-		entry_free(entry);
-	log_line(LOG_NOTICE, "snapshot: index %llu received, %zu bytes",
-	    (unsigned long long)index, len);
-	load_machine(replica, data, len, index, term, members);
-	if (replica->storage == NULL)
-		return;
-	set_snapshot(replica, g_bytes_new(data, len), index, term, members);
-	storage_save_snapshot(
-	    replica->storage, index, term, members, replica->snapshot);
+	g_queue_push_tail(&replica->committed, replica_entry_copy(entry));
 }
 
 static void
@@ -339,103 +198,6 @@
 	    names[state]);
 }
 
-/* ---- storage ---- */
-
-static void
-snapshot_saved(replica_t *replica, const storage_event_t *event)
-{
-	if (replica->saving_snapshot && event->index == replica->next_index) {
-		/* A received snapshot may have overtaken it. */
-		if (event->index > replica->snapshot_index)
-			set_snapshot(replica,
-			    g_bytes_ref(replica->next_snapshot),
-			    replica->next_index, replica->next_term,
-			    &replica->next_members);
-		g_bytes_unref(replica->next_snapshot);
-		replica->next_snapshot = NULL;
-		replica->saving_snapshot = false;
-	}
-	raft_compacted(replica->raft, event->index, event->term);
-}
-
-static void
-on_storage(void *ctx, const storage_event_t *event)
-{
-	replica_t *replica = ctx;
-	int64_t now_ms = clock_mono_ms();
-
-	switch (event->kind) {
-	case STORAGE_SYNCED:
-		raft_synced(replica->raft, event->ticket, now_ms);
-		break;
-	case STORAGE_SNAPSHOT_SAVED:
-		snapshot_saved(replica, event);
-		break;
-	case STORAGE_FAILED:
-		log_err(LOG_CRIT, &event->err);
-		replica->storage_code =
-		    event->err.code == -ENOSPC ? -ENOSPC : -EROFS;
-		raft_storage_failed(replica->raft, now_ms);
-		break;
-	}
-	replica_deliver(replica);
-}
-
-static void
-collect_entry(void *ctx, const raft_entry_t *entry)
-{
-	g_ptr_array_add(ctx, entry_copy(entry));
-}
-
-static int
-load_snapshot(replica_t *replica, wal_t *wal, err_t *err)
-{
-	GByteArray *data = g_byte_array_new();
-	raft_members_t members = {0};
-	uint64_t index;
-	uint64_t term;
-
-	if (wal_load_snapshot(wal, &index, &term, &members, data, err) != 0) {
-		g_byte_array_unref(data);
-		return err->code;
-	}
-	load_machine(replica, data->data, data->len, index, term, &members);
-	set_snapshot(
-	    replica, g_byte_array_free_to_bytes(data), index, term, &members);
-	storage_members_clear(&members);
-	if (replica->broken)
-		return err_set(err, -EBADMSG, "snapshot load",
-		    replica->settings->data_folder,
-		    "written by another version");
-	return 0;
-}
-
-/* Opens the data folder; entries get what the log holds after the snapshot. */
-static int
-open_storage(replica_t *replica, GPtrArray *entries, err_t *err)
-{
-	const char *folder = replica->settings->data_folder;
-	wal_t *wal;
-
-	if (g_mkdir_with_parents(folder, 0700) != 0)
-		return err_set(err, -errno, "create folder", folder,
-		    "data folder cannot be made");
-	wal = wal_open(folder, &replica->saved, collect_entry, entries, err);
-	if (wal == NULL)
-		return err->code;
-	if (replica->saved.snapshot_index > 0 &&
-	    load_snapshot(replica, wal, err) != 0) {
-		wal_close(wal);
-		return err->code;
-	}
-	replica->may_bootstrap = replica->saved.term == 0 &&
-				 replica->saved.snapshot_index == 0 &&
-				 entries->len == 0;
-	replica->storage =
-	    storage_start(replica->loop, wal, on_storage, replica);
-	return 0;
-}
-
 /* ---- start and end ---- */
 
 static raft_members_t
@@ -471,8 +233,8 @@
 	    .truncate = on_truncate,
 	    .sync = on_sync,
 	    .apply = on_apply,
-	    .snapshot_read = on_snapshot_read,
-	    .snapshot_install = on_snapshot_install,
+	    .snapshot_read = replica_snapshot_read,
+	    .snapshot_install = replica_snapshot_install,
 	    .state_changed = on_state_changed,
 	};
 	const settings_t *settings = replica->settings;
@@ -540,6 +302,8 @@
 	    "replica_forwarded_total", "proposals sent to a leader elsewhere");
 	replica->snapshots =
 	    counter_get("replica_snapshots_total", "snapshots taken");
+	replica->snapshots_received = counter_get(
+	    "replica_snapshots_received_total", "snapshots received");
 	replica->snapshot_time = histogram_get(
 	    "replica_snapshot_seconds", "time to serialize the state machine");
 	return replica;
@@ -555,11 +319,11 @@
     endpoint_t *endpoint, uint64_t incarnation, err_t *err)
 {
 	GPtrArray *entries =
-	    g_ptr_array_new_with_free_func((GDestroyNotify)entry_free);
+	    g_ptr_array_new_with_free_func((GDestroyNotify)replica_entry_free);
 	replica_t *replica = replica_new(loop, settings, endpoint, incarnation);
 
 	if (settings->role_replica &&
-	    open_storage(replica, entries, err) != 0) {
+	    replica_open_storage(replica, entries, err) != 0) {
 		g_ptr_array_unref(entries);
 		replica_destroy(replica);
 		return NULL;
@@ -594,7 +358,7 @@
 	raft_destroy(replica->raft);
 	machine_destroy(replica->machine);
 	while ((entry = g_queue_pop_head(&replica->committed)) != NULL)
-		entry_free(entry);
+		replica_entry_free(entry);
 	if (replica->snapshot != NULL)
 		g_bytes_unref(replica->snapshot);
 	if (replica->next_snapshot != NULL)
--- a/state/replica_private.h
+++ b/state/replica_private.h
@@ -110,6 +110,7 @@
 	counter_t *proposed;
 	counter_t *forwarded;
 	counter_t *snapshots;
+	counter_t *snapshots_received;
 	histogram_t *snapshot_time;
 };
 
@@ -117,6 +118,16 @@
 void replica_create_raft(replica_t *replica, bool may_bootstrap);
 void replica_deliver(replica_t *replica);
 
+/* replica_storage.c */
+raft_entry_t *replica_entry_copy(const raft_entry_t *entry);
+void replica_entry_free(raft_entry_t *entry);
+void replica_maybe_snapshot(replica_t *replica);
+void replica_snapshot_read(void *ctx, uint64_t *index, uint64_t *term,
+    const uint8_t **data, size_t *len, raft_members_t *members);
+void replica_snapshot_install(void *ctx, uint64_t index, uint64_t term,
+    const uint8_t *data, size_t len, const raft_members_t *members);
+int replica_open_storage(replica_t *replica, GPtrArray *entries, err_t *err);
+
 /* replica_proposals.c */
 void replica_proposals_init(replica_t *replica);
 void replica_proposals_clear(replica_t *replica);
