state: count only voters that answered as safe for a replacement

Found by a trial of test_replica: a voter that had not answered since the leadership began, and whose disk was not recorded, passed as caught up.

--- a/state/replica_members.c
+++ b/state/replica_members.c
@@ -397,6 +397,29 @@
 	replica_deliver(replica);
 }
 
+/* Whether a replica votes with the disk of its record and has caught up. */
+static bool
+is_sound_voter(const replica_t *replica, const char *id, int64_t now_ms)
+{
+	const raft_member_t *member = find_member(&replica->members, id);
+	const seen_t *seen = g_hash_table_lookup(replica->seen, id);
+	const raft_t *raft = replica->raft;
+	int64_t silent_ms;
+
+	if (member == NULL || member->role != MEMBER_VOTER ||
+	    (seen != NULL && seen->replace_wanted))
+		return false;
+	if (strcmp(id, replica->settings->instance) == 0)
+		return member->disk_id == replica->saved.disk_id;
+	silent_ms = raft_member_silent_ms(raft, id, now_ms);
+	/* Silence counts from the start of the leadership at first. */
+	return seen != NULL && seen->disk_id == member->disk_id &&
+	       silent_ms < LOST_MS &&
+	       silent_ms < now_ms - replica->leader_since_ms &&
+	       raft_member_match(raft, id) + SAFE_ENTRIES >=
+		   raft_commit_index(raft);
+}
+
 /*
  * Whether another replica may be replaced now.  Only the leader can tell: every
  * replica of the settings must be a voter with the disk of its record, in
@@ -406,28 +429,14 @@
 replica_safe_to_replace(const replica_t *replica)
 {
 	const settings_t *settings = replica->settings;
-	const raft_t *raft = replica->raft;
 	int64_t now_ms = clock_mono_ms();
 
-	if (raft_state(raft) != RAFT_LEADER || !replica_is_confirmed(replica))
+	if (raft_state(replica->raft) != RAFT_LEADER ||
+	    !replica_is_confirmed(replica))
 		return false;
 	for (size_t i = 0; i < settings->peer_count; i++) {
-		const settings_peer_t *peer = &settings->peers[i];
-		const raft_member_t *member =
-		    find_member(&replica->members, peer->id);
-		const seen_t *seen =
-		    g_hash_table_lookup(replica->seen, peer->id);
-
-		if (!peer->is_replica)
-			continue;
-		if (member == NULL || member->role != MEMBER_VOTER ||
-		    raft_member_silent_ms(raft, peer->id, now_ms) >= LOST_MS ||
-		    raft_member_match(raft, peer->id) + SAFE_ENTRIES <
-			raft_commit_index(raft))
-			return false;
-		if (seen != NULL && (seen->replace_wanted ||
-					(seen->disk_id != 0 &&
-					    seen->disk_id != member->disk_id)))
+		if (settings->peers[i].is_replica &&
+		    !is_sound_voter(replica, settings->peers[i].id, now_ms))
 			return false;
 	}
 	return true;
