--- a/entry/workers.c
+++ b/entry/workers.c
@@ -197,14 +197,15 @@
 }
 
 static void
-queue_seen(entry_t *entry, const machine_worker_t *worker, int running)
+queue_seen(entry_t *entry, const machine_worker_t *worker, int64_t seen_ms,
+    int running)
 {
 	GArray *items = g_hash_table_lookup(entry->seen, worker->owner);
 	seen_item_t item = {.worker = g_strdup(worker->id),
 	    .generation = worker->generation,
 	    .running = running,
-	    /* Holds the time itself until the batch is sent. */
-	    .age_ms = (int)(clock_mono_ms() - entry->seen_sent_ms)};
+	    /* Counted from the last batch until this one is sent. */
+	    .age_ms = (int)(seen_ms - entry->seen_sent_ms)};
 
 	if (items == NULL) {
 		items = g_array_new(FALSE, TRUE, sizeof(seen_item_t));
@@ -218,6 +219,20 @@
 		clear_item(&item);
 }
 
+/* Renews the lease here and, in the next batch, at the owner. */
+static void
+pass_on_seen(entry_t *entry, const char *id, uint64_t generation,
+    int64_t seen_ms, int running)
+{
+	const machine_worker_t *worker =
+	    machine_worker(entry_machine(entry), id);
+
+	note_seen(entry, id, generation, seen_ms, false);
+	if (worker != NULL && worker->generation == generation &&
+	    !entry_is_self(entry, worker->owner))
+		queue_seen(entry, worker, seen_ms, running);
+}
+
 static void
 send_seen(entry_t *entry, int64_t now_ms)
 {
@@ -281,6 +296,7 @@
 	char *id;
 	int64_t seen_ms;
 	uint64_t generation;
+	int running;
 	bool told_owner;
 	bool leaving;
 } pending_t;
@@ -320,8 +336,8 @@
 		    "bad_request", "", 0, "%.200s", result->text);
 	} else {
 		workers_sync_one(entry, pending->id);
-		note_seen(entry, pending->id, pending->generation,
-		    pending->seen_ms, false);
+		pass_on_seen(entry, pending->id, pending->generation,
+		    pending->seen_ms, pending->running);
 		answer_announcement(entry, pending->http, pending->id);
 	}
 	g_rc_box_release(pending->handle);
@@ -335,10 +351,13 @@
 {
 	command_t command = {.kind = COMMAND_WORKER_ADD};
 	worker_command_t *worker = &command.command_t_u.worker;
+	pending_t *pending =
+	    pending_create(entry, http, given->id, (uint64_t)given->generation);
 	GHashTable *counts = ownership_count(entry);
 	const char *owner =
 	    ownership_choose(entry, counts, given->id, given->domain, NULL);
 
+	pending->running = (int)given->running;
 	g_hash_table_unref(counts);
 	if (known != NULL)
 		owner = known->owner;
@@ -356,9 +375,7 @@
 	worker->owner = (char *)owner;
 	worker->time_ms = clock_real_ms();
 	replica_propose(entry->replica, &command, PROPOSE_DEADLINE_MS,
-	    on_committed,
-	    pending_create(
-		entry, http, given->id, (uint64_t)given->generation));
+	    on_committed, pending);
 }
 
 /*
@@ -379,10 +396,8 @@
 	if (known == NULL || known->generation != (uint64_t)given.generation) {
 		propose_worker(entry, http, &given, known);
 	} else {
-		note_seen(entry, known->id, known->generation, clock_mono_ms(),
-		    false);
-		if (!entry_is_self(entry, known->owner))
-			queue_seen(entry, known, (int)given.running);
+		pass_on_seen(entry, known->id, known->generation,
+		    clock_mono_ms(), (int)given.running);
 		answer_announcement(entry, http, known->id);
 	}
 	json_decref(root);
--- a/tests/unit/entry_fakes.h
+++ b/tests/unit/entry_fakes.h
@@ -39,6 +39,7 @@
 	commit_t commit;
 	bool confirmed;
 	bool starting;
+	bool hold; /* proposals wait */
 	instance_t instances[MAX_INSTANCES];
 	int instance_count;
 	GQueue proposals;
@@ -197,14 +198,15 @@
 static void
 fake_turn(struct ev_loop *loop, ev_idle *watcher, int events)
 {
-	guint proposals = fake.proposals.length;
+	guint proposals = fake.hold ? 0 : fake.proposals.length;
 	guint messages = fake.messages.length;
 
 	while (proposals-- > 0)
 		fake_commit(g_queue_pop_head(&fake.proposals));
 	while (messages-- > 0)
 		fake_deliver(g_queue_pop_head(&fake.messages));
-	if (fake.proposals.length + fake.messages.length == 0)
+	if ((fake.hold || fake.proposals.length == 0) &&
+	    fake.messages.length == 0)
 		ev_idle_stop(loop, watcher);
 }
 
