policy: add the gang protocol as a pure state machine

Need: the steps between a decision and a running gang have to hold through the death of the placer, refusals and cuts between any two messages.

Ruled out: ending an attempt by time alone after a takeover. An isolated predecessor may still renew leases, so the clock starts with the first confirmed stop, after which the predecessor finds its renewal refused.

Change: one state machine for an attempt, following charts/job.chart and charts/task.chart.

--- /dev/null
+++ b/policy/gang.c
@@ -0,0 +1,644 @@
+#include "policy/gang.h"
+
+#include <errno.h>
+#include <glib.h>
+
+#include "common/chart.h"
+
+#define PROPOSE_AGAIN_MS 500
+#define NEVER INT64_MAX
+
+typedef enum {
+	PHASE_NEW,
+	PHASE_START_PROPOSED,
+	PHASE_RESERVING,
+	PHASE_GO_PROPOSED,
+	PHASE_STARTING,
+	PHASE_RUNNING,
+	PHASE_STOPPING,
+	PHASE_END_PROPOSED,
+	PHASE_OVER,
+} phase_t;
+
+typedef struct {
+	int state;               /* of charts/task.chart */
+	gang_action_kind_t call; /* made last */
+	bool pending;            /* the last call has no answer yet */
+	int64_t called_ms;
+	int64_t leased_ms; /* end of the longest lease it may have */
+	int64_t heard_ms;  /* last sign of life */
+	bool finished;     /* done or failed by itself */
+} member_t;
+
+struct gang_t {
+	const chart_t *job_chart;
+	const chart_t *task_chart;
+	gang_act_t *act;
+	void *ctx;
+	phase_t phase;
+	int job_state; /* of charts/job.chart, as in the log */
+	int members;
+	member_t *member;
+	int64_t now_ms;
+	int64_t phase_ms;    /* start of the phase */
+	int64_t proposed_ms; /* NEVER: no proposal is to be repeated */
+	int64_t renewed_ms;
+	bool renewals_held;
+	bool resumed;        /* a predecessor may still renew leases */
+	bool stop_confirmed; /* one member at least */
+	int failed;
+	job_end_t end;
+	const char *reason;
+};
+
+/* Creates the protocol for one attempt; act is called for each action. */
+gang_t *
+gang_create(int members, gang_act_t *act, void *ctx)
+{
+	gang_t *gang = g_new0(gang_t, 1);
+
+	gang->job_chart = chart_builtin("job");
+	gang->task_chart = chart_builtin("task");
+	gang->act = act;
+	gang->ctx = ctx;
+	gang->members = members;
+	gang->member = g_new0(member_t, (gsize)members);
+	gang->job_state = chart_initial(gang->job_chart);
+	gang->failed = -1;
+	gang->proposed_ms = NEVER;
+	gang->reason = "";
+	for (int m = 0; m < members; m++)
+		gang->member[m].state = chart_initial(gang->task_chart);
+	return gang;
+}
+
+void
+gang_destroy(gang_t *gang)
+{
+	if (gang == NULL)
+		return;
+	g_free(gang->member);
+	g_free(gang);
+}
+
+static bool
+job_is(const gang_t *gang, const char *state)
+{
+	return gang->job_state == chart_state(gang->job_chart, state);
+}
+
+static bool
+task_is(const gang_t *gang, int member, const char *state)
+{
+	return gang->member[member].state ==
+	       chart_state(gang->task_chart, state);
+}
+
+/* Follows a member along charts/task.chart; unknown steps change nothing. */
+static void
+task_step(gang_t *gang, int member, const char *event)
+{
+	chart_step(gang->task_chart, &gang->member[member].state, event);
+}
+
+/* Calls a member's backend server. */
+static void
+call(gang_t *gang, int member, gang_action_kind_t kind)
+{
+	member_t *m = &gang->member[member];
+	gang_action_t action = {
+	    .kind = kind, .member = member, .reason = gang->reason};
+
+	m->call = kind;
+	m->pending = true;
+	m->called_ms = gang->now_ms;
+	/* Of a predecessor's renewals only a confirmed stop tells the end. */
+	if ((kind == GANG_RESERVE || kind == GANG_START ||
+		kind == GANG_RENEW) &&
+	    (!gang->resumed || gang->stop_confirmed))
+		m->leased_ms = gang->now_ms + GANG_CALL_MS + GANG_LEASE_MS;
+	gang->act(gang->ctx, &action);
+}
+
+static void
+propose(gang_t *gang, gang_action_kind_t kind)
+{
+	gang_action_t action = {.kind = kind,
+	    .member = -1,
+	    .end = gang->end,
+	    .reason = gang->reason};
+
+	gang->proposed_ms = NEVER;
+	gang->act(gang->ctx, &action);
+}
+
+static void
+enter(gang_t *gang, phase_t phase)
+{
+	gang->phase = phase;
+	gang->phase_ms = gang->now_ms;
+	gang->proposed_ms = NEVER;
+}
+
+static void
+finish(gang_t *gang)
+{
+	gang_action_t action = {.kind = GANG_OVER, .member = -1};
+
+	if (gang->phase == PHASE_OVER)
+		return;
+	enter(gang, PHASE_OVER);
+	gang->act(gang->ctx, &action);
+}
+
+/* Whether the member certainly neither runs nor stays reserved. */
+static bool
+is_settled(const gang_t *gang, int member)
+{
+	const member_t *m = &gang->member[member];
+
+	return m->finished || task_is(gang, member, "stopped") ||
+	       gang->now_ms >= m->leased_ms;
+}
+
+/* Chooses the end that the job's state in the log allows. */
+static void
+choose_end(gang_t *gang)
+{
+	if (job_is(gang, "stopping"))
+		gang->end = JOB_END_STOPPED;
+	else if (job_is(gang, "starting"))
+		gang->end = JOB_END_ABORTED;
+	else if (gang->end == JOB_END_ABORTED || gang->end == JOB_END_STOPPED)
+		gang->end = JOB_END_LOST;
+}
+
+/* Proposes the end once no member can run or stay reserved. */
+static void
+end_if_settled(gang_t *gang)
+{
+	if (gang->phase != PHASE_STOPPING)
+		return;
+	for (int m = 0; m < gang->members; m++) {
+		if (!is_settled(gang, m))
+			return;
+	}
+	choose_end(gang);
+	enter(gang, PHASE_END_PROPOSED);
+	propose(gang, GANG_PROPOSE_END);
+}
+
+/* Stops every member; the attempt ends once all have stopped. */
+static void
+stop_all(gang_t *gang, job_end_t end, const char *reason)
+{
+	if (gang->phase >= PHASE_STOPPING)
+		return;
+	gang->end = end;
+	gang->reason = reason;
+	enter(gang, PHASE_STOPPING);
+	for (int m = 0; m < gang->members; m++) {
+		if (!gang->member[m].finished)
+			call(gang, m, GANG_STOP);
+	}
+	end_if_settled(gang);
+}
+
+/* Proposes the start of an attempt that was decided here. */
+void
+gang_begin(gang_t *gang, int64_t now_ms)
+{
+	gang->now_ms = now_ms;
+	enter(gang, PHASE_START_PROPOSED);
+	propose(gang, GANG_PROPOSE_START);
+}
+
+static void
+start_all(gang_t *gang)
+{
+	enter(gang, PHASE_STARTING);
+	for (int m = 0; m < gang->members; m++)
+		call(gang, m, GANG_START);
+}
+
+/* See gang.h. */
+void
+gang_resume(gang_t *gang, const char *job_state, int64_t now_ms)
+{
+	gang->now_ms = now_ms;
+	gang->resumed = true;
+	gang->job_state = chart_state(gang->job_chart, job_state);
+	for (int m = 0; m < gang->members; m++) {
+		gang->member[m].heard_ms = now_ms;
+		/* Until a stop is confirmed a predecessor may renew. */
+		gang->member[m].leased_ms = NEVER;
+	}
+	if (job_is(gang, "running"))
+		start_all(gang);
+	else if (job_is(gang, "starting"))
+		stop_all(gang, JOB_END_ABORTED, "the placer was replaced");
+	else if (job_is(gang, "stopping"))
+		stop_all(gang, JOB_END_STOPPED, "cancelled");
+	else
+		finish(gang);
+}
+
+/* The start is in the log: reserves every member. */
+static void
+start_applied(gang_t *gang)
+{
+	if (job_is(gang, "waiting"))
+		chart_step(gang->job_chart, &gang->job_state, "start");
+	enter(gang, PHASE_RESERVING);
+	if (job_is(gang, "stopping")) {
+		stop_all(gang, JOB_END_STOPPED, "cancelled");
+		return;
+	}
+	for (int m = 0; m < gang->members; m++)
+		call(gang, m, GANG_RESERVE);
+}
+
+static void
+proposal_applied(gang_t *gang, gang_action_kind_t kind)
+{
+	if (kind == GANG_PROPOSE_START) {
+		start_applied(gang);
+	} else if (kind == GANG_PROPOSE_GO) {
+		if (job_is(gang, "starting"))
+			chart_step(gang->job_chart, &gang->job_state, "go");
+		start_all(gang);
+	} else {
+		finish(gang);
+	}
+}
+
+/* See gang.h. */
+void
+gang_proposed(gang_t *gang, gang_action_kind_t kind, int code, int64_t now_ms)
+{
+	static const phase_t awaited[] = {
+	    [GANG_PROPOSE_START] = PHASE_START_PROPOSED,
+	    [GANG_PROPOSE_GO] = PHASE_GO_PROPOSED,
+	    [GANG_PROPOSE_END] = PHASE_END_PROPOSED,
+	};
+
+	gang->now_ms = now_ms;
+	if (kind > GANG_PROPOSE_END || gang->phase != awaited[kind])
+		return;
+	if (code == -ESTALE || code == -ENOENT) {
+		/* Another placer or attempt has the job. */
+		finish(gang);
+	} else if (code == 0) {
+		proposal_applied(gang, kind);
+	} else if (kind == GANG_PROPOSE_START && code != -ETIMEDOUT) {
+		finish(gang);
+	} else if (kind == GANG_PROPOSE_GO && code == -EALREADY) {
+		stop_all(gang, JOB_END_ABORTED, "the attempt may not go on");
+	} else {
+		gang->proposed_ms = now_ms;
+	}
+}
+
+static bool
+all_are(const gang_t *gang, const char *state)
+{
+	for (int m = 0; m < gang->members; m++) {
+		if (!task_is(gang, m, state))
+			return false;
+	}
+	return true;
+}
+
+/* All members are reserved: the attempt may go. */
+static void
+reserved(gang_t *gang)
+{
+	if (gang->phase != PHASE_RESERVING || !all_are(gang, "reserved"))
+		return;
+	enter(gang, PHASE_GO_PROPOSED);
+	propose(gang, GANG_PROPOSE_GO);
+}
+
+/* Whether every member has been seen to run, or has finished. */
+static void
+started(gang_t *gang)
+{
+	bool all_finished = true;
+
+	if (gang->phase != PHASE_STARTING && gang->phase != PHASE_RUNNING)
+		return;
+	for (int m = 0; m < gang->members; m++) {
+		if (!gang->member[m].finished && !task_is(gang, m, "running"))
+			return;
+		all_finished &= gang->member[m].finished;
+	}
+	if (gang->phase == PHASE_STARTING) {
+		enter(gang, PHASE_RUNNING);
+		gang->renewed_ms = gang->now_ms;
+	}
+	if (!all_finished)
+		return;
+	gang->end = JOB_END_DONE;
+	gang->reason = "";
+	enter(gang, PHASE_END_PROPOSED);
+	propose(gang, GANG_PROPOSE_END);
+}
+
+/* Takes in the state that a backend server reports of a member. */
+static void
+member_reported(gang_t *gang, int member, gang_answer_t answer)
+{
+	member_t *m = &gang->member[member];
+
+	m->heard_ms = gang->now_ms;
+	switch (answer) {
+	case GANG_IS_RESERVED:
+		task_step(gang, member, "reserve");
+		break;
+	case GANG_IS_RUNNING:
+		task_step(gang, member, "run");
+		task_step(gang, member, "start");
+		break;
+	case GANG_IS_DONE:
+		task_step(gang, member, "run");
+		task_step(gang, member, "start");
+		task_step(gang, member, "finish");
+		m->finished = true;
+		break;
+	case GANG_IS_FAILED:
+		m->finished = true;
+		if (gang->failed < 0)
+			gang->failed = member;
+		break;
+	case GANG_IS_STOPPED:
+		task_step(gang, member, "stop");
+		break;
+	case GANG_REFUSED:
+	case GANG_SILENT:
+		break;
+	}
+}
+
+/* A member stopped for certain: a predecessor's renewals end soon, too. */
+static void
+stop_was_confirmed(gang_t *gang)
+{
+	int64_t latest =
+	    gang->now_ms + GANG_RENEW_MS + GANG_CALL_MS + GANG_LEASE_MS;
+
+	if (gang->stop_confirmed)
+		return;
+	gang->stop_confirmed = true;
+	for (int m = 0; m < gang->members; m++)
+		gang->member[m].leased_ms =
+		    MIN(gang->member[m].leased_ms, latest);
+}
+
+/* Acts on a report according to the phase. */
+static void
+act_on_report(
+    gang_t *gang, int member, gang_action_kind_t kind, gang_answer_t answer)
+{
+	if (gang->phase == PHASE_STOPPING) {
+		if (answer == GANG_IS_STOPPED || answer == GANG_IS_DONE ||
+		    answer == GANG_IS_FAILED)
+			stop_was_confirmed(gang);
+		end_if_settled(gang);
+		return;
+	}
+	if (gang->failed >= 0) {
+		stop_all(gang, JOB_END_FAILED, "a member failed");
+		return;
+	}
+	if (kind == GANG_RESERVE &&
+	    (answer == GANG_REFUSED || answer == GANG_IS_STOPPED)) {
+		stop_all(gang, JOB_END_ABORTED, "a member was refused");
+		return;
+	}
+	if (answer == GANG_IS_STOPPED ||
+	    (answer == GANG_REFUSED && kind == GANG_START)) {
+		/* A renewal is refused for a finished member, too. */
+		if (kind == GANG_RENEW)
+			call(gang, member, GANG_POLL);
+		else
+			stop_all(gang, JOB_END_LOST, "a member was lost");
+		return;
+	}
+	reserved(gang);
+	started(gang);
+}
+
+/* Takes in the answer to a call; late and repeated answers are harmless. */
+void
+gang_answered(gang_t *gang, int member, gang_action_kind_t kind,
+    gang_answer_t answer, int64_t now_ms)
+{
+	member_t *m = &gang->member[member];
+
+	gang->now_ms = now_ms;
+	if (gang->phase == PHASE_OVER)
+		return;
+	if (m->call == kind)
+		m->pending = false;
+	if (answer == GANG_SILENT || (m->finished && kind != GANG_STOP))
+		return;
+	/* A late answer of an earlier phase proves nothing about this one. */
+	if (kind == GANG_RESERVE && gang->phase != PHASE_RESERVING)
+		return;
+	/* A renewal's refusal alone does not show that the member stopped. */
+	if (kind != GANG_RENEW || answer != GANG_IS_STOPPED)
+		member_reported(gang, member, answer);
+	act_on_report(gang, member, kind, answer);
+}
+
+/* Repeats a call to a member that has not answered. */
+static void
+call_again(gang_t *gang, int member, gang_action_kind_t kind)
+{
+	member_t *m = &gang->member[member];
+
+	if (gang->now_ms - m->called_ms >= GANG_CALL_MS)
+		call(gang, member, kind);
+}
+
+/*
+ * Renews every lease while all members were heard of lately, or none.  A member
+ * that stays silent for almost a lease is taken for lost.
+ */
+static void
+tick_running(gang_t *gang)
+{
+	bool all_alive = true;
+
+	for (int m = 0; m < gang->members; m++) {
+		const member_t *member = &gang->member[m];
+
+		if (!member->finished && gang->now_ms - member->heard_ms >=
+					     GANG_LEASE_MS - GANG_RENEW_MS) {
+			stop_all(
+			    gang, JOB_END_LOST, "a member does not answer");
+			return;
+		}
+	}
+	if (gang->renewals_held || !all_alive ||
+	    gang->now_ms - gang->renewed_ms < GANG_RENEW_MS)
+		return;
+	gang->renewed_ms = gang->now_ms;
+	for (int m = 0; m < gang->members; m++) {
+		if (!gang->member[m].finished)
+			call(gang, m, GANG_RENEW);
+	}
+	for (int m = 0; m < gang->members && gang->phase == PHASE_RUNNING;
+	     m++) {
+		if (!gang->member[m].finished)
+			call(gang, m, GANG_POLL);
+	}
+}
+
+static void
+tick_starting(gang_t *gang)
+{
+	if (gang->now_ms - gang->phase_ms >= GANG_LEASE_MS - GANG_RENEW_MS) {
+		stop_all(gang, JOB_END_LOST, "a member did not start");
+		return;
+	}
+	for (int m = 0; m < gang->members; m++) {
+		if (!gang->member[m].finished && !task_is(gang, m, "running"))
+			call_again(gang, m, GANG_START);
+	}
+}
+
+static void
+tick_reserving(gang_t *gang)
+{
+	if (gang->now_ms - gang->phase_ms >= GANG_RESERVE_LIMIT_MS) {
+		stop_all(gang, JOB_END_ABORTED, "a member does not answer");
+		return;
+	}
+	for (int m = 0; m < gang->members; m++) {
+		if (!task_is(gang, m, "reserved"))
+			call_again(gang, m, GANG_RESERVE);
+	}
+}
+
+static void
+tick_stopping(gang_t *gang)
+{
+	for (int m = 0; m < gang->members; m++) {
+		if (!gang->member[m].finished && !task_is(gang, m, "stopped"))
+			call_again(gang, m, GANG_STOP);
+	}
+	end_if_settled(gang);
+}
+
+/* Makes a proposal again whose outcome is not known. */
+static void
+tick_proposal(gang_t *gang, gang_action_kind_t kind)
+{
+	if (gang->proposed_ms != NEVER &&
+	    gang->now_ms - gang->proposed_ms >= PROPOSE_AGAIN_MS)
+		propose(gang, kind);
+}
+
+/* Repeats, renews and gives up what is due; call it every 100 ms or so. */
+void
+gang_tick(gang_t *gang, int64_t now_ms)
+{
+	gang->now_ms = now_ms;
+	switch (gang->phase) {
+	case PHASE_START_PROPOSED:
+		tick_proposal(gang, GANG_PROPOSE_START);
+		break;
+	case PHASE_RESERVING:
+		tick_reserving(gang);
+		break;
+	case PHASE_GO_PROPOSED:
+		tick_proposal(gang, GANG_PROPOSE_GO);
+		break;
+	case PHASE_STARTING:
+		tick_starting(gang);
+		break;
+	case PHASE_RUNNING:
+		tick_running(gang);
+		break;
+	case PHASE_STOPPING:
+		tick_stopping(gang);
+		break;
+	case PHASE_END_PROPOSED:
+		choose_end(gang);
+		tick_proposal(gang, GANG_PROPOSE_END);
+		break;
+	case PHASE_NEW:
+	case PHASE_OVER:
+		break;
+	}
+}
+
+/* See gang.h. */
+void
+gang_logged(gang_t *gang, const char *job_state, int64_t now_ms)
+{
+	gang->now_ms = now_ms;
+	if (gang->phase == PHASE_OVER)
+		return;
+	gang->job_state = chart_state(gang->job_chart, job_state);
+	/* The answer to the start's proposal comes separately. */
+	if (!job_is(gang, "stopping") || gang->phase == PHASE_START_PROPOSED)
+		return;
+	if (gang->phase == PHASE_END_PROPOSED && gang->end == JOB_END_DONE) {
+		/* The log refuses the proposed end; the job is cancelled. */
+		enter(gang, PHASE_STOPPING);
+		end_if_settled(gang);
+		return;
+	}
+	stop_all(gang, JOB_END_STOPPED, "cancelled");
+}
+
+/* See gang.h. */
+void
+gang_reclaim(gang_t *gang, const char *reason, int64_t now_ms)
+{
+	gang->now_ms = now_ms;
+	if (gang->phase == PHASE_RESERVING || gang->phase == PHASE_GO_PROPOSED)
+		stop_all(gang, JOB_END_ABORTED, reason);
+	else if (gang->phase != PHASE_START_PROPOSED)
+		stop_all(gang, JOB_END_RECLAIMED, reason);
+}
+
+/* See gang.h. */
+void
+gang_worker_lost(gang_t *gang, int member, int64_t now_ms)
+{
+	member_t *m = &gang->member[member];
+
+	gang->now_ms = now_ms;
+	m->leased_ms = MIN(m->leased_ms, now_ms + GANG_CALL_MS + GANG_LEASE_MS);
+	if (gang->phase > PHASE_START_PROPOSED && !m->finished)
+		stop_all(gang,
+		    job_is(gang, "starting") ? JOB_END_ABORTED : JOB_END_LOST,
+		    "a worker was lost");
+}
+
+void
+gang_hold_renewals(gang_t *gang)
+{
+	gang->renewals_held = true;
+}
+
+bool
+gang_is_running(const gang_t *gang)
+{
+	return gang->phase == PHASE_RUNNING;
+}
+
+bool
+gang_is_over(const gang_t *gang)
+{
+	return gang->phase == PHASE_OVER;
+}
+
+int
+gang_failed_member(const gang_t *gang)
+{
+	return gang->failed;
+}
