policy: test the gang protocol with a paused placer, too

Adds the missing one: a placer that pauses for 4 s and goes on when a successor has taken over. Its proposals are stale, and it must leave the attempt alone.

--- a/tests/unit/test_gang.c
+++ b/tests/unit/test_gang.c
@@ -13,6 +13,7 @@
 #define RUN_MS 6000
 #define END_MS 60000
 #define SUCCESSOR_AFTER_MS 1500
+#define PAUSE_MS 4000
 #define MAX_ACTIONS 200
 
 /* A stand-in for a backend server with one task id. */
@@ -30,6 +31,7 @@
 	FAULT_NONE,
 	FAULT_DIES_BEFORE, /* the action is not carried out */
 	FAULT_DIES_AFTER,  /* it is, but its answer is lost */
+	FAULT_PAUSED,      /* and goes on when a successor took over */
 	FAULT_ISOLATED,    /* from the log; a successor takes over */
 	FAULT_REFUSED,     /* by the member that is called */
 	FAULT_UNREACHABLE, /* that member, from then on */
@@ -48,6 +50,7 @@
 	uint64_t epoch;
 	bool alive;
 	bool isolated;
+	int64_t paused_until_ms;
 } placer_t;
 
 /* A message on its way. */
@@ -156,7 +159,9 @@
 	for (int p = 0; p < 2; p++) {
 		placer_t *placer = &world->placers[p];
 
-		if (placer->alive && !placer->isolated && placer->gang != NULL)
+		if (placer->alive && !placer->isolated &&
+		    placer->paused_until_ms <= world->now_ms &&
+		    placer->gang != NULL)
 			gang_logged(placer->gang,
 			    chart_state_name(
 				world->job_chart, world->job_state),
@@ -222,6 +227,10 @@
 	case FAULT_DIES_AFTER:
 		die(world, placer);
 		return true;
+	case FAULT_PAUSED:
+		placer->paused_until_ms = world->now_ms + PAUSE_MS;
+		world->takeover_ms = world->now_ms + SUCCESSOR_AFTER_MS;
+		return true;
 	case FAULT_ISOLATED:
 		placer->isolated = true;
 		world->takeover_ms = world->now_ms + SUCCESSOR_AFTER_MS;
@@ -338,6 +347,12 @@
 	    MAX(world->longest_partial_ms, world->partial_ms);
 }
 
+static bool
+is_paused(const placer_t *placer)
+{
+	return placer->world->now_ms < placer->paused_until_ms;
+}
+
 static void
 step(world_t *world)
 {
@@ -347,7 +362,8 @@
 		message_t message =
 		    g_array_index(world->messages, message_t, i);
 
-		if (message.due_ms > world->now_ms) {
+		if (message.due_ms > world->now_ms ||
+		    (message.is_answer && is_paused(message.placer))) {
 			i++;
 			continue;
 		}
@@ -357,7 +373,8 @@
 	if (world->takeover_ms != 0 && world->now_ms >= world->takeover_ms)
 		take_over(world);
 	for (int p = 0; p < 2; p++) {
-		if (world->placers[p].alive && world->placers[p].gang != NULL)
+		if (world->placers[p].alive && !is_paused(&world->placers[p]) &&
+		    world->placers[p].gang != NULL)
 			gang_tick(world->placers[p].gang, world->now_ms);
 	}
 }
