--- a/policy/placement.h
+++ b/policy/placement.h
@@ -99,7 +99,7 @@
     placement_t *placement, const char *job, int64_t now_ms);
 /*
  * Evidence against a worker and a job: the job failed there.  Returns whether
- * the job is to blame, as it has failed on two workers.
+ * the job is to blame, as it has failed on two workers or three times.
  */
 bool placement_failed_on(placement_t *placement, const char *job,
     const char *worker, int64_t now_ms);
--- a/policy/placement_decide.c
+++ b/policy/placement_decide.c
@@ -75,21 +75,25 @@
 	return true;
 }
 
-/* Keeps a search off the workers on which the job has failed. */
-static void
-avoid_failed(placement_t *placement, const pjob_t *job)
+/* Searches free places off the workers on which the job has failed. */
+static int
+find_elsewhere(placement_t *placement, const pjob_t *job, cells_place_t *places)
 {
-	cells_place_t places[HEALTH_BLAME_AFTER];
+	cells_shape_t wanted = placement_shape(job);
+	cells_place_t avoid[HEALTH_BLAME_AFTER];
+	int rc;
 
 	if (job->failures.failures == 0)
-		return;
+		return -ENOSPC;
 	for (int i = 0; i < job->failures.failures; i++) {
-		g_strlcpy(places[i].worker, job->failures.failed_on[i],
-		    sizeof(places[i].worker));
-		places[i].accelerator_mask = UINT32_MAX;
+		g_strlcpy(avoid[i].worker, job->failures.failed_on[i],
+		    sizeof(avoid[i].worker));
+		avoid[i].accelerator_mask = UINT32_MAX;
 	}
-	cells_hold(
-	    placement->cells, AVOID_HOLD, places, job->failures.failures);
+	cells_hold(placement->cells, AVOID_HOLD, avoid, job->failures.failures);
+	rc = cells_try(placement->cells, &wanted, false, places, NULL, NULL);
+	cells_unhold(placement->cells, AVOID_HOLD);
+	return rc;
 }
 
 /* Finds free places, else some inside the reservation. */
@@ -119,15 +123,12 @@
 claim_free(placement_t *placement, pjob_t *job, int64_t now_ms)
 {
 	cells_place_t places[MAX_MEMBERS];
-	bool backfill;
-	int rc;
+	bool backfill = false;
 
 	if (!placement_within_quota(job))
 		return false;
-	avoid_failed(placement, job);
-	rc = find_free(placement, job, now_ms, places, &backfill);
-	cells_unhold(placement->cells, AVOID_HOLD);
-	if (rc != 0 ||
+	if ((find_elsewhere(placement, job, places) != 0 &&
+		find_free(placement, job, now_ms, places, &backfill) != 0) ||
 	    placement_claim(placement, job, false, places, now_ms) != 0)
 		return false;
 	placement_dequeue(placement, job);
--- a/policy/placement_health.c
+++ b/policy/placement_health.c
@@ -2,6 +2,12 @@
 
 #define HEALTH_CHECK_MS 200
 
+/*
+ * A job that fails this often is to blame although no second worker could try
+ * it, as when a gang needs every worker.
+ */
+#define MAX_FAILED_ATTEMPTS 3
+
 /* A rack with this many workers in quarantine is not used at all. */
 #define RACK_SUSPECT_WORKERS 3
 
@@ -15,8 +21,10 @@
 	if (job == NULL)
 		return false;
 	placement->health_checked_ms = 0;
+	job->failed_attempts++;
 	return health_failed(placement->health, worker, &job->failures,
-		   now_ms) == HEALTH_BLAME_REQUEST;
+		   now_ms) == HEALTH_BLAME_REQUEST ||
+	       job->failed_attempts >= MAX_FAILED_ATTEMPTS;
 }
 
 /* Counts the workers of each rack that are in quarantine. */
--- a/policy/placement_private.h
+++ b/policy/placement_private.h
@@ -78,6 +78,7 @@
 	reclaim_step_t step;
 	char claimant[NAME_MAX_LEN + 1]; /* for whom it is reclaimed */
 	health_request_t failures;
+	int failed_attempts;
 	const char *rule; /* that decided last */
 } pjob_t;
 
