--- /dev/null
+++ b/tests/unit/machine_driver.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <glib.h>
+
+#include "state/machine.h"
+
+/* Commands for tests of the state machine. */
+
+#define DRIVER_START_MS 1800000000000 /* time of the first command */
+
+/* A machine with a log index and a result that is freed by the next command. */
+typedef struct {
+	machine_t *machine;
+	uint64_t index;
+	int64_t now_ms;
+	command_result_t result;
+} driver_t;
+
+void driver_open(driver_t *driver);
+void driver_close(driver_t *driver);
+int driver_apply(driver_t *driver, command_t *command);
+int driver_patch(
+    driver_t *driver, const char *id, uint64_t base, const char *patch);
+int driver_claim(
+    driver_t *driver, const char *key, const char *task, uint64_t digest);
+int driver_claim_end(driver_t *driver, const char *key, const char *task,
+    claim_state_t state, const char *answer, size_t len);
+int driver_worker(
+    driver_t *driver, const char *id, uint64_t generation, const char *owner);
+int driver_owner(
+    driver_t *driver, const char *id, const char *owner, uint64_t fence);
+int driver_instance(driver_t *driver, const char *id, bool alive);
+int driver_placer(
+    driver_t *driver, const char *domain, const char *instance, uint64_t epoch);
+int driver_submit(driver_t *driver, const char *id, const char *key,
+    uint64_t digest, int members, int accelerators);
+/* Member i runs on worker "w<i>" as task "<job>.<attempt>.<i>". */
+int driver_start(driver_t *driver, const char *job, uint32_t attempt,
+    uint64_t epoch, bool guaranteed, int members, uint32_t mask);
+int driver_go(
+    driver_t *driver, const char *job, uint32_t attempt, uint64_t epoch);
+int driver_end(driver_t *driver, const char *job, uint32_t attempt,
+    uint64_t epoch, job_end_t end);
+int driver_cancel(driver_t *driver, const char *job, const char *tenant);
+/* The data of the last result as text. */
+str_t driver_data(const driver_t *driver);
+GByteArray *driver_save(const driver_t *driver);
+/* Replaces the machine by one loaded from its snapshot. */
+void driver_reload(driver_t *driver);
