entry: feed the objectives from the entry task's metrics

Service and head-of-line blocking are measured by the entry task already, in its histograms and refusal counters; a second way of counting there was ruled out. The operator routes turn their increase into good and bad events: a short request answered late or refused for lack of service, and a short request that waited for a slot. A refused request was answered as well, so refusals are taken off the good events.

--- a/entry/burn.c
+++ b/entry/burn.c
@@ -22,17 +22,20 @@
     {"3d", BURN_MINUTES},
 };
 
-/* Counts one event of an objective, with the cause when it was bad. */
+/* Counts n events of an objective, with the cause when they were bad. */
 void
-objective_count(const char *objective, bool good, const char *cause)
+objective_count(const char *objective, bool good, const char *cause, int64_t n)
 {
-	char *name = good ? g_strdup_printf(GOOD_PREFIX "%s\"}", objective)
-			  : g_strdup_printf(BAD_PREFIX "%s" CAUSE_PART "%s\"}",
-				objective, cause);
+	char *name;
 
+	if (n <= 0)
+		return;
+	name = good ? g_strdup_printf(GOOD_PREFIX "%s\"}", objective)
+		    : g_strdup_printf(
+			  BAD_PREFIX "%s" CAUSE_PART "%s\"}", objective, cause);
 	counter_add(counter_get(name, good ? "Events within an objective."
 					   : "Events outside an objective."),
-	    1);
+	    n);
 	g_free(name);
 }
 
--- a/entry/burn.h
+++ b/entry/burn.h
@@ -16,8 +16,9 @@
 
 typedef struct burn_t burn_t;
 
-/* Counts one event; cause (of [a-z0-9_]) says why a bad one was bad. */
-void objective_count(const char *objective, bool good, const char *cause);
+/* Counts n events; cause (of [a-z0-9_]) says why bad ones were bad. */
+void objective_count(
+    const char *objective, bool good, const char *cause, int64_t n);
 
 burn_t *burn_create(int64_t now_ms);
 void burn_destroy(burn_t *burn);
--- a/entry/operator.c
+++ b/entry/operator.c
@@ -217,6 +217,7 @@
 {
 	operator_t *op = timer->data;
 
+	operator_feed_objectives(op);
 	burn_sample(op->burn, clock_real_ms());
 }
 
@@ -291,6 +292,7 @@
 	g_queue_free(op->waits);
 	g_queue_free(op->pending);
 	burn_destroy(op->burn);
+	g_free(op->fed);
 	g_free(op->operator_key);
 	g_free(op->reader_key);
 	g_free(op);
--- a/entry/operator_private.h
+++ b/entry/operator_private.h
@@ -19,6 +19,7 @@
 	operator_explain_t *explain;
 	void *explain_ctx;
 	burn_t *burn;
+	int64_t *fed; /* events of the entry task counted so far */
 	ev_timer burn_timer;
 	ev_timer wait_timer;
 	GQueue *waits;   /* requests that wait for a version */
@@ -62,6 +63,8 @@
 operator_handler_t operator_burn;
 operator_handler_t operator_metrics;
 
+/* Counts what the entry task's metrics say about the objectives. */
+void operator_feed_objectives(operator_t *op);
 void operator_answer_waits(operator_t *op, bool give_up);
 bool operator_is_safe(const raft_t *raft, int64_t now_ms);
 json_t *operator_reclaims(const machine_t *machine, const json_t *config);
