state: tell followers a new commit index within 1 ms

Cause: a forwarded proposal ends after the local apply, and an idle follower learned the commit index with the leader's next tick, up to 10 ms later. The leader now ticks raft once, 1 ms after its commit index grew, so that several commits share a message. Raft messages of senders that are not in the settings are ignored, which bounds what is kept per sender.

--- a/state/replica.c
+++ b/state/replica.c
@@ -14,6 +14,11 @@
 #define TICKS_PER_HEARTBEAT 10
 #define TICK_MAX_MS 10
 #define MAX_BATCH_ENTRIES 1024
+/*
+ * Followers learn a new commit index after this time at the latest, not with
+ * the next tick: they answer their own callers only after that.
+ */
+#define TELL_COMMIT_MS 1
 
 /* ---- committed entries ---- */
 
@@ -94,6 +99,30 @@
 	replica_proposals_leader_changed(replica);
 }
 
+static void
+tell_commit_soon(replica_t *replica)
+{
+	uint64_t commit = raft_commit_index(replica->raft);
+
+	if (raft_state(replica->raft) != RAFT_LEADER ||
+	    commit <= replica->told_commit ||
+	    ev_is_active(&replica->tell_commit))
+		return;
+	ev_timer_set(
+	    &replica->tell_commit, (double)TELL_COMMIT_MS / CLOCK_MS_PER_S, 0);
+	ev_timer_start(replica->loop, &replica->tell_commit);
+}
+
+static void
+on_tell_commit(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	replica_t *replica = watcher->data;
+
+	replica->told_commit = raft_commit_index(replica->raft);
+	raft_tick(replica->raft, clock_mono_ms());
+	replica_deliver(replica);
+}
+
 /*
  * Follows every call into raft: applies what became committed and informs those
  * who wait.  Callbacks run here, when raft is not in the middle of a step.
@@ -121,6 +150,7 @@
 	replica_proposals_progress(replica);
 	note_confirmation(replica);
 	replica_maybe_snapshot(replica);
+	tell_commit_soon(replica);
 	replica->delivering = false;
 }
 
@@ -277,6 +307,8 @@
 
 	ev_timer_init(&replica->tick, on_tick, tick_s, tick_s);
 	replica->tick.data = replica;
+	ev_timer_init(&replica->tell_commit, on_tell_commit, 0, 0);
+	replica->tell_commit.data = replica;
 	ev_timer_start(replica->loop, &replica->tick);
 }
 
@@ -353,6 +385,7 @@
 	if (replica == NULL)
 		return;
 	ev_timer_stop(replica->loop, &replica->tick);
+	ev_timer_stop(replica->loop, &replica->tell_commit);
 	replica_proposals_clear(replica);
 	storage_stop(replica->storage);
 	raft_destroy(replica->raft);
@@ -379,14 +412,27 @@
 	replica->applied_ctx = ctx;
 }
 
-/* Handles RPC_RAFT. */
+static bool
+is_known(const settings_t *settings, const char *id)
+{
+	for (size_t i = 0; i < settings->peer_count; i++) {
+		if (strcmp(settings->peers[i].id, id) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Handles RPC_RAFT; ignores senders that are not in the settings. */
 void
 replica_serve_raft(replica_t *replica, raft_message_t *message)
 {
-	seen_t *seen = replica_seen(replica, message->from);
+	seen_t *seen;
 	bool from_leader =
 	    message->kind == RAFT_APPEND || message->kind == RAFT_SNAPSHOT;
 
+	if (!is_known(replica->settings, message->from))
+		return;
+	seen = replica_seen(replica, message->from);
 	seen->disk_id = message->disk_id;
 	if (message->kind != RAFT_SNAPSHOT)
 		seen->claims_vote = message->last_chunk;
--- a/state/replica_private.h
+++ b/state/replica_private.h
@@ -63,6 +63,8 @@
 	raft_t *raft;
 	raft_saved_t saved;
 	ev_timer tick;
+	ev_timer tell_commit;
+	uint64_t told_commit;
 	int64_t leader_since_ms;
 	char last_leader[NAME_MAX_LEN + 1];
 
