daemon: join the tasks of an instance and prove the path by scripted runs

The daemon creates the RPC endpoint, the replica, the entry, placer and operator tasks on one loop and drains on SIGTERM.

Found on the way: an outgoing RPC connection that was still connecting when its timer was set sent no ping before the silence timeout, and was given up after 1.5 s whenever HELLO was answered within the same millisecond. Ruled out: the answering side (it replied to every ping it got) and the queue (empty). The timer is now set again once the connection is established. Before: 80 connections given up in 8 s with seven idle instances.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,12 +1,43 @@
+#include <curl/curl.h>
 #include <glib.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "common/chart.h"
 #include "common/log.h"
 #include "common/settings.h"
+#include "daemon/node.h"
 
-/* Prints every problem on its own line. */
+#define VERSION "0.1.0"
+
+static struct {
+	gboolean check_settings;
+	gboolean print_settings;
+	gboolean settings_reference;
+	gboolean version;
+	char *chart;
+} options;
+
+static const GOptionEntry option_entries[] = {
+    {"check-settings", 0, 0, G_OPTION_ARG_NONE, &options.check_settings,
+	"check the settings and exit", NULL},
+    {"print-settings", 0, 0, G_OPTION_ARG_NONE, &options.print_settings,
+	"print the settings with every default and exit", NULL},
+    {"settings-reference", 0, 0, G_OPTION_ARG_NONE, &options.settings_reference,
+	"print the reference page of the settings and exit", NULL},
+    {"chart", 0, 0, G_OPTION_ARG_STRING, &options.chart,
+	"print a state chart as a Graphviz graph and exit", "NAME"},
+    {"version", 0, 0, G_OPTION_ARG_NONE, &options.version,
+	"print the version and exit", NULL},
+    {NULL},
+};
+
+static const char *const level_names[] = {
+    "emerg", "alert", "crit", "err", "warning", "notice", "info", "debug"};
+
+/* Prints every problem of the settings on a line of its own. */
 static void
 print_problems(const GPtrArray *problems)
 {
@@ -14,26 +45,135 @@
 		fprintf(stderr, "%s\n", (char *)g_ptr_array_index(problems, i));
 }
 
+static settings_t *
+load_settings(const char *path)
+{
+	GPtrArray *problems = g_ptr_array_new_with_free_func(g_free);
+	settings_t *settings = settings_load(path, problems);
+
+	print_problems(problems);
+	g_ptr_array_unref(problems);
+	return settings;
+}
+
+static void
+set_log_level(const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(level_names); i++) {
+		if (strcmp(level_names[i], name) == 0)
+			log_set_level((int)i);
+	}
+}
+
+static void
+on_stop_signal(struct ev_loop *loop, ev_signal *watcher, int events)
+{
+	node_drain(watcher->data);
+}
+
+/* Runs the instance until it has drained and returns its exit code. */
+static int
+run(const settings_t *settings)
+{
+	struct ev_loop *loop = ev_default_loop(EVFLAG_AUTO);
+	ev_signal watchers[2];
+	const int signals[2] = {SIGTERM, SIGINT};
+	err_t err = {0};
+	node_t *node;
+	int exit_code;
+
+	signal(SIGPIPE, SIG_IGN);
+	log_open("chervilholdd", settings->instance);
+	set_log_level(settings->log_level);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	node = node_create(loop, settings, &err);
+	if (node == NULL) {
+		log_err(LOG_ERR, &err);
+		return EXIT_FAILURE;
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(signals); i++) {
+		ev_signal_init(&watchers[i], on_stop_signal, signals[i]);
+		watchers[i].data = node;
+		ev_signal_start(loop, &watchers[i]);
+	}
+	ev_run(loop, 0);
+	exit_code = node_exit_code(node);
+	node_destroy(node);
+	curl_global_cleanup();
+	log_line(LOG_NOTICE, "stopped");
+	return exit_code;
+}
+
+/* Serves options that need no settings; false when there was none. */
+static bool
+print_information(int *exit_code)
+{
+	GString *out = g_string_new(NULL);
+
+	*exit_code = EXIT_SUCCESS;
+	if (options.version) {
+		g_string_append(out, "chervilholdd " VERSION "\n");
+	} else if (options.settings_reference) {
+		settings_print_reference(out);
+	} else if (options.chart != NULL) {
+		if (chart_builtin(options.chart) != NULL) {
+			chart_dot(chart_builtin(options.chart), out);
+		} else {
+			fprintf(stderr, "no chart \"%s\"\n", options.chart);
+			*exit_code = EXIT_FAILURE;
+		}
+	} else {
+		g_string_free(out, TRUE);
+		return false;
+	}
+	fputs(out->str, stdout);
+	g_string_free(out, TRUE);
+	return true;
+}
+
 int
 main(int argc, char **argv)
 {
-	GPtrArray *problems = g_ptr_array_new_with_free_func(g_free);
+	GOptionContext *context =
+	    g_option_context_new("SETTINGS - scheduler for gangs of "
+				 "accelerators under guarantees");
+	GError *error = NULL;
 	settings_t *settings;
+	GString *text;
 	err_t err = {0};
+	int exit_code = EXIT_SUCCESS;
+	bool parsed;
 
+	g_option_context_add_main_entries(context, option_entries, NULL);
+	parsed = g_option_context_parse(context, &argc, &argv, &error);
+	g_option_context_free(context);
+	if (!parsed) {
+		fprintf(stderr, "chervilholdd: %s\n", error->message);
+		g_error_free(error);
+		return EXIT_FAILURE;
+	}
 	if (chart_check_builtin(&err) != 0) {
 		log_err(LOG_ERR, &err);
 		return EXIT_FAILURE;
 	}
+	if (print_information(&exit_code))
+		return exit_code;
 	if (argc != 2) {
-		fprintf(stderr, "usage: chervilholdd SETTINGS\n");
+		fprintf(stderr,
+		    "chervilholdd: name one settings file; see --help\n");
 		return EXIT_FAILURE;
 	}
-	settings = settings_load(argv[1], problems);
-	print_problems(problems);
-	g_ptr_array_unref(problems);
+	settings = load_settings(argv[1]);
 	if (settings == NULL)
 		return EXIT_FAILURE;
+	if (options.print_settings) {
+		text = g_string_new(NULL);
+		settings_print(settings, text);
+		fputs(text->str, stdout);
+		g_string_free(text, TRUE);
+	} else if (!options.check_settings) {
+		exit_code = run(settings);
+	}
 	settings_destroy(settings);
-	return EXIT_SUCCESS;
+	return exit_code;
 }
--- a/rpc/connection.c
+++ b/rpc/connection.c
@@ -230,6 +230,8 @@
 	watch_reading(connection);
 }
 
+static void schedule_timer(connection_t *connection);
+
 static void
 on_writable(struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -245,6 +247,8 @@
 		} else {
 			connection->connecting = false;
 			connection->last_received_ms = clock_mono_ms();
+			/* Until now no ping was due, only the timeout. */
+			schedule_timer(connection);
 			connection->callbacks.connected(connection->ctx);
 		}
 	}
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -14,13 +14,19 @@
 PIDS=""
 INSTANCES=""
 
-cleanup() {
+# cleanup_system: ends every process that was started.
+cleanup_system() {
 	# shellcheck disable=SC2086
 	for pid in $PIDS; do
 		kill -CONT "$pid" 2>/dev/null
 		kill -KILL "$pid" 2>/dev/null
 	done
 	wait 2>/dev/null
+	PIDS=""
+}
+
+cleanup() {
+	cleanup_system
 	if [ -n "${KEEP_WORK:-}" ]; then
 		echo "kept $WORK" >&2
 	else
@@ -228,7 +234,7 @@
 	    --id "$name" --domain "$domain" --rack "$domain-r" --per-rack 6 \
 	    --count "$count" --ledger "$WORK/ran.ledger" "$@" \
 	    >"$WORK/worker-$name.ports" 2>"$WORK/worker-$name.log" &
-	eval "pid_$name=$!"
+	eval "pid_$(echo "$name" | tr -c "a-z0-9A-Z\n" _)=$!"
 	PIDS="$PIDS $!"
 }
 
@@ -236,12 +242,12 @@
 # summary in WORK/summary.
 call() {
 	"$BUILD/standin-caller" --url "$URL" --ledger "$WORK/answers.ledger" \
-	    "$@" >"$WORK/summary" 2>>"$WORK/caller.log"
+	    "$@" >"${SUMMARY:-$WORK/summary}" 2>>"$WORK/caller.log"
 }
 
 # summary NAME: a figure of the last call.
 summary() {
-	awk -v name="$1" '$1 == name { print $2 }' "$WORK/summary"
+	awk -v name="$1" '$1 == name { print $2 }' "${SUMMARY:-$WORK/summary}"
 }
 
 # http METHOD URL [BODY] [HEADER...]: prints the body; the status goes to
@@ -262,10 +268,10 @@
 
 # cli ID ARGUMENT...: the operator's tool against an instance.
 cli() {
-	id=$1
+	target=$1
 	shift
-	"$BUILD/chervilhold" --url "http://$(field address "$id"):$(
-	    field operator "$id")" "$@"
+	"$BUILD/chervilhold" --url "http://$(field address "$target"):$(
+	    field operator "$target")" "$@"
 }
 
 # json PATH: prints one value of the JSON on standard input, as a.b.0.c.
@@ -313,7 +319,7 @@
 	done
 	[ "$1" -gt 0 ] || return 0
 	for domain in d1 d2 d3 d4; do
-		start_workers "w-$domain-" "$domain" "$1"
+		start_workers "w_${domain}_" "$domain" "$1"
 	done
 	for id in $INSTANCES; do
 		wait_for 20 "$id knows workers" knows_workers "$id" $(($1 * 4))
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -14,6 +14,18 @@
 	[ -f KNOWN-RED.txt ] && grep -q "^test: $1\$" KNOWN-RED.txt
 }
 
+# Runs a scripted run and compares what it prints with its .expected file.
+run_case() {
+	script=$1
+	expected=${script%.sh}.expected
+	actual="$build/test-logs/$(basename "$script" .sh).out"
+	sh "$script" >"$actual"
+	rc=$?
+	cat "$actual"
+	[ "$rc" -eq 0 ] || return 1
+	diff -u "$expected" "$actual"
+}
+
 # Runs one test and counts its result: verdict NAME COMMAND...
 verdict() {
 	name=$1
@@ -43,7 +55,7 @@
 done
 for script in tests/cases/*.sh; do
 	[ -f "$script" ] &&
-	    verdict "cases/$(basename "$script" .sh)" sh "$script"
+	    verdict "cases/$(basename "$script" .sh)" run_case "$script"
 done
 [ "$known" -eq 0 ] || { echo "known red:"; cat KNOWN-RED.txt; }
 echo "$passed passed, $failed failed, $known skipped"
