--- a/state/wal.c
+++ b/state/wal.c
@@ -196,7 +196,7 @@
 	saved->snapshot_index = wal->snapshot_index;
 	saved->snapshot_term = wal->snapshot_term;
 	wal->first_index = log->first_index;
-	for (guint i = 0; i < log->entries->len; i++) {
+	for (guint i = 0; log->entries != NULL && i < log->entries->len; i++) {
 		const raft_entry_t *entry = g_ptr_array_index(log->entries, i);
 		uint64_t term = entry->term;
 
--- a/state/wal_file.c
+++ b/state/wal_file.c
@@ -117,6 +117,8 @@
 	} else if (!g_file_get_contents(path, data, len, &error)) {
 		code = err_set(err, -EIO, "read", NULL, "%s", error->message);
 		g_error_free(error);
+	} else if (*data == NULL) {
+		code = err_set(err, -EIO, "read", NULL, "%s: no data", path);
 	}
 	g_free(path);
 	return code;
--- a/state/wal_replay.c
+++ b/state/wal_replay.c
@@ -315,7 +315,8 @@
 		err_set(err, -EIO, "read log", NULL, "%s: %s", wal->folder,
 		    error != NULL ? error->message : "cannot be listed");
 		g_clear_error(&error);
-		g_clear_pointer(&files, g_ptr_array_unref);
+		g_ptr_array_unref(files);
+		files = NULL;
 	}
 	if (dir != NULL)
 		g_dir_close(dir);
--- a/tests/unit/test_raft.c
+++ b/tests/unit/test_raft.c
@@ -734,7 +734,8 @@
 	sim_node_t *leader = sim_wait_leader(sim, 5000);
 	sim_node_t *gone = &sim->nodes[leader == &sim->nodes[0] ? 1 : 0];
 	raft_members_t members;
-	uint64_t index;
+	uint64_t index = 0;
+	uint64_t proposed_term;
 	uint64_t term;
 
 	ck_assert(sim_settle(sim, 10000));
@@ -755,8 +756,8 @@
 		    *member;
 		*member = last;
 		members.members.members_len--;
-		ck_assert_int_eq(
-		    raft_propose_members(leader->raft, &members, &index, &term),
+		ck_assert_int_eq(raft_propose_members(leader->raft, &members,
+				     &index, &proposed_term),
 		    0);
 		members.members.members_len++;
 		break;
