--- a/state/wal_file.c
+++ b/state/wal_file.c
@@ -117,8 +117,6 @@
 	} else if (!g_file_get_contents(path, data, len, &error)) {
 		code = err_set(err, -EIO, "read", NULL, "%s", error->message);
 		g_error_free(error);
-	} else if (*data == NULL) {
-		code = err_set(err, -EIO, "read", NULL, "%s: no data", path);
 	}
 	g_free(path);
 	return code;
@@ -261,7 +259,7 @@
 		memset(members, 0, sizeof(*members));
 	if (code == -ENOENT)
 		return 0;
-	if (code < 0)
+	if (code < 0 || file == NULL)
 		return code;
 	bytes = (const uint8_t *)file;
 	members_len = len >= head ? get_number(bytes, 3) : 0;
