policy: stop overdue jobs from reclaiming each other

Only work that has run for 10 min in its attempt makes way, and the wait is counted from the last attempt. A failed search for a reservation is repeated after 1 s, as it looks at every running job.

--- a/policy/cells_search.c
+++ b/policy/cells_search.c
@@ -65,11 +65,15 @@
 		uint32_t mask;
 		int cost;
 
+		if (avail >> (i << level) == 0)
+			break;
 		if (__builtin_popcount(inside) < accelerators)
 			continue;
 		if (__builtin_popcount(inside & prefer) >= accelerators)
 			inside &= prefer;
-		mask = take_bits(inside, accelerators);
+		mask = __builtin_popcount(inside) == accelerators
+			   ? inside
+			   : take_bits(inside, accelerators);
 		cost = __builtin_popcount(mask & ~prefer) * 1024;
 		for (int up = level; up < CELLS_LEVELS; up++)
 			cost += __builtin_popcount(
@@ -467,8 +471,15 @@
 cells_search_within(const cells_t *cells, const pool_t *pool, int count,
     const cells_shape_t *shape, place_t *places)
 {
-	pool_t *left = g_new(pool_t, (gsize)count + 1);
+	pool_t *left;
 	int rc = -ENOSPC;
+	int total = 0;
+
+	for (int i = 0; i < count; i++)
+		total += __builtin_popcount(pool[i].mask);
+	if (total < shape->members * shape->accelerators)
+		return rc;
+	left = g_new(pool_t, (gsize)count + 1);
 
 	for (int group = 0; group < count; group++) {
 		const worker_t *w = cells_worker_at(cells, pool[group].worker);
--- a/policy/placement.c
+++ b/policy/placement.c
@@ -295,6 +295,7 @@
 	created->declared_ms = MAX(job->declared_ms, 1);
 	created->deadline_ms = job->deadline_ms;
 	created->submitted_ms = job->submitted_ms;
+	created->waiting_ms = job->submitted_ms;
 	created->sequence = job->sequence;
 	created->rule = "not considered yet";
 	g_hash_table_insert(placement->jobs, created->id, created);
@@ -428,6 +429,7 @@
 	}
 	leave_state(placement, job, now_ms);
 	if (end == PLACEMENT_LOST) {
+		job->waiting_ms = now_ms;
 		job->rule = "waits again after its last attempt ended";
 		placement_enqueue(placement, job);
 	} else {
--- a/policy/placement.h
+++ b/policy/placement.h
@@ -31,9 +31,12 @@
 
 /*
  * A large job that has waited this long reclaims the opportunistic work in its
- * reservation.  Only guaranteed and urgent work can make it wait longer.
+ * reservation, once that has run for the minimum in its present attempt: two
+ * overdue jobs would otherwise reclaim each other without end.  Only guaranteed
+ * and urgent work can make it wait longer than both together.
  */
 #define PLACEMENT_MAX_WAIT_MS (30 * 60 * 1000)
+#define PLACEMENT_MIN_RUN_MS (10 * 60 * 1000)
 
 typedef struct {
 	const char *id;
--- a/policy/placement_decide.c
+++ b/policy/placement_decide.c
@@ -5,6 +5,9 @@
 
 #define DEADLINE_CHECK_MS 200
 
+/* A search for a reservation that failed looked at every running job. */
+#define PLAN_INTERVAL_MS 1000
+
 /*
  * A job that no present hardware holds is refused only when the hardware has
  * not changed for this long: after a restart workers announce one by one.
@@ -256,7 +259,9 @@
 {
 	pjob_t *oldest = NULL;
 
-	if (placement->reservation.job != NULL)
+	if (placement->reservation.job != NULL ||
+	    (placement->planned_ms != 0 &&
+		now_ms - placement->planned_ms < PLAN_INTERVAL_MS))
 		return;
 	for (guint i = 0; i < placement->buckets->len; i++) {
 		bucket_t *bucket = g_ptr_array_index(placement->buckets, i);
@@ -265,17 +270,19 @@
 		if (job == NULL || !is_large(bucket->shape) ||
 		    bucket->shape->never ||
 		    bucket->shape->reserve_version == placement->version ||
-		    now_ms - job->submitted_ms < PLACEMENT_RESERVE_AFTER_MS ||
+		    now_ms - job->waiting_ms < PLACEMENT_RESERVE_AFTER_MS ||
 		    !placement_within_quota(job))
 			continue;
-		if (oldest == NULL || job->submitted_ms < oldest->submitted_ms)
+		if (oldest == NULL || job->waiting_ms < oldest->waiting_ms)
 			oldest = job;
 	}
 	if (oldest == NULL)
 		return;
 	placement_reserve(placement, oldest, now_ms);
-	if (placement->reservation.job == NULL)
+	if (placement->reservation.job == NULL) {
 		oldest->bucket->shape->reserve_version = placement->version;
+		placement->planned_ms = now_ms;
+	}
 }
 
 static void
--- a/policy/placement_private.h
+++ b/policy/placement_private.h
@@ -66,6 +66,7 @@
 	int64_t declared_ms;
 	int64_t deadline_ms;
 	int64_t submitted_ms;
+	int64_t waiting_ms; /* since when it waits */
 	uint64_t sequence;
 	int64_t attained; /* accelerator milliseconds of earlier attempts */
 	int level;        /* of attained service */
@@ -114,6 +115,7 @@
 	uint64_t hardware_seen; /* version, and when it was first seen */
 	int64_t hardware_seen_ms;
 	reservation_t reservation;
+	int64_t planned_ms; /* last search for a reservation that failed */
 };
 
 /* Not a valid job id, which names the other holds. */
--- a/policy/placement_reclaim.c
+++ b/policy/placement_reclaim.c
@@ -51,6 +51,7 @@
 		g_ptr_array_remove_fast(placement->claimed, victim);
 		g_free(victim->places);
 		victim->places = NULL;
+		victim->waiting_ms = now_ms;
 		victim->rule = "lost its places to guaranteed work";
 		placement_enqueue(placement, victim);
 		return;
--- a/policy/placement_reserve.c
+++ b/policy/placement_reserve.c
@@ -167,9 +167,12 @@
 	for (guint i = 0; i < users->len; i++) {
 		const pjob_t *job = g_ptr_array_index(users, i);
 
-		can_clear &= !job->guaranteed &&
-			     job->bucket->priority != PRIORITY_URGENT &&
-			     (job->backfill || overdue);
+		can_clear &=
+		    !job->guaranteed &&
+		    job->bucket->priority != PRIORITY_URGENT &&
+		    (job->backfill ||
+			(overdue && job->state != PJOB_CLAIMED &&
+			    now_ms - job->started_ms >= PLACEMENT_MIN_RUN_MS));
 	}
 	for (guint i = 0; can_clear && i < users->len; i++)
 		placement_reclaim(placement, g_ptr_array_index(users, i),
@@ -190,7 +193,7 @@
 
 	if (job == NULL)
 		return false;
-	overdue = now_ms - job->submitted_ms >= PLACEMENT_MAX_WAIT_MS;
+	overdue = now_ms - job->waiting_ms >= PLACEMENT_MAX_WAIT_MS;
 	if (!placement_within_quota(job))
 		return false;
 	if (reservation->tried_version == placement->version &&
