--- a/tests/unit/test_operator.c
+++ b/tests/unit/test_operator.c
@@ -277,6 +277,28 @@
 }
 END_TEST
 
+static void
+patch_later(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	ev_timer_stop(loop, timer);
+	driver_patch(&fixture.replica.driver, "later", 1, "{}");
+}
+
+/* Guards against a wait for a version that ends before it is in force, or that
+ * never ends when it does not come. */
+START_TEST(version_waits)
+{
+	ev_timer timer;
+
+	ev_timer_init(&timer, patch_later, 0.1, 0);
+	ev_timer_start(fixture.loop, &timer);
+	ck_assert_int_eq(call("GET", "/v1/config?min_version=2", NULL), 200);
+	ck_answer("\"version\":2");
+	ck_assert_int_eq(call("GET", "/v1/config?min_version=9", NULL), 200);
+	ck_answer("\"version\":2");
+}
+END_TEST
+
 /* Guards against a check that changes the configuration. */
 START_TEST(checks_only)
 {
@@ -518,6 +540,8 @@
 	ck_assert_int_eq(cli("fly"), 2);
 	ck_assert_int_eq(cli("--help"), 0);
 	ck_answer("Exit codes:");
+	ck_assert_int_eq(cli("apply --help"), 0);
+	ck_answer("--check-only");
 	ck_assert_int_eq(cli("explain j1"), 1);
 	ck_answer("no job j1");
 	ck_assert_int_eq(cli("status"), 0);
@@ -556,6 +580,7 @@
 	tcase_add_checked_fixture(tcase, setup, teardown);
 	tcase_add_test(tcase, keys);
 	tcase_add_test(tcase, patches);
+	tcase_add_test(tcase, version_waits);
 	tcase_add_test(tcase, checks_only);
 	tcase_add_test(tcase, proposal_fails);
 	tcase_add_test(tcase, lists);
