entry: ask the replica whether it is safe to continue

The replica knows the disks of the voters and the replacements under way, which the check in the operator routes did not; that check is removed with its test. A proposal that breaks a limit is answered as too large.

--- a/entry/operator.c
+++ b/entry/operator.c
@@ -109,6 +109,9 @@
 		http_answer_error(request, 504, "unknown", "timeout", "", 0,
 		    "no answer from a majority in time; the same command can "
 		    "be sent again");
+	else if (err->code == -EINVAL || err->code == -EMSGSIZE)
+		http_answer_error(request, 413, "refused", "too_large", "", 0,
+		    "the command breaks a limit: %s", err->text);
 	else
 		http_answer_error(request, 503, "refused", "no_quorum", "",
 		    CLOCK_MS_PER_S,
--- a/entry/operator_private.h
+++ b/entry/operator_private.h
@@ -66,5 +66,4 @@
 /* Counts what the entry task's metrics say about the objectives. */
 void operator_feed_objectives(operator_t *op);
 void operator_answer_waits(operator_t *op, bool give_up);
-bool operator_is_safe(const raft_t *raft, int64_t now_ms);
 json_t *operator_reclaims(const machine_t *machine, const json_t *config);
--- a/entry/operator_status.c
+++ b/entry/operator_status.c
@@ -4,10 +4,6 @@
 #include "common/clock.h"
 #include "entry/operator_private.h"
 
-#define MEMBER_SILENT_MS 1500 /* as silent_after_ms of a peer */
-#define MAX_LAG_ENTRIES 1024  /* a member under load is behind by a batch */
-#define MIN_VOTERS 3          /* with fewer the loss of one stops commits */
-
 static const char *
 role_name(raft_state_t state)
 {
@@ -47,33 +43,6 @@
 	return list;
 }
 
-/*
- * Tells whether a leader sees that another voter may be taken away: there are
- * at least three, all answer and none lags behind what is committed by more
- * than what may be in flight.
- */
-bool
-operator_is_safe(const raft_t *raft, int64_t now_ms)
-{
-	const raft_members_t *members = raft_members(raft);
-	uint64_t commit = raft_commit_index(raft);
-	int voters = 0;
-
-	for (u_int i = 0; i < members->members.members_len; i++) {
-		const raft_member_t *member = &members->members.members_val[i];
-
-		if (member->role != MEMBER_VOTER)
-			continue;
-		voters++;
-		if (raft_member_silent_ms(raft, member->id, now_ms) >
-			MEMBER_SILENT_MS ||
-		    raft_member_match(raft, member->id) + MAX_LAG_ENTRIES <
-			commit)
-			return false;
-	}
-	return voters >= MIN_VOTERS;
-}
-
 /* Lists the members of the log; a leader also knows how far each has come. */
 static json_t *
 members_json(const raft_t *raft)
@@ -125,7 +94,7 @@
 		replica_is_confirmed(op->replica), "instances",
 		instances_json(op), "members", members_json(raft),
 		"safe_to_continue",
-		leads ? json_boolean(operator_is_safe(raft, clock_mono_ms()))
+		leads ? json_boolean(replica_safe_to_replace(op->replica))
 		      : json_null()));
 }
 
