state: reject proposals at once after a storage failure

Cause: raft takes part in nothing once its storage failed, so a proposal made there waited for a leader until its deadline. It now ends with -ENOSPC or -EROFS, and the caller can turn to another instance. The data folder is created by the wal alone, which syncs its entry in the parent folder.

--- a/state/replica.c
+++ b/state/replica.c
@@ -399,7 +399,7 @@
 	storage_members_clear(&replica->members);
 	storage_members_clear(&replica->snapshot_members);
 	storage_members_clear(&replica->next_members);
-	storage_members_clear(&replica->saved.members);
+	codec_free((xdrproc_t)xdr_raft_members_t, &replica->saved.members);
 	g_hash_table_unref(replica->seen);
 	g_free(replica);
 }
--- a/state/replica_proposals.c
+++ b/state/replica_proposals.c
@@ -251,6 +251,10 @@
 	} else if (proposal->command->len > BODY_MAX_LEN) {
 		fail_proposal(
 		    replica, proposal, -EMSGSIZE, "command is too long");
+	} else if (replica->storage_code != 0) {
+		/* Raft takes part in nothing until the next start. */
+		give_up(
+		    replica, proposal, "the storage of this instance failed");
 	} else if (raft_state(replica->raft) == RAFT_LEADER) {
 		if (proposal->is_barrier)
 			read_here(replica, proposal);
--- a/state/replica_storage.c
+++ b/state/replica_storage.c
@@ -3,6 +3,7 @@
 
 #include "common/clock.h"
 #include "common/log.h"
+#include "rpc/codec.h"
 #include "state/replica_private.h"
 
 /* ---- entries ---- */
@@ -218,7 +219,7 @@
 	load_machine(replica, data->data, data->len, index, term, &members);
 	set_snapshot(
 	    replica, g_byte_array_free_to_bytes(data), index, term, &members);
-	storage_members_clear(&members);
+	codec_free((xdrproc_t)xdr_raft_members_t, &members);
 	if (replica->broken)
 		return err_set(err, -EBADMSG, "snapshot load",
 		    replica->settings->data_folder,
@@ -233,9 +234,6 @@
 	const char *folder = replica->settings->data_folder;
 	wal_t *wal;
 
-	if (g_mkdir_with_parents(folder, 0700) != 0)
-		return err_set(err, -errno, "create folder", folder,
-		    "data folder cannot be made");
 	wal = wal_open(folder, &replica->saved, collect_entry, entries, err);
 	if (wal == NULL)
 		return err->code;
