--- /dev/null
+++ b/tests/unit/test_replica.c
@@ -0,0 +1,788 @@
+#include <check.h>
+#include <errno.h>
+#include <limits.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "rpc/endpoint.h"
+#include "state/replica.h"
+#include "state/wal_internal.h"
+#include "tests/unit/system.h"
+
+#define TEST_TIMEOUT_S 240
+/* A deadline that no test waits for. */
+#define LONG_MS 600000
+#define SHORT_MS 1500
+#define TIMING                                                \
+	",\"ping_interval_ms\":100,\"silent_after_ms\":1000," \
+	"\"election_timeout_ms\":400,\"heartbeat_ms\":50"
+#define SMALL_SNAPSHOTS ",\"snapshot_entries\":64"
+/* More than raft keeps before a snapshot for slow members. */
+#define MANY_ENTRIES 600
+#define MAX_NODES 4
+/* Six of the shortest election timeouts. */
+#define ELECTIONS_MS 2400
+
+typedef struct {
+	endpoint_t *endpoint;
+	replica_t *replica;
+	int applied;
+} node_t;
+
+typedef struct {
+	struct ev_loop *loop;
+	system_t *system;
+	uint64_t incarnation;
+	node_t nodes[MAX_NODES];
+} bed_t;
+
+static void
+serve(void *ctx, const char *peer, uint32_t procedure, void *args,
+    endpoint_request_t *request)
+{
+	propose_result_t clear = {.leader = "", .result.text = ""};
+	node_t *node = ctx;
+
+	if (node->replica != NULL && procedure == RPC_RAFT)
+		replica_serve_raft(node->replica, args);
+	else if (node->replica != NULL && procedure == RPC_PROPOSE)
+		replica_serve_propose(node->replica, args, request);
+	else if (procedure == RPC_PROPOSE)
+		/* An instance that answers, but has no log yet. */
+		endpoint_answer(request, &clear);
+}
+
+static void
+on_applied(void *ctx, uint64_t index, const command_t *command,
+    const command_result_t *result)
+{
+	node_t *node = ctx;
+
+	node->applied++;
+}
+
+static void
+start_endpoint(bed_t *bed, size_t i)
+{
+	node_t *node = &bed->nodes[i];
+	err_t err;
+
+	bed->incarnation++;
+	node->endpoint = endpoint_create(bed->loop, bed->system->settings[i],
+	    bed->incarnation, serve, node, &err);
+	ck_assert_msg(node->endpoint != NULL, "%s", err.text);
+}
+
+static void
+start_node(bed_t *bed, size_t i)
+{
+	const settings_t *settings = bed->system->settings[i];
+	node_t *node = &bed->nodes[i];
+	err_t err;
+
+	start_endpoint(bed, i);
+	node->replica = replica_create(
+	    bed->loop, settings, node->endpoint, bed->incarnation, &err);
+	ck_assert_msg(node->replica != NULL, "%s", err.text);
+	replica_set_applied(node->replica, on_applied, node);
+}
+
+static void
+stop_node(bed_t *bed, size_t i)
+{
+	node_t *node = &bed->nodes[i];
+
+	replica_destroy(node->replica);
+	endpoint_destroy(node->endpoint);
+	node->replica = NULL;
+	node->endpoint = NULL;
+}
+
+static void
+bed_open(bed_t *bed, size_t count, const char *more)
+{
+	char *text = g_strconcat(TIMING, more, NULL);
+
+	*bed = (bed_t){.loop = ev_loop_new(0), .incarnation = 100};
+	bed->system = system_create(count, 3, text);
+	g_free(text);
+}
+
+static void
+bed_close(bed_t *bed)
+{
+	for (size_t i = 0; i < MAX_NODES; i++)
+		stop_node(bed, i);
+	system_destroy(bed->system);
+	ev_loop_destroy(bed->loop);
+}
+
+static void
+start_all(bed_t *bed)
+{
+	for (size_t i = 0; i < bed->system->count; i++)
+		start_node(bed, i);
+}
+
+#define WAIT(bed, met, ctx) ck_assert(system_wait((bed)->loop, (met), (ctx)))
+
+/* Index of the leader among the running nodes, -1 for none. */
+static int
+leader_of(const bed_t *bed)
+{
+	for (size_t i = 0; i < MAX_NODES; i++) {
+		if (bed->nodes[i].replica != NULL &&
+		    replica_is_leader(bed->nodes[i].replica))
+			return (int)i;
+	}
+	return -1;
+}
+
+static int
+other_than(const bed_t *bed, int leader)
+{
+	for (int i = 0; i < 3; i++) {
+		if (i != leader && bed->nodes[i].replica != NULL)
+			return i;
+	}
+	return -1;
+}
+
+static bool
+all_confirmed(void *ctx)
+{
+	const bed_t *bed = ctx;
+
+	if (leader_of(bed) < 0)
+		return false;
+	for (size_t i = 0; i < MAX_NODES; i++) {
+		if (bed->nodes[i].replica != NULL &&
+		    !replica_is_confirmed(bed->nodes[i].replica))
+			return false;
+	}
+	return true;
+}
+
+static bool
+leader_finds_it_safe(void *ctx)
+{
+	const bed_t *bed = ctx;
+	int leader = leader_of(bed);
+
+	return leader >= 0 &&
+	       replica_safe_to_replace(bed->nodes[leader].replica);
+}
+
+/* ---- proposals: a made-up instance of the given name ---- */
+
+typedef struct {
+	bed_t *bed;
+	int node;
+	char name[32];
+	int ended;
+	int code;
+	bool visible; /* in the local machine when the proposal ended */
+} put_t;
+
+static bool
+has(const bed_t *bed, int node, const char *name)
+{
+	return machine_instance(
+		   replica_machine(bed->nodes[node].replica), name) != NULL;
+}
+
+static void
+put_done(void *ctx, const err_t *err, const command_result_t *result)
+{
+	put_t *put = ctx;
+
+	put->ended++;
+	put->code = err->code;
+	if (result != NULL && result->code != 0)
+		put->code = result->code;
+	put->visible = put->bed->nodes[put->node].replica != NULL &&
+		       has(put->bed, put->node, put->name);
+}
+
+static void
+put_start(
+    bed_t *bed, int node, put_t *put, const char *name, int64_t deadline_ms)
+{
+	command_t command = {.kind = COMMAND_INSTANCE};
+
+	*put = (put_t){.bed = bed, .node = node};
+	g_strlcpy(put->name, name, sizeof(put->name));
+	command.command_t_u.instance.id = put->name;
+	command.command_t_u.instance.time_ms = clock_real_ms();
+	replica_propose(
+	    bed->nodes[node].replica, &command, deadline_ms, put_done, put);
+	ck_assert_int_eq(put->ended, 0);
+}
+
+static bool
+put_ended(void *ctx)
+{
+	return ((put_t *)ctx)->ended > 0;
+}
+
+static void
+put(bed_t *bed, int node, const char *name)
+{
+	put_t one;
+
+	put_start(bed, node, &one, name, LONG_MS);
+	WAIT(bed, put_ended, &one);
+	ck_assert_int_eq(one.code, 0);
+	ck_assert(one.visible);
+}
+
+static void
+put_many(bed_t *bed, int node, const char *prefix, int count)
+{
+	put_t *puts = g_new0(put_t, (gsize)count);
+	char name[32];
+
+	for (int i = 0; i < count; i++) {
+		g_snprintf(name, sizeof(name), "%s%d", prefix, i);
+		put_start(bed, node, &puts[i], name, LONG_MS);
+	}
+	for (int i = 0; i < count; i++) {
+		WAIT(bed, put_ended, &puts[i]);
+		ck_assert_int_eq(puts[i].code, 0);
+		ck_assert_int_eq(puts[i].ended, 1);
+	}
+	g_free(puts);
+}
+
+typedef struct {
+	bed_t *bed;
+	int node;
+	const char *name;
+} visible_t;
+
+static bool
+is_visible(void *ctx)
+{
+	visible_t *visible = ctx;
+
+	return has(visible->bed, visible->node, visible->name);
+}
+
+static void
+wait_visible(bed_t *bed, int node, const char *name)
+{
+	visible_t visible = {bed, node, name};
+
+	WAIT(bed, is_visible, &visible);
+}
+
+/* ---- tests ---- */
+
+/* Guards against proposals that are lost or not visible where they were made,
+ * and against instances that do not converge. */
+START_TEST(propose_anywhere)
+{
+	char name[16];
+	bed_t bed;
+
+	bed_open(&bed, 4, "");
+	start_all(&bed);
+	WAIT(&bed, all_confirmed, &bed);
+	for (int i = 0; i < 4; i++) {
+		g_snprintf(name, sizeof(name), "from-%d", i);
+		put(&bed, i, name);
+	}
+	for (int i = 0; i < 4; i++) {
+		for (int j = 0; j < 4; j++) {
+			g_snprintf(name, sizeof(name), "from-%d", j);
+			wait_visible(&bed, i, name);
+		}
+		ck_assert_int_ge(bed.nodes[i].applied, 4);
+	}
+	/* The learner must never become a voter. */
+	ck_assert_int_eq(
+	    raft_state(replica_raft(bed.nodes[3].replica)), RAFT_LEARNER_STATE);
+	WAIT(&bed, leader_finds_it_safe, &bed);
+	bed_close(&bed);
+}
+END_TEST
+
+/* Guards against a barrier that returns before earlier writes are visible. */
+START_TEST(read_barrier)
+{
+	put_t barrier = {0};
+	put_t write;
+	bed_t bed;
+	char name[16];
+
+	bed_open(&bed, 4, "");
+	start_all(&bed);
+	WAIT(&bed, all_confirmed, &bed);
+	for (int reader = 0; reader < 4; reader++) {
+		int writer = (reader + 1) % 4;
+
+		g_snprintf(name, sizeof(name), "write-%d", reader);
+		put_start(&bed, writer, &write, name, LONG_MS);
+		WAIT(&bed, put_ended, &write);
+		barrier = (put_t){.bed = &bed, .node = reader};
+		g_strlcpy(barrier.name, name, sizeof(barrier.name));
+		replica_read_barrier(
+		    bed.nodes[reader].replica, LONG_MS, put_done, &barrier);
+		WAIT(&bed, put_ended, &barrier);
+		ck_assert_int_eq(barrier.code, 0);
+		ck_assert(barrier.visible);
+	}
+	bed_close(&bed);
+}
+END_TEST
+
+typedef struct {
+	bed_t *bed;
+	int observer;
+	const char *id;
+	bool alive;
+} liveness_t;
+
+static bool
+is_reported(void *ctx)
+{
+	liveness_t *want = ctx;
+	const machine_instance_t *instance = machine_instance(
+	    replica_machine(want->bed->nodes[want->observer].replica),
+	    want->id);
+
+	return instance != NULL && instance->alive == want->alive;
+}
+
+/* Guards against proposals lost with a leader, and against an instance whose
+ * loss or return is not reported. */
+START_TEST(leader_stops)
+{
+	enum { COUNT = 40 };
+	static put_t puts[COUNT];
+	liveness_t liveness = {.alive = true};
+	char name[16];
+	char id[8];
+	int leader;
+	int other;
+	bed_t bed;
+
+	bed_open(&bed, 3, "");
+	start_all(&bed);
+	WAIT(&bed, all_confirmed, &bed);
+	leader = leader_of(&bed);
+	other = other_than(&bed, leader);
+	g_snprintf(id, sizeof(id), "i%d", leader + 1);
+	liveness.bed = &bed;
+	liveness.observer = other;
+	liveness.id = id;
+	WAIT(&bed, is_reported, &liveness);
+	for (int i = 0; i < COUNT; i++) {
+		g_snprintf(name, sizeof(name), "n%d", i);
+		put_start(&bed, other, &puts[i], name, LONG_MS);
+		if (i == COUNT / 2) {
+			WAIT(&bed, put_ended, &puts[0]);
+			stop_node(&bed, (size_t)leader);
+		}
+	}
+	for (int i = 0; i < COUNT; i++) {
+		WAIT(&bed, put_ended, &puts[i]);
+		ck_assert_int_eq(puts[i].code, 0);
+		ck_assert_int_eq(puts[i].ended, 1);
+		ck_assert(puts[i].visible);
+	}
+	ck_assert_int_ne(leader_of(&bed), leader);
+	liveness.alive = false;
+	WAIT(&bed, is_reported, &liveness);
+	start_node(&bed, (size_t)leader);
+	liveness.alive = true;
+	WAIT(&bed, is_reported, &liveness);
+	wait_visible(&bed, leader, "n39");
+	bed_close(&bed);
+}
+END_TEST
+
+/* Guards against state that does not survive a restart of all replicas, with
+ * and without a snapshot. */
+START_TEST(restart_from_disk)
+{
+	const char *more = _i == 0 ? "" : SMALL_SNAPSHOTS;
+	bed_t bed;
+
+	bed_open(&bed, 3, more);
+	start_all(&bed);
+	WAIT(&bed, all_confirmed, &bed);
+	put_many(&bed, leader_of(&bed), "kept", 200);
+	for (size_t i = 0; i < 3; i++)
+		stop_node(&bed, i);
+	start_all(&bed);
+	WAIT(&bed, all_confirmed, &bed);
+	for (int i = 0; i < 3; i++) {
+		wait_visible(&bed, i, "kept0");
+		wait_visible(&bed, i, "kept199");
+	}
+	put(&bed, 0, "after");
+	if (_i == 1)
+		ck_assert_int_gt(
+		    counter_value(counter_get("replica_snapshots_total", "")),
+		    0);
+	bed_close(&bed);
+}
+END_TEST
+
+/* Guards against a late instance that cannot catch up once the start of the
+ * log is gone. */
+START_TEST(learner_catches_up_by_snapshot)
+{
+	counter_t *received =
+	    counter_get("replica_snapshots_received_total", "");
+	bed_t bed;
+
+	bed_open(&bed, 4, SMALL_SNAPSHOTS);
+	for (size_t i = 0; i < 3; i++)
+		start_node(&bed, i);
+	WAIT(&bed, all_confirmed, &bed);
+	put_many(&bed, leader_of(&bed), "entry", MANY_ENTRIES);
+	ck_assert_int_eq(counter_value(received), 0);
+	start_node(&bed, 3);
+	wait_visible(&bed, 3, "entry0");
+	wait_visible(&bed, 3, "entry599");
+	ck_assert_int_eq(counter_value(received), 1);
+	WAIT(&bed, all_confirmed, &bed);
+	put(&bed, 3, "own");
+	/* Without a disk it starts from nothing each time. */
+	stop_node(&bed, 3);
+	start_node(&bed, 3);
+	ck_assert(!replica_was_confirmed(bed.nodes[3].replica));
+	WAIT(&bed, all_confirmed, &bed);
+	ck_assert(has(&bed, 3, "own"));
+	bed_close(&bed);
+}
+END_TEST
+
+static bool
+time_passed(void *ctx)
+{
+	return clock_mono_ms() >= *(int64_t *)ctx;
+}
+
+/* Lets several election timeouts pass, to see that nothing happens. */
+static void
+let_elections_pass(bed_t *bed)
+{
+	int64_t until_ms = clock_mono_ms() + ELECTIONS_MS;
+
+	WAIT(bed, time_passed, &until_ms);
+}
+
+static void
+replace_done(void *ctx, const err_t *err, const command_result_t *result)
+{
+	put_t *replace = ctx;
+
+	replace->ended++;
+	replace->code = err->code != 0 ? err->code : result->code;
+}
+
+static void
+order_replacement(bed_t *bed, int node, const char *id)
+{
+	command_t command = {.kind = COMMAND_REPLACE};
+	put_t replace = {0};
+
+	/* The command is refused for an instance that never announced itself.
+	 */
+	wait_visible(bed, node, id);
+	command.command_t_u.replace = (char *)id;
+	replica_propose(bed->nodes[node].replica, &command, LONG_MS,
+	    replace_done, &replace);
+	WAIT(bed, put_ended, &replace);
+	ck_assert_int_eq(replace.code, 0);
+}
+
+static void
+lose_disk(bed_t *bed, int node)
+{
+	size_t i = (size_t)node;
+
+	ck_assert(i < MAX_NODES);
+	stop_node(bed, i);
+	system_remove_folder(bed->system->settings[i]->data_folder);
+	start_node(bed, i);
+}
+
+static raft_state_t
+state_of(const bed_t *bed, int i)
+{
+	return raft_state(replica_raft(bed->nodes[i].replica));
+}
+
+/* Guards against votes of a replica that lost its disk, and against a
+ * replacement that never votes again. */
+START_TEST(lost_disk_then_replacement)
+{
+	char id[8];
+	int lost;
+	bed_t bed;
+
+	bed_open(&bed, 3, "");
+	start_all(&bed);
+	WAIT(&bed, all_confirmed, &bed);
+	put_many(&bed, 0, "old", 20);
+	WAIT(&bed, leader_finds_it_safe, &bed);
+	lost = other_than(&bed, leader_of(&bed));
+	g_snprintf(id, sizeof(id), "i%d", lost + 1);
+	lose_disk(&bed, lost);
+	wait_visible(&bed, lost, "old19");
+	WAIT(&bed, all_confirmed, &bed);
+	let_elections_pass(&bed);
+	ck_assert(!leader_finds_it_safe(&bed));
+	ck_assert_int_eq(state_of(&bed, lost), RAFT_LEARNER_STATE);
+	order_replacement(&bed, leader_of(&bed), id);
+	WAIT(&bed, leader_finds_it_safe, &bed);
+	ck_assert_int_eq(state_of(&bed, lost), RAFT_FOLLOWER);
+	put(&bed, lost, "new");
+	bed_close(&bed);
+}
+END_TEST
+
+typedef struct {
+	bed_t *bed;
+	int node;
+} node_of_bed_t;
+
+static bool
+is_learner(void *ctx)
+{
+	node_of_bed_t *node = ctx;
+
+	return state_of(node->bed, node->node) == RAFT_LEARNER_STATE;
+}
+
+/* Guards against the old disk voting again after its replacement was ordered,
+ * for a follower and for the leader itself. */
+START_TEST(replacement_then_new_disk)
+{
+	node_of_bed_t replaced = {0};
+	char id[8];
+	int leader;
+	bed_t bed;
+
+	bed_open(&bed, 3, "");
+	start_all(&bed);
+	WAIT(&bed, all_confirmed, &bed);
+	WAIT(&bed, leader_finds_it_safe, &bed);
+	leader = leader_of(&bed);
+	replaced.bed = &bed;
+	replaced.node = _i == 0 ? other_than(&bed, leader) : leader;
+	g_snprintf(id, sizeof(id), "i%d", replaced.node + 1);
+	order_replacement(&bed, leader, id);
+	WAIT(&bed, is_learner, &replaced);
+	WAIT(&bed, all_confirmed, &bed);
+	let_elections_pass(&bed);
+	ck_assert(is_learner(&replaced));
+	ck_assert(!leader_finds_it_safe(&bed));
+	lose_disk(&bed, replaced.node);
+	WAIT(&bed, leader_finds_it_safe, &bed);
+	put(&bed, replaced.node, "new");
+	bed_close(&bed);
+}
+END_TEST
+
+/* Guards against a replica that came too late for the bootstrap and never
+ * gets its vote. */
+START_TEST(replica_late_for_bootstrap)
+{
+	bed_t bed;
+
+	bed_open(&bed, 3, "");
+	start_endpoint(&bed, 2);
+	start_node(&bed, 0);
+	start_node(&bed, 1);
+	WAIT(&bed, all_confirmed, &bed);
+	put(&bed, 0, "early");
+	ck_assert(!leader_finds_it_safe(&bed));
+	stop_node(&bed, 2);
+	start_node(&bed, 2);
+	WAIT(&bed, leader_finds_it_safe, &bed);
+	ck_assert_int_eq(state_of(&bed, 2), RAFT_FOLLOWER);
+	ck_assert(has(&bed, 2, "early"));
+	bed_close(&bed);
+}
+END_TEST
+
+/* Guards against a second system begun by replicas that lost their disks while
+ * the one that holds the log is away. */
+START_TEST(no_second_system)
+{
+	int holder;
+	bed_t bed;
+
+	bed_open(&bed, 3, "");
+	start_all(&bed);
+	WAIT(&bed, all_confirmed, &bed);
+	put_many(&bed, 0, "old", 20);
+	for (int i = 0; i < 3; i++)
+		wait_visible(&bed, i, "old19");
+	holder = leader_of(&bed);
+	for (size_t i = 0; i < 3; i++)
+		stop_node(&bed, i);
+	for (int i = 0; i < 3; i++) {
+		if (i == holder)
+			continue;
+		system_remove_folder(bed.system->settings[i]->data_folder);
+		start_node(&bed, (size_t)i);
+	}
+	let_elections_pass(&bed);
+	ck_assert_int_eq(leader_of(&bed), -1);
+	start_node(&bed, (size_t)holder);
+	let_elections_pass(&bed);
+	/* Without a majority of intact disks there is no leader at all. */
+	ck_assert_int_eq(leader_of(&bed), -1);
+	for (int i = 0; i < 3; i++)
+		ck_assert(i == holder || !has(&bed, i, "old0"));
+	bed_close(&bed);
+}
+END_TEST
+
+/* Guards against a new system begun before the other replicas were asked. */
+START_TEST(bootstrap_asks_first)
+{
+	bed_t bed;
+
+	bed_open(&bed, 3, "");
+	start_node(&bed, 0);
+	start_node(&bed, 1);
+	let_elections_pass(&bed);
+	for (int i = 0; i < 2; i++)
+		ck_assert_uint_eq(
+		    raft_last_index(replica_raft(bed.nodes[i].replica)), 0);
+	start_node(&bed, 2);
+	WAIT(&bed, all_confirmed, &bed);
+	put(&bed, 0, "first");
+	WAIT(&bed, leader_finds_it_safe, &bed);
+	bed_close(&bed);
+}
+END_TEST
+
+/* Guards against "certainly not proposed" for what may still be applied, and
+ * against "unknown" for what never left this instance. */
+START_TEST(fate_without_quorum)
+{
+	put_t at_follower;
+	put_t at_leader;
+	int leader;
+	int other;
+	bed_t bed;
+
+	bed_open(&bed, 3, "");
+	start_all(&bed);
+	WAIT(&bed, all_confirmed, &bed);
+	leader = leader_of(&bed);
+	other = other_than(&bed, leader);
+	for (int i = 0; i < 3; i++) {
+		if (i != leader)
+			stop_node(&bed, (size_t)i);
+	}
+	put_start(&bed, leader, &at_leader, "maybe", SHORT_MS);
+	WAIT(&bed, put_ended, &at_leader);
+	ck_assert_int_eq(at_leader.code, -ETIMEDOUT);
+	/* By now it has stepped down. */
+	ck_assert_int_eq(leader_of(&bed), -1);
+	put_start(&bed, leader, &at_follower, "never", SHORT_MS);
+	WAIT(&bed, put_ended, &at_follower);
+	ck_assert_int_eq(at_follower.code, -ENOTCONN);
+	start_node(&bed, (size_t)other);
+	WAIT(&bed, all_confirmed, &bed);
+	put(&bed, other, "later");
+	ck_assert(!has(&bed, other, "never"));
+	bed_close(&bed);
+}
+END_TEST
+
+/* Number of the instance whose disk is full; 0 for none. */
+static atomic_int full_disk;
+static int (*real_sync)(int fd);
+
+static int
+sync_or_fail(int fd)
+{
+	char link[64];
+	char path[PATH_MAX] = "";
+	char folder[16];
+
+	g_snprintf(link, sizeof(link), "/proc/self/fd/%d", fd);
+	g_snprintf(folder, sizeof(folder), "/i%d/", (int)full_disk);
+	if (readlink(link, path, sizeof(path) - 1) > 0 &&
+	    strstr(path, folder) != NULL) {
+		errno = ENOSPC;
+		return -1;
+	}
+	return real_sync(fd);
+}
+
+/* Guards against a leader that goes on with a full disk, and against callers
+ * that wait for an instance whose storage failed. */
+START_TEST(full_disk_of_the_leader)
+{
+	put_t one;
+	int leader;
+	bed_t bed;
+
+	real_sync = wal_ops.sync;
+	wal_ops.sync = sync_or_fail;
+	bed_open(&bed, 3, "");
+	start_all(&bed);
+	WAIT(&bed, all_confirmed, &bed);
+	WAIT(&bed, leader_finds_it_safe, &bed);
+	leader = leader_of(&bed);
+	full_disk = leader + 1;
+	put(&bed, other_than(&bed, leader), "one");
+	ck_assert_int_ne(leader_of(&bed), leader);
+	put_start(&bed, leader, &one, "two", LONG_MS);
+	WAIT(&bed, put_ended, &one);
+	ck_assert_int_eq(one.code, -ENOSPC);
+	put(&bed, other_than(&bed, leader), "three");
+	ck_assert(!has(&bed, other_than(&bed, leader), "two"));
+	/* A restart with room on the disk makes it a voter again. */
+	stop_node(&bed, (size_t)leader);
+	full_disk = 0;
+	start_node(&bed, (size_t)leader);
+	WAIT(&bed, leader_finds_it_safe, &bed);
+	put(&bed, leader, "four");
+	bed_close(&bed);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("replica");
+	TCase *tcase = tcase_create("replica");
+	SRunner *runner;
+	int failed;
+
+	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
+	tcase_add_test(tcase, propose_anywhere);
+	tcase_add_test(tcase, read_barrier);
+	tcase_add_test(tcase, leader_stops);
+	tcase_add_loop_test(tcase, restart_from_disk, 0, 2);
+	tcase_add_test(tcase, learner_catches_up_by_snapshot);
+	tcase_add_test(tcase, lost_disk_then_replacement);
+	tcase_add_loop_test(tcase, replacement_then_new_disk, 0, 2);
+	tcase_add_test(tcase, replica_late_for_bootstrap);
+	tcase_add_test(tcase, no_second_system);
+	tcase_add_test(tcase, bootstrap_asks_first);
+	tcase_add_test(tcase, fate_without_quorum);
+	tcase_add_test(tcase, full_disk_of_the_leader);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
