--- a/tests/run.sh
+++ b/tests/run.sh
@@ -1,12 +1,11 @@
 #!/bin/sh
-# Runs every unit test program and every scripted run under tests/cases.
-# Usage: tests/run.sh BUILD.  Tests listed in KNOWN-RED.txt are run and printed
-# but do not decide the verdict.
+# Runs every unit test program and every scripted run under tests/cases, several
+# at a time.  Usage: tests/run.sh BUILD.  Tests listed in KNOWN-RED.txt are run
+# and printed but do not decide the verdict.
 set -u
 build=${1:-build}
-passed=0
-failed=0
-known=0
+jobs=${TEST_JOBS:-4}
+logs=$build/test-logs
 export CHERVILHOLD_BUILD="$build"
 
 # Tells whether a test is listed in KNOWN-RED.txt as "test: NAME".
@@ -16,47 +15,57 @@
 
 # Runs a scripted run and compares what it prints with its .expected file.
 run_case() {
-	script=$1
-	expected=${script%.sh}.expected
-	actual="$build/test-logs/$(basename "$script" .sh).out"
-	sh "$script" >"$actual"
+	actual=$logs/case-$1.out
+	sh "tests/cases/$1.sh" >"$actual"
 	rc=$?
 	cat "$actual"
 	[ "$rc" -eq 0 ] || return 1
-	diff -u "$expected" "$actual"
+	diff -u "tests/cases/$1.expected" "$actual"
 }
 
-# Runs one test and counts its result: verdict NAME COMMAND...
-verdict() {
-	name=$1
-	shift
-	log="$build/test-logs/$(echo "$name" | tr / _).log"
-	if "$@" >"$log" 2>&1; then
-		passed=$((passed + 1))
-		echo "pass  $name"
-	elif is_known_red "$name"; then
-		known=$((known + 1))
-		echo "KNOWN-RED  $name"
+# Runs one test by its name and leaves the verdict in a file of its own.
+run_one() {
+	log=$logs/$(echo "$1" | tr / _).log
+	case $1 in
+	cases/*) run_case "${1#cases/}" >"$log" 2>&1 ;;
+	*) "$build/$1" >"$log" 2>&1 ;;
+	esac
+	rc=$?
+	if [ "$rc" -eq 0 ]; then
+		echo "pass  $1"
+	elif is_known_red "$1"; then
+		echo "KNOWN-RED  $1"
 	else
-		failed=$((failed + 1))
-		echo "FAIL  $name"
+		echo "FAIL  $1"
 		tail -n 40 "$log" | sed 's/^/      /'
 	fi
 }
 
-mkdir -p "$build/test-logs"
-for unit in "$build"/unit/test_*; do
-	case $unit in *.d | *.o) continue ;; esac
-	[ -x "$unit" ] && verdict "unit/$(basename "$unit")" "$unit"
-done
-for fuzzer in "$build"/fuzz/fuzz_*; do
-	case $fuzzer in *.d | *.o) continue ;; esac
-	[ -x "$fuzzer" ] && verdict "fuzz/$(basename "$fuzzer")" "$fuzzer"
-done
-for script in tests/cases/*.sh; do
-	[ -f "$script" ] &&
-	    verdict "cases/$(basename "$script" .sh)" run_case "$script"
-done
-[ "$known" -eq 0 ] || { echo "known red:"; cat KNOWN-RED.txt; }
+# Prints the names of all tests, the long ones first.
+list_tests() {
+	for script in tests/cases/*.sh; do
+		echo "cases/$(basename "$script" .sh)"
+	done
+	for program in "$build"/unit/test_* "$build"/fuzz/fuzz_*; do
+		case $program in *.d | *.o) continue ;; esac
+		echo "${program#"$build"/}"
+	done
+}
+
+if [ "${2:-}" = --one ]; then
+	run_one "$3"
+	exit 0
+fi
+rm -rf "$logs"
+mkdir -p "$logs"
+list_tests | xargs -P "$jobs" -I{} sh "$0" "$build" --one {} |
+    tee "$logs/verdicts"
+passed=$(grep -c '^pass  ' "$logs/verdicts")
+failed=$(grep -c '^FAIL  ' "$logs/verdicts")
+known=$(grep -c '^KNOWN-RED  ' "$logs/verdicts")
+if [ "$known" -gt 0 ]; then
+	echo "known red:"
+	cat KNOWN-RED.txt
+fi
 echo "$passed passed, $failed failed, $known skipped"
-[ "$failed" -eq 0 ]
+[ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
