--- a/bench/lib.sh
+++ b/bench/lib.sh
@@ -18,7 +18,7 @@
 
 # ratio A B: prints A / B with three decimals.
 ratio() {
-	awk -v a="$1" -v b="$2" 'BEGIN { printf "%.3f", b > 0 ? a / b : 0 }'
+	awk -v a="$1" -v b="$2" 'BEGIN { printf "%.3f", (b > 0 ? a / b : 0) }'
 }
 
 now_ms() {
