--- a/bench/bench_placement.c
+++ b/bench/bench_placement.c
@@ -21,6 +21,7 @@
 /* Of 10 checkpoints, one fails: the work since the start is lost. */
 #define CHECKPOINT_FAILS_IN 10
 #define MAX_WORKERS 2700
+#define CHECK_EVERY 20 /* arrivals, of every guarantee */
 #define MEMORY_LIMIT_MB 16.0
 
 typedef enum { CLASS_SMALL, CLASS_MEDIUM, CLASS_GANG, CLASS_COUNT } class_t;
@@ -85,6 +86,7 @@
 	int64_t lost_ms;
 	double fragmentation;
 	int samples;
+	int broken_guarantees;
 	GArray *decisions_us; /* double */
 	placement_t *placement;
 	GRand *rand;
@@ -512,11 +514,9 @@
 {
 	int i =
 	    GPOINTER_TO_INT(g_hash_table_lookup(run->by_id, decision->job)) - 1;
-	job_t *job;
 
 	if (i < 0)
 		return;
-	job = &run->jobs[i];
 	switch (decision->kind) {
 	case PLACEMENT_START:
 		job_starts(run, i);
@@ -599,6 +599,10 @@
 
 		if (event.kind == EVENT_ARRIVAL) {
 			submit(run, job, (uint64_t)event.job + 1000000);
+			run->broken_guarantees +=
+			    event.job % CHECK_EVERY == 0 &&
+			    cells_check(
+				placement_cells(run->placement), NULL) != 0;
 			sample(run,
 			    cells_largest_free(
 				placement_cells(run->placement), ADJACENT_RACK),
@@ -758,6 +762,8 @@
 	g_snprintf(
 	    name, sizeof(name), "placement.%s.decision_p99", scenario->name);
 	figure(name, quantile(run.decisions_us, 0.99), "us", 1000);
+	printf("placement.%s.broken_guarantees %d count 0 %s\n", scenario->name,
+	    run.broken_guarantees, run.broken_guarantees == 0 ? "ok" : "short");
 	cost = mean(run.decisions_us);
 	end_run(&run);
 	return cost;
--- a/policy/cells.h
+++ b/policy/cells.h
@@ -83,6 +83,9 @@
 int cells_hold(
     cells_t *cells, const char *name, const cells_place_t *places, int count);
 void cells_unhold(cells_t *cells, const char *name);
+/* Finds opportunistic places inside the places of one hold. */
+int cells_try_held(const cells_t *cells, const char *name,
+    const cells_shape_t *shape, cells_place_t *places);
 int cells_take(cells_t *cells, const cells_shape_t *shape, bool guaranteed,
     const cells_place_t *places);
 int cells_release(cells_t *cells, const char *job);
--- a/policy/cells_find.c
+++ b/policy/cells_find.c
@@ -399,8 +399,9 @@
 	    adjacency_text(shape->adjacency));
 }
 
-static void
-copy_places(
+/* Writes places with the names of their workers. */
+void
+cells_copy_places(
     const cells_t *cells, const place_t *from, int count, cells_place_t *places)
 {
 	for (int i = 0; i < count; i++) {
@@ -444,7 +445,7 @@
 	int rc = best->found ? 0 : -ENOSPC;
 
 	if (best->found) {
-		copy_places(cells, best->places, shape->members, places);
+		cells_copy_places(cells, best->places, shape->members, places);
 		for (guint i = 0; i < best->victims->len && victim != NULL; i++)
 			victim(ctx,
 			    ((job_t *)g_ptr_array_index(best->victims, i))->id);
@@ -468,7 +469,7 @@
 	if (!guaranteed) {
 		if (find_opportunistic(cells, shape, best.places) != 0)
 			return -ENOSPC;
-		copy_places(cells, best.places, shape->members, places);
+		cells_copy_places(cells, best.places, shape->members, places);
 		return 0;
 	}
 	candidate = (candidate_t){.victims = g_ptr_array_new()};
--- a/policy/cells_hold.c
+++ b/policy/cells_hold.c
@@ -71,6 +71,36 @@
 	g_array_unref(held);
 }
 
+/* See cells.h.  Returns -ENOSPC when there are none. */
+int
+cells_try_held(const cells_t *cells, const char *name,
+    const cells_shape_t *shape, cells_place_t *places)
+{
+	const GArray *held = g_hash_table_lookup(cells->holds, name);
+	pool_t pool[MAX_MEMBERS];
+	place_t found[MAX_MEMBERS];
+	int count = 0;
+
+	if (shape->accelerators == 0)
+		return -ENOSPC;
+	for (guint i = 0; held != NULL && i < held->len && i < MAX_MEMBERS;
+	     i++) {
+		const place_t *place = &g_array_index(held, place_t, i);
+		const worker_t *w = cells_worker_at(cells, place->worker);
+
+		if (w->present && w->usable)
+			pool[count++] = (pool_t){
+			    .worker = place->worker,
+			    .mask = place->mask & ~w->used,
+			    .spare = w->slots_left[VIEW_FREE],
+			};
+	}
+	if (cells_search_within(cells, pool, count, shape, found) != 0)
+		return -ENOSPC;
+	cells_copy_places(cells, found, shape->members, places);
+	return 0;
+}
+
 /* Supposes that a job has ended, or no longer. */
 static void
 suppose_ended(const cells_t *cells, const char *id, bool ended)
@@ -116,12 +146,8 @@
 	*needed = ended;
 	while (ended > 0)
 		suppose_ended(cells, jobs[--ended], false);
-	for (int i = 0; rc == 0 && i < shape->members; i++) {
-		const worker_t *w = cells_worker_at(cells, found[i].worker);
-
-		g_strlcpy(places[i].worker, w->id, sizeof(places[i].worker));
-		places[i].accelerator_mask = found[i].mask;
-	}
+	if (rc == 0)
+		cells_copy_places(cells, found, shape->members, places);
 	return rc;
 }
 
--- a/policy/cells_private.h
+++ b/policy/cells_private.h
@@ -156,6 +156,10 @@
 bool cells_is_inside(const cells_t *cells, const job_t *job);
 void cells_replace_units(cells_t *cells, GArray *guarantees);
 
+/* cells_find.c */
+void cells_copy_places(const cells_t *cells, const place_t *from, int count,
+    cells_place_t *places);
+
 /* cells.c */
 int cells_worker_find(const cells_t *cells, const char *id);
 void cells_job_free(void *job);
--- a/policy/cells_search.c
+++ b/policy/cells_search.c
@@ -225,7 +225,7 @@
 	const GArray *in_rack =
 	    rack != CELLS_NONE ? rack_at(cells, rack)->workers : NULL;
 	guint count = in_rack != NULL ? in_rack->len : cells->workers->len;
-	int best_total = 0;
+	int best_rank = 0;
 
 	place->worker = CELLS_NONE;
 	for (guint i = 0; i < count; i++) {
@@ -233,11 +233,15 @@
 		    in_rack != NULL ? g_array_index(in_rack, int, i) : (int)i;
 		const worker_t *w = cells_worker_at(cells, id);
 		int total = __builtin_popcount(w->avail[view]);
+		int rank = total;
 		uint32_t mask = 0;
 
+		/* Slots that free accelerators will need are taken last. */
+		if (accelerators == 0)
+			rank = total - w->slots_left[view];
 		if (!w->present || (!w->usable && view != VIEW_ALL) ||
 		    w->slots_left[view] <= 0 || total < accelerators ||
-		    (place->worker != CELLS_NONE && total >= best_total))
+		    (place->worker != CELLS_NONE && rank >= best_rank))
 			continue;
 		if (accelerators > 0)
 			mask = cells_block(
@@ -245,7 +249,7 @@
 		if (accelerators > 0 && mask == 0)
 			continue;
 		*place = (place_t){id, mask};
-		best_total = total;
+		best_rank = rank;
 	}
 	return place->worker != CELLS_NONE;
 }
--- a/policy/placement_decide.c
+++ b/policy/placement_decide.c
@@ -63,9 +63,11 @@
 claim_guaranteed(placement_t *placement, pjob_t *job, int64_t now_ms)
 {
 	cells_shape_t shape = placement_shape(job);
-	victims_t victims = {.placement = placement};
+	victims_t victims;
 	cells_place_t places[MAX_MEMBERS];
 
+	victims.placement = placement;
+	victims.count = 0;
 	if (job->bucket->failed_version == placement->version)
 		return false;
 	if (cells_try(placement->cells, &shape, true, places, add_victim,
@@ -147,9 +149,11 @@
 claim_reclaiming(placement_t *placement, pjob_t *job, int64_t now_ms)
 {
 	cells_shape_t shape = placement_shape(job);
-	victims_t victims = {.placement = placement};
+	victims_t victims;
 	cells_place_t places[MAX_MEMBERS];
 
+	victims.placement = placement;
+	victims.count = 0;
 	if (!placement_within_quota(job) ||
 	    cells_find_reclaiming(
 		placement->cells, &shape, places, add_victim, &victims) != 0)
--- a/policy/placement_reserve.c
+++ b/policy/placement_reserve.c
@@ -229,14 +229,10 @@
 	reservation_t *reservation = &placement->reservation;
 	cells_shape_t shape = placement_shape(job);
 	double run_ms = (double)job->declared_ms * job->bucket->tenant->stretch;
-	int rc;
 
 	if (reservation->job == NULL || reservation->job == job ||
 	    (double)now_ms + run_ms >= (double)reservation->expected_ms)
 		return -1;
-	cells_unhold(placement->cells, RESERVATION_HOLD);
-	rc = cells_try(placement->cells, &shape, false, places, NULL, NULL);
-	cells_hold(placement->cells, RESERVATION_HOLD, reservation->places,
-	    reservation->job->bucket->shape->members);
-	return rc;
+	return cells_try_held(
+	    placement->cells, RESERVATION_HOLD, &shape, places);
 }
--- a/tests/unit/test_cells.c
+++ b/tests/unit/test_cells.c
@@ -216,6 +216,27 @@
 }
 END_TEST
 
+/* Guards against work without accelerators that takes the slots of others. */
+START_TEST(slots_stay_for_accelerators)
+{
+	cells_t *cells = cells_create();
+	cells_shape_t two = shape_of("two", "a", 2, 1, ADJACENT_DOMAIN);
+	char name[16];
+
+	ck_assert_int_eq(cells_add_worker(cells, "w0", "r0", 1, 4), 0);
+	ck_assert_int_eq(cells_add_worker(cells, "w1", "r0", 1, 4), 0);
+	for (int i = 0; i < 6; i++) {
+		cells_shape_t shape =
+		    shape_of(name, "a", 1, 0, ADJACENT_DOMAIN);
+
+		snprintf(name, sizeof(name), "n%d", i);
+		ck_assert_int_eq(place(cells, &shape, false, NULL), 0);
+	}
+	ck_assert_int_eq(place(cells, &two, false, NULL), 0);
+	cells_destroy(cells);
+}
+END_TEST
+
 /* Guards against reclaiming more work than needed. */
 START_TEST(reclaims_least_work)
 {
@@ -670,6 +691,7 @@
 	tcase_add_test(tcase, guarantees_do_not_share);
 	tcase_add_test(tcase, refuses_what_does_not_fit);
 	tcase_add_test(tcase, packing_keeps_large_cells);
+	tcase_add_test(tcase, slots_stay_for_accelerators);
 	tcase_add_test(tcase, reclaims_least_work);
 	tcase_add_test(tcase, uneven_hardware);
 	tcase_add_test(tcase, failures_put_guarantees_at_risk);
