policy: keep several reservations for large jobs

Up to 16 reservations over at most half of the domain. A plan for one no longer counts places that another holds, and looks only at jobs with accelerators.

--- a/policy/cells.c
+++ b/policy/cells.c
@@ -510,6 +510,19 @@
 	}
 }
 
+/* Returns all accelerators of present workers. */
+int
+cells_total_accelerators(const cells_t *cells)
+{
+	int total = 0;
+
+	for (guint i = 0; i < cells->racks->len; i++)
+		total += ((rack_t *)g_ptr_array_index(cells->racks, i))
+			     ->index[VIEW_ALL]
+			     .total;
+	return total;
+}
+
 /* Returns the accelerators on which nothing runs. */
 int
 cells_free_accelerators(const cells_t *cells)
--- a/policy/cells.h
+++ b/policy/cells.h
@@ -102,5 +102,6 @@
 void cells_each_at_risk(const cells_t *cells,
     void (*visit)(void *ctx, const cells_guarantee_t *guarantee, int units),
     void *ctx);
+int cells_total_accelerators(const cells_t *cells);
 int cells_free_accelerators(const cells_t *cells);
 int cells_largest_free(const cells_t *cells, adjacency_t adjacency);
--- a/policy/cells_search.c
+++ b/policy/cells_search.c
@@ -151,7 +151,7 @@
 	    [VIEW_FREE] = up & ~w->used & ~w->held,
 	    [VIEW_HARD] = up & ~w->guaranteed & ~w->reserved,
 	    [VIEW_ALL] = all,
-	    [VIEW_PLAN] = up & ((~w->used & ~w->held) | w->planned),
+	    [VIEW_PLAN] = up & (~w->used | w->planned) & ~w->held,
 	};
 
 	w->slots_left[VIEW_FREE] = w->slots - w->slots_used;
--- a/policy/placement.c
+++ b/policy/placement.c
@@ -23,6 +23,7 @@
 	pjob_t *job = data;
 
 	health_forget(&job->failures);
+	g_free(job->claimant);
 	g_free(job->places);
 	g_free(job->id);
 	g_free(job);
@@ -49,6 +50,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pjob_free);
 	placement->version = 1;
 	placement->hardware_version = 1;
+	placement->placed = g_ptr_array_new();
 	placement->claimed = g_ptr_array_new();
 	placement->draining = g_ptr_array_new();
 	placement->timed = g_ptr_array_new();
@@ -60,6 +62,7 @@
 {
 	if (placement == NULL)
 		return;
+	g_ptr_array_unref(placement->placed);
 	g_ptr_array_unref(placement->claimed);
 	g_ptr_array_unref(placement->draining);
 	g_ptr_array_unref(placement->timed);
@@ -87,7 +90,7 @@
 {
 	placement->version++;
 	placement->hardware_version++;
-	placement_drop_reservation(placement);
+	placement_drop_reservations(placement);
 }
 
 /* Adds a worker, or changes its sizes; see cells_add_worker for errors. */
@@ -276,8 +279,8 @@
 	job->bucket->tenant->waiting--;
 	if (job->deadline_ms > 0)
 		g_ptr_array_remove_fast(placement->timed, job);
-	if (placement->reservation.job == job)
-		placement_drop_reservation(placement);
+	if (job->reservation != NULL)
+		placement_drop_reservation(placement, job->reservation);
 }
 
 /* Creates the record of a job; NULL when it is known already. */
@@ -333,6 +336,10 @@
 	job->started_ms = now_ms;
 	if (!guaranteed)
 		job->bucket->tenant->used += placement_size(job);
+	if (placement_size(job) > 0) {
+		job->placed_index = placement->placed->len;
+		g_ptr_array_add(placement->placed, job);
+	}
 	return 0;
 }
 
@@ -341,6 +348,16 @@
 placement_unclaim(placement_t *placement, pjob_t *job, int64_t now_ms)
 {
 	cells_release(placement->cells, job->id);
+	if (placement_size(job) > 0) {
+		g_ptr_array_remove_index_fast(
+		    placement->placed, job->placed_index);
+		if (job->placed_index < placement->placed->len) {
+			pjob_t *moved = g_ptr_array_index(
+			    placement->placed, job->placed_index);
+
+			moved->placed_index = job->placed_index;
+		}
+	}
 	if (!job->guaranteed)
 		job->bucket->tenant->used -= placement_size(job);
 	job->attained += MAX(now_ms - job->started_ms, 0) * placement_size(job);
--- a/policy/placement.h
+++ b/policy/placement.h
@@ -26,6 +26,9 @@
 /* A job of more than one member or this many accelerators is large. */
 #define PLACEMENT_LARGE_ACCELERATORS 8
 
+/* Reservations at once; together they cover at most half of the domain. */
+#define PLACEMENT_MAX_RESERVATIONS 16
+
 /* A large job gets a reservation when it has waited this long. */
 #define PLACEMENT_RESERVE_AFTER_MS 5000
 
--- a/policy/placement_decide.c
+++ b/policy/placement_decide.c
@@ -30,17 +30,21 @@
 		    placement_find(victims->placement, id);
 }
 
-/* Drops the reservation when other work takes part of it. */
+/* Drops the reservations of which other work takes a part. */
 static void
 give_way(placement_t *placement, const pjob_t *job, const cells_place_t *places)
 {
-	const reservation_t *reservation = &placement->reservation;
-
-	if (reservation->job != NULL &&
-	    placement_overlap(reservation->places,
-		reservation->job->bucket->shape->members, places,
-		job->bucket->shape->members))
-		placement_drop_reservation(placement);
+	for (int i = 0;
+	     placement->reserved_count > 0 && i < PLACEMENT_MAX_RESERVATIONS;
+	     i++) {
+		reservation_t *reservation = &placement->reservations[i];
+
+		if (reservation->job != NULL &&
+		    placement_overlap(reservation->places,
+			reservation->job->bucket->shape->members, places,
+			job->bucket->shape->members))
+			placement_drop_reservation(placement, reservation);
+	}
 }
 
 /* Reclaims the victims and gives the job its places. */
@@ -217,7 +221,7 @@
 
 		if (job == NULL ||
 		    (bucket->shape->failed_version == placement->version &&
-			(placement->reservation.job == NULL ||
+			(placement->reserved_count == 0 ||
 			    bucket->backfill_version == placement->version)) ||
 		    !placement_within_quota(job))
 			continue;
@@ -257,36 +261,57 @@
 	       shape->accelerators >= PLACEMENT_LARGE_ACCELERATORS;
 }
 
-/* Gives the reservation to the large job that has waited longest. */
-static void
+/* Returns the first job of a bucket that may get a reservation now. */
+static pjob_t *
+next_unreserved(
+    const placement_t *placement, const bucket_t *bucket, int64_t now_ms)
+{
+	GList *link = bucket->jobs.head;
+	pjob_t *job;
+
+	if (link == NULL || !is_large(bucket->shape) || bucket->shape->never ||
+	    bucket->shape->reserve_version == placement->version)
+		return NULL;
+	while (link != NULL && ((pjob_t *)link->data)->reservation != NULL)
+		link = link->next;
+	job = link != NULL ? link->data : NULL;
+	if (job == NULL ||
+	    now_ms - job->waiting_ms < PLACEMENT_RESERVE_AFTER_MS ||
+	    !placement_within_quota(job))
+		return NULL;
+	return job;
+}
+
+/* Gives a reservation to the large job that has waited longest. */
+static bool
 consider_reservation(placement_t *placement, int64_t now_ms)
 {
+	int limit = cells_total_accelerators(placement->cells) / 2;
 	pjob_t *oldest = NULL;
 
-	if (placement->reservation.job != NULL ||
+	if (placement->reserved_count == PLACEMENT_MAX_RESERVATIONS ||
 	    (placement->planned_ms != 0 &&
 		now_ms - placement->planned_ms < PLAN_INTERVAL_MS))
-		return;
+		return false;
 	for (guint i = 0; i < placement->buckets->len; i++) {
-		bucket_t *bucket = g_ptr_array_index(placement->buckets, i);
-		pjob_t *job = g_queue_peek_head(&bucket->jobs);
-
-		if (job == NULL || !is_large(bucket->shape) ||
-		    bucket->shape->never ||
-		    bucket->shape->reserve_version == placement->version ||
-		    now_ms - job->waiting_ms < PLACEMENT_RESERVE_AFTER_MS ||
-		    !placement_within_quota(job))
-			continue;
-		if (oldest == NULL || job->waiting_ms < oldest->waiting_ms)
+		pjob_t *job = next_unreserved(placement,
+		    g_ptr_array_index(placement->buckets, i), now_ms);
+
+		if (job != NULL &&
+		    (placement->reserved_count == 0 ||
+			placement->reserved_size + placement_size(job) <=
+			    limit) &&
+		    (oldest == NULL || job->waiting_ms < oldest->waiting_ms))
 			oldest = job;
 	}
 	if (oldest == NULL)
-		return;
+		return false;
 	placement_reserve(placement, oldest, now_ms);
-	if (placement->reservation.job == NULL) {
-		oldest->bucket->shape->reserve_version = placement->version;
-		placement->planned_ms = now_ms;
-	}
+	if (oldest->reservation != NULL)
+		return true;
+	oldest->bucket->shape->reserve_version = placement->version;
+	placement->planned_ms = now_ms;
+	return false;
 }
 
 static void
@@ -413,7 +438,8 @@
 		    try_priority(placement, PRIORITY_GUARANTEED, now_ms) ||
 		    placement_use_reservation(placement, now_ms))
 			continue;
-		consider_reservation(placement, now_ms);
+		while (consider_reservation(placement, now_ms))
+			;
 		if (placement_use_reservation(placement, now_ms) ||
 		    try_opportunistic(placement, now_ms))
 			continue;
@@ -462,14 +488,14 @@
 		     &why) != 0)
 		g_string_append_printf(
 		    out, "; outside guarantees: %s", why.text);
-	if (placement->reservation.job == job)
+	if (job->reservation != NULL)
 		g_string_append_printf(out,
 		    "; %d places from worker %s on are reserved for it",
-		    shape.members, placement->reservation.places[0].worker);
-	else if (placement->reservation.job != NULL)
+		    shape.members, job->reservation->places[0].worker);
+	else if (placement->reserved_count > 0)
 		g_string_append_printf(out,
-		    "; a reservation is held for job %s",
-		    placement->reservation.job->id);
+		    "; %d reservations are held for large jobs",
+		    placement->reserved_count);
 }
 
 /* See placement.h. */
--- a/policy/placement_health.c
+++ b/policy/placement_health.c
@@ -60,7 +60,7 @@
 	cells_set_usable(placement->cells, worker, !suspect);
 	placement->version++;
 	placement->hardware_version++;
-	placement_drop_reservation(placement);
+	placement_drop_reservations(placement);
 }
 
 /*
--- a/policy/placement_private.h
+++ b/policy/placement_private.h
@@ -34,6 +34,7 @@
 } shape_t;
 
 typedef struct tenant_t tenant_t;
+typedef struct reservation_t reservation_t;
 
 /* Waiting jobs that differ only in order. */
 typedef struct {
@@ -72,26 +73,29 @@
 	int level;        /* of attained service */
 	int64_t started_ms;
 	bool guaranteed;
+	reservation_t *reservation; /* that it has */
 	bool backfill;  /* placed in a reservation for the time being */
 	bool cancelled; /* leaves once its members have ended */
 	cells_place_t *places;
+	guint placed_index; /* in placed, while it has accelerators */
 	int64_t reclaim_ms; /* start of the reclaim */
 	reclaim_step_t step;
-	char claimant[NAME_MAX_LEN + 1]; /* for whom it is reclaimed */
+	char *claimant; /* for whom it is reclaimed */
 	health_request_t failures;
 	int failed_attempts;
 	const char *rule; /* that decided last */
 } pjob_t;
 
 /* Places kept for one large job. */
-typedef struct {
+struct reservation_t {
+	char hold[24];
 	pjob_t *job; /* NULL for none */
 	int64_t expected_ms;
 	uint64_t tried_version;
 	bool tried_overdue;
 	bool migration_considered;
 	cells_place_t places[MAX_MEMBERS];
-} reservation_t;
+};
 
 struct placement_t {
 	cells_t *cells;
@@ -108,18 +112,21 @@
 	uint64_t version; /* grows when a search may newly succeed */
 	uint64_t
 	    hardware_version; /* grows when hardware or guarantees change */
+	GPtrArray *placed;    /* pjob_t with accelerators */
 	GPtrArray *claimed;   /* pjob_t */
 	GPtrArray *draining;  /* pjob_t, also migrating */
 	GPtrArray *timed;     /* waiting pjob_t with a deadline */
 	int64_t deadlines_checked_ms;
 	uint64_t hardware_seen; /* version, and when it was first seen */
 	int64_t hardware_seen_ms;
-	reservation_t reservation;
+	reservation_t reservations[PLACEMENT_MAX_RESERVATIONS];
+	int reserved_size;
+	int reserved_count;
 	int64_t planned_ms; /* last search for a reservation that failed */
 };
 
 /* Not a valid job id, which names the other holds. */
-#define RESERVATION_HOLD "/reservation"
+#define RESERVATION_HOLD "/reservation%d"
 #define AVOID_HOLD "/avoid"
 
 /* placement.c */
@@ -147,9 +154,12 @@
 int64_t placement_expected_end(const pjob_t *job, int64_t now_ms);
 void placement_observe(pjob_t *job, int64_t now_ms);
 void placement_reserve(placement_t *placement, pjob_t *job, int64_t now_ms);
-void placement_drop_reservation(placement_t *placement);
+void placement_drop_reservation(
+    placement_t *placement, reservation_t *reservation);
+void placement_drop_reservations(placement_t *placement);
 bool placement_use_reservation(placement_t *placement, int64_t now_ms);
-GPtrArray *placement_in_reservation(const placement_t *placement);
+GPtrArray *placement_in_reservation(
+    const placement_t *placement, const reservation_t *reservation);
 int placement_backfill(placement_t *placement, const pjob_t *job,
     int64_t now_ms, cells_place_t *places);
 bool placement_overlap(
--- a/policy/placement_reclaim.c
+++ b/policy/placement_reclaim.c
@@ -62,7 +62,8 @@
 	victim->step = STEP_CHECKPOINT;
 	victim->reclaim_ms = now_ms;
 	victim->rule = "is reclaimed";
-	g_strlcpy(victim->claimant, claimant->id, sizeof(victim->claimant));
+	g_free(victim->claimant);
+	victim->claimant = g_strdup(claimant->id);
 	g_ptr_array_add(placement->draining, victim);
 }
 
@@ -165,9 +166,8 @@
 		job->reclaim_ms = MIN(job->reclaim_ms,
 		    now_ms - PLACEMENT_CHECKPOINT_MS - PLACEMENT_THROTTLE_MS);
 	} else if (job->state == PJOB_MIGRATING) {
-		claimant = placement->reservation.job;
-		if (claimant == NULL ||
-		    strcmp(claimant->id, job->claimant) != 0)
+		claimant = placement_find(placement, job->claimant);
+		if (claimant == NULL || claimant->reservation == NULL)
 			return;
 		placement_reclaim(placement, job, claimant, now_ms);
 		job->step = STEP_STOP;
@@ -196,14 +196,13 @@
 }
 
 /*
- * Moves the jobs in the reservation elsewhere when that costs less than the
+ * Moves the jobs in a reservation elsewhere when that costs less than the
  * reserved job gains; each must have a place elsewhere now.  Considered once
  * for each reservation.
  */
-void
-placement_migrate(placement_t *placement, int64_t now_ms)
+static void
+migrate(placement_t *placement, reservation_t *reservation, int64_t now_ms)
 {
-	reservation_t *reservation = &placement->reservation;
 	GPtrArray *jobs;
 	int64_t cost = 0;
 	int64_t gain;
@@ -213,7 +212,7 @@
 	reservation->migration_considered = true;
 	gain = MIN(reservation->expected_ms - now_ms, PLACEMENT_MAX_WAIT_MS) *
 	       placement_size(reservation->job);
-	jobs = placement_in_reservation(placement);
+	jobs = placement_in_reservation(placement, reservation);
 	if (can_move(placement, jobs, &cost) && cost < gain) {
 		for (guint i = 0; i < jobs->len; i++) {
 			pjob_t *job = g_ptr_array_index(jobs, i);
@@ -222,10 +221,20 @@
 			job->reclaim_ms = now_ms;
 			job->step = STEP_CHECKPOINT;
 			job->rule = "is moved to free a large cell";
-			g_strlcpy(job->claimant, reservation->job->id,
-			    sizeof(job->claimant));
+			g_free(job->claimant);
+			job->claimant = g_strdup(reservation->job->id);
 			g_ptr_array_add(placement->draining, job);
 		}
 	}
 	g_ptr_array_unref(jobs);
 }
+
+/* Considers migration for each new reservation. */
+void
+placement_migrate(placement_t *placement, int64_t now_ms)
+{
+	for (int i = 0;
+	     placement->reserved_count > 0 && i < PLACEMENT_MAX_RESERVATIONS;
+	     i++)
+		migrate(placement, &placement->reservations[i], now_ms);
+}
--- a/policy/placement_reserve.c
+++ b/policy/placement_reserve.c
@@ -1,3 +1,4 @@
+#include <errno.h>
 #include <string.h>
 
 #include "policy/placement_private.h"
@@ -61,12 +62,9 @@
 list_endings(const placement_t *placement, int64_t now_ms)
 {
 	GArray *endings = g_array_new(FALSE, FALSE, sizeof(ending_t));
-	GHashTableIter iter;
-	void *value;
 
-	g_hash_table_iter_init(&iter, placement->jobs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const pjob_t *job = value;
+	for (guint i = 0; i < placement->placed->len; i++) {
+		const pjob_t *job = g_ptr_array_index(placement->placed, i);
 		ending_t ending = {job->id, placement_expected_end(job, now_ms),
 		    job->started_ms};
 
@@ -84,15 +82,30 @@
 	return endings;
 }
 
+static reservation_t *
+unused_reservation(placement_t *placement)
+{
+	for (int i = 0; i < PLACEMENT_MAX_RESERVATIONS; i++) {
+		reservation_t *reservation = &placement->reservations[i];
+
+		if (reservation->job != NULL)
+			continue;
+		g_snprintf(reservation->hold, sizeof(reservation->hold),
+		    RESERVATION_HOLD, i);
+		return reservation;
+	}
+	return NULL;
+}
+
 /*
  * Reserves places for a large job where they are expected to be free first.
- * Without such places there is no reservation: guaranteed work fills the
- * domain.
+ * Without such places there is no reservation: guaranteed work or other
+ * reservations fill the domain.
  */
 void
 placement_reserve(placement_t *placement, pjob_t *job, int64_t now_ms)
 {
-	reservation_t *reservation = &placement->reservation;
+	reservation_t *reservation = unused_reservation(placement);
 	GArray *endings = list_endings(placement, now_ms);
 	const char **ids = g_new(const char *, endings->len + 1);
 	cells_shape_t shape = placement_shape(job);
@@ -100,33 +113,50 @@
 
 	for (guint i = 0; i < endings->len; i++)
 		ids[i] = g_array_index(endings, ending_t, i).id;
-	if (cells_plan(placement->cells, &shape, ids, endings->len,
+	if (reservation != NULL &&
+	    cells_plan(placement->cells, &shape, ids, endings->len,
 		reservation->places, &needed) == 0 &&
-	    cells_hold(placement->cells, RESERVATION_HOLD, reservation->places,
+	    cells_hold(placement->cells, reservation->hold, reservation->places,
 		shape.members) == 0) {
 		reservation->job = job;
 		reservation->expected_ms =
 		    g_array_index(endings, ending_t, needed - 1).end_ms;
 		reservation->tried_version = 0;
 		reservation->migration_considered = false;
-		job->rule = "has the reservation";
+		placement->reserved_size += placement_size(job);
+		placement->reserved_count++;
+		job->reservation = reservation;
+		job->rule = "has a reservation";
 	}
 	g_free(ids);
 	g_array_unref(endings);
 }
 
-/* Opens the reserved places again. */
+/* Ends a reservation and opens its places again. */
 void
-placement_drop_reservation(placement_t *placement)
+placement_drop_reservation(placement_t *placement, reservation_t *reservation)
 {
-	if (placement->reservation.job == NULL)
+	pjob_t *job = reservation->job;
+
+	if (job == NULL)
 		return;
-	placement->reservation.job->rule = "waits for a large cell";
-	placement->reservation.job = NULL;
-	cells_unhold(placement->cells, RESERVATION_HOLD);
+	job->rule = "waits for a large cell";
+	job->reservation = NULL;
+	reservation->job = NULL;
+	placement->reserved_size -= placement_size(job);
+	placement->reserved_count--;
+	cells_unhold(placement->cells, reservation->hold);
 	placement->version++;
 }
 
+void
+placement_drop_reservations(placement_t *placement)
+{
+	for (int i = 0; i < PLACEMENT_MAX_RESERVATIONS; i++)
+		placement_drop_reservation(
+		    placement, &placement->reservations[i]);
+}
+
 typedef struct {
 	const placement_t *placement;
 	GPtrArray *jobs;
@@ -142,12 +172,12 @@
 		g_ptr_array_add(users->jobs, job);
 }
 
-/* Lists the jobs that have places in the reservation. */
+/* Lists the jobs that have places in a reservation. */
 GPtrArray *
-placement_in_reservation(const placement_t *placement)
+placement_in_reservation(
+    const placement_t *placement, const reservation_t *reservation)
 {
 	users_t users = {placement, g_ptr_array_new()};
-	const reservation_t *reservation = &placement->reservation;
 
 	cells_users(placement->cells, reservation->places,
 	    reservation->job->bucket->shape->members, add_user, &users);
@@ -159,9 +189,10 @@
  * any opportunistic work once the reserved job has waited for too long.
  */
 static void
-clear_places(placement_t *placement, bool overdue, int64_t now_ms)
+clear_places(placement_t *placement, const reservation_t *reservation,
+    bool overdue, int64_t now_ms)
 {
-	GPtrArray *users = placement_in_reservation(placement);
+	GPtrArray *users = placement_in_reservation(placement, reservation);
 	bool can_clear = true;
 
 	for (guint i = 0; i < users->len; i++) {
@@ -176,63 +207,72 @@
 	}
 	for (guint i = 0; can_clear && i < users->len; i++)
 		placement_reclaim(placement, g_ptr_array_index(users, i),
-		    placement->reservation.job, now_ms);
+		    reservation->job, now_ms);
 	g_ptr_array_unref(users);
 }
 
-/*
- * Gives the reserved job its places when nothing is in the way any more.
- * Returns whether it did.
- */
-bool
-placement_use_reservation(placement_t *placement, int64_t now_ms)
+/* Gives the reserved job its places when nothing is in the way any more. */
+static bool
+use(placement_t *placement, reservation_t *reservation, int64_t now_ms)
 {
-	reservation_t *reservation = &placement->reservation;
 	pjob_t *job = reservation->job;
 	bool overdue;
 
-	if (job == NULL)
+	if (job == NULL || !placement_within_quota(job))
 		return false;
 	overdue = now_ms - job->waiting_ms >= PLACEMENT_MAX_WAIT_MS;
-	if (!placement_within_quota(job))
-		return false;
 	if (reservation->tried_version == placement->version &&
 	    (!overdue || reservation->tried_overdue))
 		return false;
-	clear_places(placement, overdue, now_ms);
-	cells_unhold(placement->cells, RESERVATION_HOLD);
-	if (placement_claim(
-		placement, job, false, reservation->places, now_ms) == 0) {
-		reservation->job = NULL;
-		placement->version++;
-		placement_dequeue(placement, job);
-		job->rule = "starts in its reservation";
-		g_ptr_array_add(placement->claimed, job);
-		return true;
-	}
-	cells_hold(placement->cells, RESERVATION_HOLD, reservation->places,
-	    job->bucket->shape->members);
+	clear_places(placement, reservation, overdue, now_ms);
 	reservation->tried_version = placement->version;
 	reservation->tried_overdue = overdue;
+	if (placement_claim(
+		placement, job, false, reservation->places, now_ms) != 0)
+		return false;
+	placement_drop_reservation(placement, reservation);
+	placement_dequeue(placement, job);
+	job->rule = "starts in its reservation";
+	g_ptr_array_add(placement->claimed, job);
+	return true;
+}
+
+/* Starts a job whose reserved places are free; returns whether there is one. */
+bool
+placement_use_reservation(placement_t *placement, int64_t now_ms)
+{
+	for (int i = 0;
+	     placement->reserved_count > 0 && i < PLACEMENT_MAX_RESERVATIONS;
+	     i++) {
+		if (use(placement, &placement->reservations[i], now_ms))
+			return true;
+	}
 	return false;
 }
 
 /*
- * Finds places inside the reservation for work that is expected to end before
- * the reserved job could start.  Such work is reclaimed when it does not, so it
+ * Finds places inside a reservation for work that is expected to end before the
+ * reserved job could start.  Such work is reclaimed when it does not, so it
  * never delays the reserved job.  Returns 0 or a negative errno value.
  */
 int
 placement_backfill(placement_t *placement, const pjob_t *job, int64_t now_ms,
     cells_place_t *places)
 {
-	reservation_t *reservation = &placement->reservation;
 	cells_shape_t shape = placement_shape(job);
-	double run_ms = (double)job->declared_ms * job->bucket->tenant->stretch;
+	double end_ms = (double)now_ms +
+			(double)job->declared_ms * job->bucket->tenant->stretch;
 
-	if (reservation->job == NULL || reservation->job == job ||
-	    (double)now_ms + run_ms >= (double)reservation->expected_ms)
-		return -1;
-	return cells_try_held(
-	    placement->cells, RESERVATION_HOLD, &shape, places);
+	for (int i = 0;
+	     placement->reserved_count > 0 && i < PLACEMENT_MAX_RESERVATIONS;
+	     i++) {
+		const reservation_t *reservation = &placement->reservations[i];
+
+		if (reservation->job != NULL && reservation->job != job &&
+		    end_ms < (double)reservation->expected_ms &&
+		    cells_try_held(placement->cells, reservation->hold, &shape,
+			places) == 0)
+			return 0;
+	}
+	return -ENOSPC;
 }
