policy: plan a reservation anew when its places are not free in time

Work in reserved places that outlives its declaration counts as without end, so the place may be the wrong one. Plans are made once a second at most.

--- a/policy/placement_decide.c
+++ b/policy/placement_decide.c
@@ -5,7 +5,7 @@
 
 #define DEADLINE_CHECK_MS 200
 
-/* A search for a reservation that failed looked at every running job. */
+/* A search for a reservation looks at every running job. */
 #define PLAN_INTERVAL_MS 1000
 
 /*
@@ -307,10 +307,10 @@
 	if (oldest == NULL)
 		return false;
 	placement_reserve(placement, oldest, now_ms);
+	placement->planned_ms = now_ms;
 	if (oldest->reservation != NULL)
 		return true;
 	oldest->bucket->shape->reserve_version = placement->version;
-	placement->planned_ms = now_ms;
 	return false;
 }
 
@@ -438,8 +438,7 @@
 		    try_priority(placement, PRIORITY_GUARANTEED, now_ms) ||
 		    placement_use_reservation(placement, now_ms))
 			continue;
-		while (consider_reservation(placement, now_ms))
-			;
+		consider_reservation(placement, now_ms);
 		if (placement_use_reservation(placement, now_ms) ||
 		    try_opportunistic(placement, now_ms))
 			continue;
--- a/policy/placement_reserve.c
+++ b/policy/placement_reserve.c
@@ -217,19 +217,25 @@
 {
 	pjob_t *job = reservation->job;
 	bool overdue;
+	bool late;
 
 	if (job == NULL || !placement_within_quota(job))
 		return false;
 	overdue = now_ms - job->waiting_ms >= PLACEMENT_MAX_WAIT_MS;
-	if (reservation->tried_version == placement->version &&
+	late = now_ms > reservation->expected_ms;
+	if (reservation->tried_version == placement->version && !late &&
 	    (!overdue || reservation->tried_overdue))
 		return false;
 	clear_places(placement, reservation, overdue, now_ms);
 	reservation->tried_version = placement->version;
 	reservation->tried_overdue = overdue;
 	if (placement_claim(
-		placement, job, false, reservation->places, now_ms) != 0)
+		placement, job, false, reservation->places, now_ms) != 0) {
+		/* What is in the way has outlived its declaration. */
+		if (late)
+			placement_drop_reservation(placement, reservation);
 		return false;
+	}
 	placement_drop_reservation(placement, reservation);
 	placement_dequeue(placement, job);
 	job->rule = "starts in its reservation";
