--- a/bench/bench_placement.c
+++ b/bench/bench_placement.c
@@ -597,7 +597,7 @@
 	while (run->left > 0 && next_event(run, &event)) {
 		job_t *job = event.job >= 0 ? &run->jobs[event.job] : NULL;
 
-		if (event.kind == EVENT_ARRIVAL) {
+		if (event.kind == EVENT_ARRIVAL && job != NULL) {
 			submit(run, job, (uint64_t)event.job + 1000000);
 			run->broken_guarantees +=
 			    event.job % CHECK_EVERY == 0 &&
@@ -612,7 +612,7 @@
 			if (event.job == -2)
 				add_event(
 				    run, run->now_ms + TICK_MS, EVENT_TICK, -2);
-		} else if (event.epoch != job->epoch) {
+		} else if (job == NULL || event.epoch != job->epoch) {
 			continue;
 		} else if (event.kind == EVENT_END) {
 			placement_ended(run->placement, job->id, PLACEMENT_DONE,
--- a/policy/gang.c
+++ b/policy/gang.c
@@ -7,6 +7,7 @@
 
 #define PROPOSE_AGAIN_MS 500
 #define NEVER INT64_MAX
+#define NO_ANSWER "a member does not answer"
 
 typedef enum {
 	PHASE_NEW,
@@ -472,11 +473,13 @@
 
 	for (int m = 0; m < gang->members; m++) {
 		const member_t *member = &gang->member[m];
+		int64_t silent_ms = gang->now_ms - member->heard_ms;
 
-		if (!member->finished && gang->now_ms - member->heard_ms >=
-					     GANG_LEASE_MS - GANG_RENEW_MS) {
-			stop_all(
-			    gang, JOB_END_LOST, "a member does not answer");
+		if (member->finished)
+			continue;
+		all_alive = all_alive && silent_ms < 2 * GANG_RENEW_MS;
+		if (silent_ms >= GANG_LEASE_MS - GANG_RENEW_MS) {
+			stop_all(gang, JOB_END_LOST, NO_ANSWER);
 			return;
 		}
 	}
@@ -512,7 +515,7 @@
 tick_reserving(gang_t *gang)
 {
 	if (gang->now_ms - gang->phase_ms >= GANG_RESERVE_LIMIT_MS) {
-		stop_all(gang, JOB_END_ABORTED, "a member does not answer");
+		stop_all(gang, JOB_END_ABORTED, NO_ANSWER);
 		return;
 	}
 	for (int m = 0; m < gang->members; m++) {
--- a/tests/unit/test_cells.c
+++ b/tests/unit/test_cells.c
@@ -36,8 +36,8 @@
 
 	for (int r = 0; r < racks; r++) {
 		for (int w = 0; w < workers_per_rack; w++) {
-			char worker[16];
-			char rack[16];
+			char worker[32];
+			char rack[32];
 
 			snprintf(worker, sizeof(worker), "w%d-%d", r, w);
 			snprintf(rack, sizeof(rack), "r%d", r);
--- a/tests/unit/test_gang.c
+++ b/tests/unit/test_gang.c
@@ -19,6 +19,7 @@
 /* A stand-in for a backend server with one task id. */
 typedef struct {
 	int state; /* of charts/task.chart */
+	bool was_reserved;
 	bool ran;
 	int64_t lease_ms;
 	int64_t end_ms;
@@ -114,8 +115,10 @@
 	switch (kind) {
 	case GANG_RESERVE:
 		if (chart_step(world->task_chart, &server->state, "reserve") ==
-		    0)
+		    0) {
 			server->lease_ms = world->now_ms + GANG_LEASE_MS;
+			server->was_reserved = true;
+		}
 		break;
 	case GANG_START:
 		if (chart_step(world->task_chart, &server->state, "start") ==
@@ -123,6 +126,11 @@
 			ck_assert_msg(
 			    !server->ran, "member %d ran twice", member);
 			server->ran = true;
+			for (int m = 0; m < MEMBERS; m++)
+				ck_assert_msg(world->servers[m].was_reserved,
+				    "member %d started before member %d was "
+				    "reserved",
+				    member, m);
 			world->starts++;
 			server->lease_ms = world->now_ms + GANG_LEASE_MS;
 			server->end_ms = world->now_ms + RUN_MS;
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -18,8 +18,8 @@
 
 	for (int r = 0; r < racks; r++) {
 		for (int w = 0; w < workers_per_rack; w++) {
-			char worker[16];
-			char rack[16];
+			char worker[32];
+			char rack[32];
 
 			snprintf(worker, sizeof(worker), "w%d-%d", r, w);
 			snprintf(rack, sizeof(rack), "r%d", r);
@@ -301,7 +301,7 @@
 	ck_assert(placement_decide(placement, now_ms, &decision));
 	ck_assert_int_eq(decision.kind, PLACEMENT_START);
 	ck_assert_str_eq(decision.job, job);
-	strcpy(worker, decision.places[0].worker);
+	g_strlcpy(worker, decision.places[0].worker, NAME_MAX_LEN + 1);
 }
 
 /*
@@ -530,8 +530,8 @@
 {
 	int r = g_rand_int_range(model->rand, 0, 4);
 	int w = g_rand_int_range(model->rand, 0, 6);
-	char worker[16];
-	char rack[16];
+	char worker[32];
+	char rack[32];
 
 	snprintf(worker, sizeof(worker), "w%d-%d", r, w);
 	snprintf(rack, sizeof(rack), "r%d", r);
@@ -609,8 +609,8 @@
 	/* Nothing may wait for ever once the hardware is whole again. */
 	for (int r = 0; r < 4; r++) {
 		for (int w = 0; w < 6; w++) {
-			char worker[16];
-			char rack[16];
+			char worker[32];
+			char rack[32];
 
 			snprintf(worker, sizeof(worker), "w%d-%d", r, w);
 			snprintf(rack, sizeof(rack), "r%d", r);
