--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -115,7 +115,7 @@
 	placement_set_tenant(placement, "a", 1, 0);
 	placement_set_tenant(placement, "b", 2, 0);
 	for (int i = 0; i < 4; i++) {
-		char id[8];
+		char id[16];
 
 		snprintf(id, sizeof(id), "a%d", i);
 		submit(
@@ -317,7 +317,7 @@
 	int64_t now = 0;
 
 	for (int i = 0; i < 3; i++) {
-		char id[8];
+		char id[16];
 
 		snprintf(id, sizeof(id), "j%d", i);
 		submit(placement, id, "a", 1, 8, PRIORITY_OPPORTUNISTIC, 1000,
@@ -362,7 +362,7 @@
 
 	/* One small job is left in each rack. */
 	for (int i = 0; i < 32; i++) {
-		char id[8];
+		char id[16];
 
 		snprintf(id, sizeof(id), "s%d", i);
 		submit(placement, id, "a", 1, 1, PRIORITY_OPPORTUNISTIC,
@@ -370,7 +370,7 @@
 		start(placement, 0, id, worker);
 	}
 	for (int i = 0; i < 32; i++) {
-		char id[8];
+		char id[16];
 
 		snprintf(id, sizeof(id), "s%d", i);
 		if (i != 0 && i != 16)
