--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -18,8 +18,8 @@
 
 	for (int r = 0; r < racks; r++) {
 		for (int w = 0; w < workers_per_rack; w++) {
-			char worker[16];
-			char rack[16];
+			char worker[32];
+			char rack[32];
 
 			snprintf(worker, sizeof(worker), "w%d-%d", r, w);
 			snprintf(rack, sizeof(rack), "r%d", r);
@@ -115,7 +115,7 @@
 	placement_set_tenant(placement, "a", 1, 0);
 	placement_set_tenant(placement, "b", 2, 0);
 	for (int i = 0; i < 4; i++) {
-		char id[8];
+		char id[16];
 
 		snprintf(id, sizeof(id), "a%d", i);
 		submit(
@@ -256,7 +256,7 @@
 	submit(placement, "long", "c", 1, 4, PRIORITY_OPPORTUNISTIC, 100000, t);
 	expect_none(placement, t);
 	expect_reason(
-	    placement, "long", t, "reservation is held for job large");
+	    placement, "long", t, "1 reservations are held for large jobs");
 	submit(placement, "short", "d", 1, 4, PRIORITY_OPPORTUNISTIC, 1000, t);
 	expect(placement, t, PLACEMENT_START, "short");
 	expect_reason(placement, "short", t, "backfills");
@@ -301,7 +301,7 @@
 	ck_assert(placement_decide(placement, now_ms, &decision));
 	ck_assert_int_eq(decision.kind, PLACEMENT_START);
 	ck_assert_str_eq(decision.job, job);
-	strcpy(worker, decision.places[0].worker);
+	g_strlcpy(worker, decision.places[0].worker, NAME_MAX_LEN + 1);
 }
 
 /*
@@ -317,7 +317,7 @@
 	int64_t now = 0;
 
 	for (int i = 0; i < 3; i++) {
-		char id[8];
+		char id[16];
 
 		snprintf(id, sizeof(id), "j%d", i);
 		submit(placement, id, "a", 1, 8, PRIORITY_OPPORTUNISTIC, 1000,
@@ -362,7 +362,7 @@
 
 	/* One small job is left in each rack. */
 	for (int i = 0; i < 32; i++) {
-		char id[8];
+		char id[16];
 
 		snprintf(id, sizeof(id), "s%d", i);
 		submit(placement, id, "a", 1, 1, PRIORITY_OPPORTUNISTIC,
@@ -370,7 +370,7 @@
 		start(placement, 0, id, worker);
 	}
 	for (int i = 0; i < 32; i++) {
-		char id[8];
+		char id[16];
 
 		snprintf(id, sizeof(id), "s%d", i);
 		if (i != 0 && i != 16)
@@ -530,8 +530,8 @@
 {
 	int r = g_rand_int_range(model->rand, 0, 4);
 	int w = g_rand_int_range(model->rand, 0, 6);
-	char worker[16];
-	char rack[16];
+	char worker[32];
+	char rack[32];
 
 	snprintf(worker, sizeof(worker), "w%d-%d", r, w);
 	snprintf(rack, sizeof(rack), "r%d", r);
@@ -609,8 +609,8 @@
 	/* Nothing may wait for ever once the hardware is whole again. */
 	for (int r = 0; r < 4; r++) {
 		for (int w = 0; w < 6; w++) {
-			char worker[16];
-			char rack[16];
+			char worker[32];
+			char rack[32];
 
 			snprintf(worker, sizeof(worker), "w%d-%d", r, w);
 			snprintf(rack, sizeof(rack), "r%d", r);
