entry: tell the daemon of an operator's drain of its instance

The drain route only wrote the state into the log; no instance acted upon it. operator_set_drain sets what is called from the loop once a drain of this instance and this incarnation is applied. Acting on any draining state was ruled out: a restarted replica applies the drain of its earlier incarnation again. The daemon has to call operator_set_drain.

--- a/entry/operator.c
+++ b/entry/operator.c
@@ -280,6 +280,7 @@
 	if (op == NULL)
 		return;
 	ev_timer_stop(op->loop, &op->burn_timer);
+	ev_timer_stop(op->loop, &op->drain_timer);
 	operator_answer_waits(op, true);
 	ev_timer_stop(op->loop, &op->wait_timer);
 	while ((pending = g_queue_peek_head(op->pending)) != NULL) {
--- a/entry/operator.h
+++ b/entry/operator.h
@@ -18,7 +18,13 @@
 void operator_destroy(operator_t *op);
 void operator_set_explain(
     operator_t *op, operator_explain_t *explain, void *ctx);
-/* To be called for each applied command: counts the objectives. */
+/*
+ * Sets what is called from the loop once an operator's drain of this instance
+ * in this incarnation is in the log.
+ */
+void operator_set_drain(
+    operator_t *op, uint64_t incarnation, void (*drain)(void *ctx), void *ctx);
+/* To be called for each applied command: counts the objectives, drains. */
 void operator_applied(
     operator_t *op, const command_t *command, const command_result_t *result);
 uint16_t operator_port(const operator_t *op);
--- a/entry/operator_burn.c
+++ b/entry/operator_burn.c
@@ -141,6 +141,7 @@
 
 	if (result->code != 0)
 		return;
+	operator_note_drain(op, command);
 	if (command->kind == COMMAND_PATCH)
 		count_duration(op, OBJECTIVE_CONFIG_IN_FORCE,
 		    clock_real_ms() - command->command_t_u.patch.time_ms,
--- a/entry/operator_private.h
+++ b/entry/operator_private.h
@@ -18,6 +18,10 @@
 	char *reader_key;
 	operator_explain_t *explain;
 	void *explain_ctx;
+	uint64_t incarnation;
+	void (*drain)(void *ctx);
+	void *drain_ctx;
+	ev_timer drain_timer;
 	burn_t *burn;
 	int64_t *fed; /* events of the entry task counted so far */
 	ev_timer burn_timer;
@@ -63,6 +67,8 @@
 operator_handler_t operator_burn;
 operator_handler_t operator_metrics;
 
+/* Notes the drain of this instance among the applied commands. */
+void operator_note_drain(operator_t *op, const command_t *command);
 /* Counts what the entry task's metrics say about the objectives. */
 void operator_feed_objectives(operator_t *op);
 void operator_answer_waits(operator_t *op, bool give_up);
--- a/entry/operator_status.c
+++ b/entry/operator_status.c
@@ -160,3 +160,41 @@
 	command.command_t_u.replace = instance->id;
 	operator_propose(op, request, &command, instance_applied);
 }
+
+static void
+run_drain(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	operator_t *op = timer->data;
+
+	op->drain(op->drain_ctx);
+}
+
+/*
+ * Sets what drains this instance.  It is not called for the drain of an earlier
+ * incarnation, which a restarted replica finds in its log.
+ */
+void
+operator_set_drain(
+    operator_t *op, uint64_t incarnation, void (*drain)(void *ctx), void *ctx)
+{
+	op->incarnation = incarnation;
+	op->drain = drain;
+	op->drain_ctx = ctx;
+}
+
+/* See operator_private.h. */
+void
+operator_note_drain(operator_t *op, const command_t *command)
+{
+	const instance_command_t *instance = &command->command_t_u.instance;
+
+	if (op->drain == NULL || command->kind != COMMAND_INSTANCE ||
+	    !instance->draining || instance->incarnation != op->incarnation ||
+	    strcmp(instance->id, op->settings->instance) != 0 ||
+	    ev_is_active(&op->drain_timer))
+		return;
+	/* Not from here: a command is being applied. */
+	ev_timer_init(&op->drain_timer, run_drain, 0, 0);
+	op->drain_timer.data = op;
+	ev_timer_start(op->loop, &op->drain_timer);
+}
--- a/tests/unit/test_operator.c
+++ b/tests/unit/test_operator.c
@@ -382,6 +382,34 @@
 }
 END_TEST
 
+static void
+count_drain(void *ctx)
+{
+	++*(int *)ctx;
+}
+
+/* Guards against a drain of another instance or of an earlier incarnation, and
+ * against one that does not reach this instance. */
+START_TEST(drain_of_self)
+{
+	int drains = 0;
+
+	operator_set_drain(fixture.op, 2, count_drain, &drains);
+	driver_instance(&fixture.replica.driver, "i1", true);
+	driver_instance(&fixture.replica.driver, "i2", true);
+	ck_assert_int_eq(call("POST", "/v1/instances/i1/drain", ""), 202);
+	ck_assert_int_eq(call("GET", "/v1/status", NULL), 200);
+	ck_assert_int_eq(drains, 0);
+	operator_set_drain(fixture.op, 1, count_drain, &drains);
+	ck_assert_int_eq(call("POST", "/v1/instances/i2/drain", ""), 202);
+	ck_assert_int_eq(call("GET", "/v1/status", NULL), 200);
+	ck_assert_int_eq(drains, 0);
+	ck_assert_int_eq(call("POST", "/v1/instances/i1/drain", ""), 202);
+	ck_assert_int_eq(call("GET", "/v1/status", NULL), 200);
+	ck_assert_int_eq(drains, 1);
+}
+END_TEST
+
 /* Guards against a drain that is not recorded. */
 START_TEST(instances)
 {
@@ -582,6 +610,7 @@
 	tcase_add_test(tcase, proposal_fails);
 	tcase_add_test(tcase, lists);
 	tcase_add_test(tcase, plan_reclaims);
+	tcase_add_test(tcase, drain_of_self);
 	tcase_add_test(tcase, instances);
 	tcase_add_test(tcase, burn_feeds);
 	tcase_add_test(tcase, burn_page);
