entry: keep answers of ended requests in one block

The record of an ended request took seven allocations and its body was copied once more on the way to the caller; it is one block now, and added headers of an answer are kept in place.

--- a/entry/answers.c
+++ b/entry/answers.c
@@ -7,10 +7,10 @@
 #define ENDED_MAX_BYTES 33554432
 #define ENDED_OVERHEAD_BYTES 256 /* of the record and the table */
 
-/* Answers an RPC_FORWARD or RPC_ASK; body may be NULL. */
+/* Answers an RPC_FORWARD or RPC_ASK; body may be empty. */
 void
 answer_rpc(endpoint_request_t *rpc, outcome_t outcome, int status,
-    const char *worker, const char *reason, GBytes *body)
+    const char *worker, const char *reason, str_t body)
 {
 	forward_result_t result = {
 	    .outcome = outcome,
@@ -18,29 +18,16 @@
 	    .worker = (char *)(worker != NULL ? worker : ""),
 	    .reason = (char *)reason,
 	};
-	gsize len = 0;
 
-	if (body != NULL) {
-		result.answer.body_t_val = (char *)g_bytes_get_data(body, &len);
-		result.answer.body_t_len = (u_int)len;
-	}
-	if (len > BODY_MAX_LEN) {
-		result.answer.body_t_val = NULL;
-		result.answer.body_t_len = 0;
+	if (body.len > BODY_MAX_LEN) {
 		result.reason = "too_large";
+	} else {
+		result.answer.body_t_val = (char *)body.data;
+		result.answer.body_t_len = (u_int)body.len;
 	}
 	endpoint_answer(rpc, &result);
 }
 
-static void
-answer_http(http_request_t *http, int status, GBytes *body)
-{
-	gsize len;
-	const char *data = g_bytes_get_data(body, &len);
-
-	http_answer_bytes(http, status, "application/json", (str_t){data, len});
-}
-
 /*
  * Builds the body of GET /v1/requests/{id}.  running names the state of a
  * request that has not ended; answer is the body that its caller got.
@@ -72,7 +59,7 @@
 
 /* Answers whoever submitted the request; nothing when it was answered. */
 void
-request_reply(request_t *request, outcome_t outcome, int status, GBytes *body,
+request_reply(request_t *request, outcome_t outcome, int status, str_t body,
     const char *reason)
 {
 	http_request_t *http = request->http;
@@ -81,7 +68,7 @@
 	request->http = NULL;
 	request->rpc = NULL;
 	if (http != NULL)
-		answer_http(http, status, body);
+		http_answer_bytes(http, status, "application/json", body);
 	if (rpc != NULL)
 		answer_rpc(rpc, outcome, status, request->worker, reason, body);
 }
@@ -96,13 +83,11 @@
 }
 
 static void
-waiter_answer(waiter_t *waiter, outcome_t outcome, int status, GBytes *body,
+waiter_answer(waiter_t *waiter, outcome_t outcome, int status, str_t body,
     const char *reason)
 {
 	http_request_t *http = waiter->http;
 	endpoint_request_t *rpc = waiter->rpc;
-	gsize len;
-	const char *data;
 
 	waiter->http = NULL;
 	waiter->rpc = NULL;
@@ -112,13 +97,12 @@
 	if (http == NULL)
 		return;
 	if (!waiter->wants_status) {
-		answer_http(http, status, body);
+		http_answer_bytes(http, status, "application/json", body);
 		return;
 	}
-	data = g_bytes_get_data(body, &len);
 	http_answer_json(http, 200,
 	    status_body(waiter->request->id, outcome, reason,
-		waiter->request->worker, (str_t){data, len}));
+		waiter->request->worker, body));
 }
 
 static void
@@ -157,7 +141,7 @@
 /* Answers everybody who waits for the request. */
 void
 request_reply_waiters(request_t *request, outcome_t outcome, int status,
-    GBytes *body, const char *reason)
+    str_t body, const char *reason)
 {
 	if (request->waiters == NULL)
 		return;
@@ -177,11 +161,9 @@
 	json_t *body = entry_error(entry, "unknown", "timeout", "", 0,
 	    "the request under this key still runs");
 	char *text = json_dumps(body, JSON_COMPACT);
-	GBytes *bytes = g_bytes_new(text, strlen(text));
 
-	waiter_answer(waiter, OUTCOME_RUNNING, 504, bytes,
+	waiter_answer(waiter, OUTCOME_RUNNING, 504, str_from(text),
 	    is_queued ? "queued" : "running");
-	g_bytes_unref(bytes);
 	free(text);
 	json_decref(body);
 	g_ptr_array_remove_fast(request->waiters, waiter);
@@ -202,22 +184,10 @@
 	}
 }
 
-/* Frees a record; for the table of ended requests. */
-void
-ended_free(void *data)
-{
-	ended_t *ended = data;
-
-	g_bytes_unref(ended->body);
-	g_free(ended->id);
-	g_free(ended->worker);
-	g_free(ended);
-}
-
 static size_t
 ended_size(const ended_t *ended)
 {
-	return g_bytes_get_size(ended->body) + ENDED_OVERHEAD_BYTES;
+	return ended->body.len + ENDED_OVERHEAD_BYTES;
 }
 
 static void
@@ -228,23 +198,32 @@
 	entry->ended_bytes -= ended_size(ended);
 	if (g_hash_table_lookup(entry->ended, ended->id) == ended)
 		g_hash_table_remove(entry->ended, ended->id);
-	ended_free(ended);
+	g_free(ended);
 }
 
 /* Keeps the answer of a request that ends. */
 void
 ended_add(entry_t *entry, const request_t *request, outcome_t outcome,
-    int status, GBytes *body)
-{
-	ended_t *ended = g_new0(ended_t, 1);
-
-	ended->id = g_strdup(request->id);
+    int status, str_t body)
+{
+	size_t id_size = strlen(request->id) + 1;
+	const char *worker = request->worker != NULL ? request->worker : "";
+	size_t worker_size = strlen(worker) + 1;
+	ended_t *ended =
+	    g_malloc(sizeof(*ended) + id_size + worker_size + body.len);
+	char *text = ended->text;
+
+	memcpy(text, request->id, id_size);
+	memcpy(text + id_size, worker, worker_size);
+	if (body.len > 0)
+		memcpy(text + id_size + worker_size, body.data, body.len);
 	ended->outcome = outcome;
 	ended->status = status;
-	ended->body = g_bytes_ref(body);
-	ended->worker = g_strdup(request->worker);
 	ended->ended_ms = clock_mono_ms();
-	g_hash_table_replace(entry->ended, ended->id, ended);
+	ended->id = text;
+	ended->worker = text + id_size;
+	ended->body = (str_t){text + id_size + worker_size, body.len};
+	g_hash_table_replace(entry->ended, (void *)ended->id, ended);
 	g_queue_push_tail(&entry->ended_order, ended);
 	entry->ended_bytes += ended_size(ended);
 	while (entry->ended_bytes > ENDED_MAX_BYTES)
--- a/entry/claims.c
+++ b/entry/claims.c
@@ -344,8 +344,6 @@
 	request_t *running = request_of_task(entry, request->task);
 	const ended_t *ended = NULL;
 	char id[NAME_MAX_LEN + 1];
-	gsize len;
-	const char *data;
 
 	if ((running != NULL && running != request) ||
 	    end_is_pending(entry, request->task)) {
@@ -356,9 +354,8 @@
 	task_request_id(request->task, id, sizeof(id));
 	ended = ended_find(entry, id);
 	if (ended != NULL && ended->outcome == OUTCOME_DONE) {
-		data = g_bytes_get_data(ended->body, &len);
 		request_end_text(request, OUTCOME_DONE, ended->status,
-		    (str_t){data, len}, ended->worker);
+		    ended->body, ended->worker);
 	} else if (ended != NULL && ended->outcome == OUTCOME_DID_NOT_RUN) {
 		claims_release(request);
 	} else {
--- a/entry/dispatch.c
+++ b/entry/dispatch.c
@@ -199,7 +199,8 @@
 		return;
 	}
 	body = put_body(request);
-	g_snprintf(path, sizeof(path), "/v1/tasks/%s", request->task);
+	g_strlcpy(path, "/v1/tasks/", sizeof(path));
+	g_strlcat(path, request->task, sizeof(path));
 	call.address = worker->address;
 	call.port = worker->port;
 	call.fence = request->fence;
@@ -410,7 +411,6 @@
 static void
 time_out(request_t *request)
 {
-	GBytes *bytes;
 	json_t *body;
 	char *text;
 
@@ -432,9 +432,7 @@
 	body = entry_error(request->entry, "unknown", "timeout", "", 0,
 	    "the deadline has passed; the request may still run");
 	text = json_dumps(body, JSON_COMPACT);
-	bytes = g_bytes_new(text, strlen(text));
-	request_reply(request, OUTCOME_UNKNOWN, 504, bytes, "timeout");
-	g_bytes_unref(bytes);
+	request_reply(request, OUTCOME_UNKNOWN, 504, str_from(text), "timeout");
 	free(text);
 	json_decref(body);
 }
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -448,7 +448,7 @@
 	client_destroy(entry->client);
 	claims_destroy(entry);
 	while ((ended = g_queue_pop_head(&entry->ended_order)) != NULL)
-		ended_free(ended);
+		g_free(ended);
 	lanes_destroy(entry->lanes);
 	limiter_destroy(entry->limiter);
 	slots_destroy(entry->slots);
--- a/entry/forward.c
+++ b/entry/forward.c
@@ -225,7 +225,8 @@
 	else if (args->hops > 1)
 		reason = "too_many_hops";
 	if (reason != NULL)
-		answer_rpc(rpc, OUTCOME_DID_NOT_RUN, 503, "", reason, NULL);
+		answer_rpc(rpc, OUTCOME_DID_NOT_RUN, 503, "", reason,
+		    (str_t){NULL, 0});
 	else
 		requests_from_peer(entry, args, rpc);
 }
@@ -256,7 +257,8 @@
 		ended = ended_find(entry, id);
 	}
 	if (ended == NULL)
-		answer_rpc(rpc, OUTCOME_UNKNOWN, 404, "", "not_found", NULL);
+		answer_rpc(rpc, OUTCOME_UNKNOWN, 404, "", "not_found",
+		    (str_t){NULL, 0});
 	else
 		answer_rpc(rpc, ended->outcome, ended->status, ended->worker,
 		    "", ended->body);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -101,14 +101,15 @@
 	int forwards;
 };
 
-/* What is kept of a request after its end. */
+/* What is kept of a request after its end, in one block. */
 typedef struct {
-	char *id;
 	outcome_t outcome;
 	int status;
-	GBytes *body;
-	char *worker;
 	int64_t ended_ms;
+	const char *id; /* these point into text */
+	const char *worker;
+	str_t body;
+	char text[];
 } ended_t;
 
 /* A claim's end that is proposed until it is committed. */
@@ -268,17 +269,16 @@
 void request_wait(request_t *request, http_request_t *http,
     endpoint_request_t *rpc, bool wants_status, int64_t deadline_ms);
 void request_reply(request_t *request, outcome_t outcome, int status,
-    GBytes *body, const char *reason);
+    str_t body, const char *reason);
 void request_reply_waiters(request_t *request, outcome_t outcome, int status,
-    GBytes *body, const char *reason);
+    str_t body, const char *reason);
 void waiters_expire(entry_t *entry, int64_t now_ms);
 void ended_add(entry_t *entry, const request_t *request, outcome_t outcome,
-    int status, GBytes *body);
+    int status, str_t body);
 const ended_t *ended_find(const entry_t *entry, const char *id);
 void ended_expire(entry_t *entry, int64_t now_ms);
-void ended_free(void *data);
 void answer_rpc(endpoint_request_t *rpc, outcome_t outcome, int status,
-    const char *worker, const char *reason, GBytes *body);
+    const char *worker, const char *reason, str_t body);
 json_t *status_body(const char *id, outcome_t outcome, const char *running,
     const char *worker, str_t answer);
 request_t *request_of_task(const entry_t *entry, const char *task);
--- a/entry/listener.c
+++ b/entry/listener.c
@@ -15,6 +15,7 @@
 #include <unistd.h>
 
 #define HEADER_LIMIT_BYTES 16384 /* request line and headers */
+#define MAX_HEADERS 4            /* added to one answer */
 #define LISTEN_BACKLOG 1024
 #define GONE_CHECK_S 0.1
 /* Rounds of MHD_run before the loop gets its turn again. */
@@ -56,7 +57,9 @@
 	GByteArray *body;
 	struct MHD_Response *response;
 	int status;
-	GPtrArray *headers; /* names and values in turn; NULL when none */
+	char *header_names[MAX_HEADERS]; /* of the answer */
+	char *header_values[MAX_HEADERS];
+	int header_count;
 	void (*gone)(void *ctx);
 	void *gone_ctx;
 	GList link;
@@ -67,8 +70,10 @@
 {
 	if (request->response != NULL)
 		MHD_destroy_response(request->response);
-	if (request->headers != NULL)
-		g_ptr_array_unref(request->headers);
+	for (int i = 0; i < request->header_count; i++) {
+		g_free(request->header_names[i]);
+		g_free(request->header_values[i]);
+	}
 	if (request->body != NULL)
 		g_byte_array_unref(request->body);
 	g_free(request->method);
@@ -511,14 +516,13 @@
 	request->gone_ctx = ctx;
 }
 
-/* Adds a header to the answer, which must not have been given yet. */
+/* Adds one of at most 4 headers to the answer, which comes later. */
 void
 http_add_header(http_request_t *request, const char *name, const char *value)
 {
-	if (request->headers == NULL)
-		request->headers = g_ptr_array_new_with_free_func(g_free);
-	g_ptr_array_add(request->headers, g_strdup(name));
-	g_ptr_array_add(request->headers, g_strdup(value));
+	g_return_if_fail(request->header_count < MAX_HEADERS);
+	request->header_names[request->header_count] = g_strdup(name);
+	request->header_values[request->header_count++] = g_strdup(value);
 }
 
 static void
@@ -534,11 +538,9 @@
 	}
 	MHD_add_response_header(
 	    response, MHD_HTTP_HEADER_CONTENT_TYPE, content_type);
-	for (guint i = 0; request->headers != NULL && i < request->headers->len;
-	     i += 2)
-		MHD_add_response_header(response,
-		    g_ptr_array_index(request->headers, i),
-		    g_ptr_array_index(request->headers, i + 1));
+	for (int i = 0; i < request->header_count; i++)
+		MHD_add_response_header(response, request->header_names[i],
+		    request->header_values[i]);
 	request->response = response;
 	request->status = status;
 	request->state = REQUEST_ANSWERED;
--- a/entry/requests.c
+++ b/entry/requests.c
@@ -113,7 +113,6 @@
     const char *worker)
 {
 	entry_t *entry = request->entry;
-	GBytes *bytes = g_bytes_new(body.data, body.len);
 	int64_t latency_us = clock_mono_us() - request->arrived_us;
 
 	if (worker != NULL && g_strcmp0(worker, request->worker) != 0 &&
@@ -124,10 +123,9 @@
 	counter_add(entry->metrics.requests[request->item.lane][outcome], 1);
 	histogram_record(
 	    entry->metrics.latency_us[request->item.lane], latency_us);
-	request_reply(request, outcome, status, bytes, "");
-	request_reply_waiters(request, outcome, status, bytes, "");
-	ended_add(entry, request, outcome, status, bytes);
-	g_bytes_unref(bytes);
+	request_reply(request, outcome, status, body, "");
+	request_reply_waiters(request, outcome, status, body, "");
+	ended_add(entry, request, outcome, status, body);
 	request_free(request);
 }
 
@@ -383,7 +381,8 @@
 	request->repeatable = given->repeatable;
 	request->input = json_text(body, "input", given->input);
 	request->declared_ms = given->declared_ms;
-	request->deadline_ms = clock_mono_ms() + given->deadline_ms;
+	request->deadline_ms =
+	    request->arrived_us / CLOCK_US_PER_MS + given->deadline_ms;
 	request->item.lane = lane_of(entry, given->declared_ms);
 	request->item.cost = 1;
 	if (given->repeatable)
@@ -474,8 +473,8 @@
 	    G_N_ELEMENTS(submission_fields), &given, &problem);
 
 	if (root == NULL) {
-		answer_rpc(
-		    rpc, OUTCOME_DID_NOT_RUN, 400, "", "bad_request", NULL);
+		answer_rpc(rpc, OUTCOME_DID_NOT_RUN, 400, "", "bad_request",
+		    (str_t){NULL, 0});
 		return;
 	}
 	given.deadline_ms = args->deadline_ms;
@@ -485,7 +484,8 @@
 				   request->digest != entry_digest(body))) {
 		/* Two instances that wait for each other would wait until
 		 * the deadline. */
-		answer_rpc(rpc, OUTCOME_DID_NOT_RUN, 503, "", "same_key", NULL);
+		answer_rpc(rpc, OUTCOME_DID_NOT_RUN, 503, "", "same_key",
+		    (str_t){NULL, 0});
 	} else if (request != NULL) {
 		request_wait(request, NULL, rpc, false,
 		    clock_mono_ms() + given.deadline_ms);
--- a/entry/status.c
+++ b/entry/status.c
@@ -66,12 +66,9 @@
 static void
 answer_ended(http_request_t *http, const ended_t *ended)
 {
-	gsize len;
-	const char *data = g_bytes_get_data(ended->body, &len);
-
 	http_answer_json(http, 200,
-	    status_body(ended->id, ended->outcome, NULL, ended->worker,
-		(str_t){data, len}));
+	    status_body(
+		ended->id, ended->outcome, NULL, ended->worker, ended->body));
 }
 
 static void
