--- a/entry/operator.c
+++ b/entry/operator.c
@@ -109,6 +109,9 @@
 		http_answer_error(request, 504, "unknown", "timeout", "", 0,
 		    "no answer from a majority in time; the same command can "
 		    "be sent again");
+	else if (err->code == -EINVAL || err->code == -EMSGSIZE)
+		http_answer_error(request, 413, "refused", "too_large", "", 0,
+		    "the command breaks a limit: %s", err->text);
 	else
 		http_answer_error(request, 503, "refused", "no_quorum", "",
 		    CLOCK_MS_PER_S,
@@ -217,6 +220,7 @@
 {
 	operator_t *op = timer->data;
 
+	operator_feed_objectives(op);
 	burn_sample(op->burn, clock_real_ms());
 }
 
@@ -291,6 +295,7 @@
 	g_queue_free(op->waits);
 	g_queue_free(op->pending);
 	burn_destroy(op->burn);
+	g_free(op->fed);
 	g_free(op->operator_key);
 	g_free(op->reader_key);
 	g_free(op);
--- a/state/wal_file.c
+++ b/state/wal_file.c
@@ -259,7 +259,7 @@
 		memset(members, 0, sizeof(*members));
 	if (code == -ENOENT)
 		return 0;
-	if (code < 0)
+	if (code < 0 || file == NULL)
 		return code;
 	bytes = (const uint8_t *)file;
 	members_len = len >= head ? get_number(bytes, 3) : 0;
