--- a/tests/unit/test_wal.c
+++ b/tests/unit/test_wal.c
@@ -292,13 +292,18 @@
 	wal_t *wal = must_open();
 	GByteArray *one;
 	GByteArray *two;
+	guint record_len;
 
 	fill(wal, 1, 1, 1);
 	one = read_all(FIRST_SEGMENT);
 	fill(wal, 2, 2, 1);
 	two = read_all(FIRST_SEGMENT);
 	wal_close(wal);
-	g_byte_array_append(two, two->data + one->len, two->len - one->len);
+	/* Reserved first, because appending moves the source. */
+	record_len = two->len - one->len;
+	g_byte_array_set_size(two, two->len + record_len);
+	memcpy(two->data + two->len - record_len, two->data + one->len,
+	    record_len);
 	write_all(FIRST_SEGMENT, two->data, two->len);
 	ck_assert_ptr_null(reopen());
 	ck_assert_int_eq(error.code, -EBADMSG);
