--- a/common/chart.c
+++ b/common/chart.c
@@ -267,26 +267,26 @@
 	return 0;
 }
 
-/* Appends the chart as a Graphviz graph. */
+/* Appends the chart as a Mermaid state diagram. */
 void
-chart_dot(const chart_t *chart, GString *out)
+chart_diagram(const chart_t *chart, GString *out)
 {
-	g_string_append_printf(out, "digraph %s {\n", chart->name);
+	g_string_append(out, "stateDiagram-v2\n");
+	g_string_append_printf(
+	    out, "    [*] --> %s\n", chart_state_name(chart, 0));
 	for (int state = 0; state < (int)chart->states->len; state++) {
-		g_string_append_printf(out, "\t%s [shape=%s];\n",
-		    chart_state_name(chart, state),
-		    chart->is_final[state] ? "doublecircle" : "box");
 		for (guint event = 0; event < chart->events->len; event++) {
 			int next = chart->next[state][event];
 
-			if (next != CHART_NONE)
-				g_string_append_printf(out,
-				    "\t%s -> %s [label=\"%s\"];\n",
-				    chart_state_name(chart, state),
-				    chart_state_name(chart, next),
-				    (char *)g_ptr_array_index(
-					chart->events, event));
+			if (next == CHART_NONE)
+				continue;
+			g_string_append_printf(out, "    %s --> %s : %s\n",
+			    chart_state_name(chart, state),
+			    chart_state_name(chart, next),
+			    (char *)g_ptr_array_index(chart->events, event));
 		}
+		if (chart->is_final[state])
+			g_string_append_printf(out, "    %s --> [*]\n",
+			    chart_state_name(chart, state));
 	}
-	g_string_append(out, "}\n");
 }
--- a/common/chart.h
+++ b/common/chart.h
@@ -21,6 +21,7 @@
 bool chart_is_final(const chart_t *chart, int state);
 int chart_next(const chart_t *chart, int state, int event);
 int chart_step(const chart_t *chart, int *state, const char *event);
-void chart_dot(const chart_t *chart, GString *out);
+void chart_diagram(const chart_t *chart, GString *out);
 const chart_t *chart_builtin(const char *name);
+const char *chart_builtin_name(size_t index);
 int chart_check_builtin(err_t *err);
--- a/common/chart_builtin.c
+++ b/common/chart_builtin.c
@@ -72,3 +72,10 @@
 	}
 	return NULL;
 }
+
+/* Returns the name of the built-in chart at index, NULL past the last one. */
+const char *
+chart_builtin_name(size_t index)
+{
+	return index < G_N_ELEMENTS(builtins) ? builtins[index].name : NULL;
+}
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -17,7 +17,7 @@
 	gboolean print_settings;
 	gboolean settings_reference;
 	gboolean version;
-	char *chart;
+	gboolean charts;
 } options;
 
 static const GOptionEntry option_entries[] = {
@@ -27,8 +27,8 @@
 	"print the settings with every default and exit", NULL},
     {"settings-reference", 0, 0, G_OPTION_ARG_NONE, &options.settings_reference,
 	"print the reference page of the settings and exit", NULL},
-    {"chart", 0, 0, G_OPTION_ARG_STRING, &options.chart,
-	"print a state chart as a Graphviz graph and exit", "NAME"},
+    {"charts", 0, 0, G_OPTION_ARG_NONE, &options.charts,
+	"print the page of the state charts and exit", NULL},
     {"version", 0, 0, G_OPTION_ARG_NONE, &options.version,
 	"print the version and exit", NULL},
     {NULL},
@@ -104,24 +104,33 @@
 	return exit_code;
 }
 
+/* Appends a page with every state chart as a diagram. */
+static void
+print_charts(GString *out)
+{
+	const char *name;
+
+	g_string_append(
+	    out, "# State charts\n\nMade by `chervilholdd --charts`.\n");
+	for (size_t i = 0; (name = chart_builtin_name(i)) != NULL; i++) {
+		g_string_append_printf(out, "\n## %s\n\n```mermaid\n", name);
+		chart_diagram(chart_builtin(name), out);
+		g_string_append(out, "```\n");
+	}
+}
+
 /* Serves options that need no settings; false when there was none. */
 static bool
-print_information(int *exit_code)
+print_information(void)
 {
 	GString *out = g_string_new(NULL);
 
-	*exit_code = EXIT_SUCCESS;
 	if (options.version) {
 		g_string_append(out, "chervilholdd " VERSION "\n");
 	} else if (options.settings_reference) {
 		settings_print_reference(out);
-	} else if (options.chart != NULL) {
-		if (chart_builtin(options.chart) != NULL) {
-			chart_dot(chart_builtin(options.chart), out);
-		} else {
-			fprintf(stderr, "no chart \"%s\"\n", options.chart);
-			*exit_code = EXIT_FAILURE;
-		}
+	} else if (options.charts) {
+		print_charts(out);
 	} else {
 		g_string_free(out, TRUE);
 		return false;
@@ -156,8 +165,8 @@
 		log_err(LOG_ERR, &err);
 		return EXIT_FAILURE;
 	}
-	if (print_information(&exit_code))
-		return exit_code;
+	if (print_information())
+		return EXIT_SUCCESS;
 	if (argc != 2) {
 		fprintf(stderr,
 		    "chervilholdd: name one settings file; see --help\n");
