--- a/entry/jobs.c
+++ b/entry/jobs.c
@@ -340,7 +340,7 @@
 	else if (!can_ever_run(entry, &given))
 		entry_refuse(entry, http, 422, "did_not_run", "never", "", 0,
 		    "no hardware could ever hold %lld members of %lld "
-		    "accelerators in one %s",
+		    "accelerators with adjacency \"%s\"",
 		    (long long)given.members, (long long)given.accelerators,
 		    adjacency_names[given.adjacency]);
 	else
