--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -36,14 +36,15 @@
 trap cleanup EXIT
 trap 'exit 130' INT TERM
 
-# fail TEXT: ends the script as failed and shows the daemons' logs.
+# fail TEXT: shows the daemons' logs and ends the script as failed.
 fail() {
-	echo "FAILED: $*"
 	for log in "$WORK"/*.log; do
 		[ -f "$log" ] || continue
 		echo "--- $(basename "$log")"
 		tail -n 12 "$log"
 	done
+	[ ! -s "$WORK/summary" ] || head -n 10 "$WORK/summary"
+	echo "FAILED: $*"
 	exit 1
 }
 
@@ -242,6 +243,7 @@
 # summary in WORK/summary.
 call() {
 	"$BUILD/standin-caller" --url "$URL" --ledger "$WORK/answers.ledger" \
+	    --tenants hall,desk,north,south \
 	    "$@" >"${SUMMARY:-$WORK/summary}" 2>>"$WORK/caller.log"
 }
 
