--- a/tests/standin/worker_main.c
+++ b/tests/standin/worker_main.c
@@ -310,6 +310,19 @@
 	return size * count;
 }
 
+/* HTTP bytes of all announcements, both ways, without TCP and IP headers. */
+static uint64_t announced_bytes;
+static uint64_t announcements;
+
+static int
+count_bytes(CURL *curl, curl_infotype type, char *data, size_t size, void *ctx)
+{
+	if (type == CURLINFO_HEADER_IN || type == CURLINFO_HEADER_OUT ||
+	    type == CURLINFO_DATA_IN || type == CURLINFO_DATA_OUT)
+		announced_bytes += size;
+	return 0;
+}
+
 static void
 post(const char *path, json_t *body)
 {
@@ -326,7 +339,10 @@
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)ANNOUNCE_TIMEOUT_MS);
 	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, discard);
 	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(curl, CURLOPT_DEBUGFUNCTION, count_bytes);
+	curl_easy_setopt(curl, CURLOPT_VERBOSE, 1L);
 	curl_easy_perform(curl);
+	announcements++;
 	curl_slist_free_all(headers);
 	curl_easy_cleanup(curl);
 	free(text);
@@ -418,6 +434,10 @@
 	}
 	fflush(stdout);
 	announce_loop(workers);
+	printf("announcements %llu bytes %llu\n",
+	    (unsigned long long)announcements,
+	    (unsigned long long)announced_bytes);
+	fflush(stdout);
 	/* Connection threads may still wait in tasks, so nothing is freed. */
 	_exit(EXIT_SUCCESS);
 }
