policy: repeat searches of guarantees only when guarantees change

They now have a version of their own, which grows with guaranteed claims and ends and with the hardware. Searches in reserved places leave out places that are in use.

--- a/policy/cells_hold.c
+++ b/policy/cells_hold.c
@@ -88,7 +88,8 @@
 		const place_t *place = &g_array_index(held, place_t, i);
 		const worker_t *w = cells_worker_at(cells, place->worker);
 
-		if (w->present && w->usable)
+		if (w->present && w->usable && (place->mask & ~w->used) != 0 &&
+		    w->slots_left[VIEW_FREE] > 0)
 			pool[count++] = (pool_t){
 			    .worker = place->worker,
 			    .mask = place->mask & ~w->used,
--- a/policy/placement.c
+++ b/policy/placement.c
@@ -89,6 +89,7 @@
 hardware_changed(placement_t *placement)
 {
 	placement->version++;
+	placement->guaranteed_version++;
 	placement->hardware_version++;
 	placement_drop_reservations(placement);
 }
@@ -332,6 +333,7 @@
 		return rc;
 	job->places = g_memdup2(places, sizeof(*places) * (gsize)shape.members);
 	job->guaranteed = guaranteed;
+	placement->guaranteed_version += guaranteed;
 	job->state = PJOB_CLAIMED;
 	job->started_ms = now_ms;
 	if (!guaranteed)
@@ -362,6 +364,7 @@
 	if (!job->guaranteed)
 		job->bucket->tenant->used -= placement_size(job);
 	job->attained += MAX(now_ms - job->started_ms, 0) * placement_size(job);
+	placement->guaranteed_version += job->guaranteed;
 	job->guaranteed = false;
 	job->backfill = false;
 	placement->version++;
--- a/policy/placement_decide.c
+++ b/policy/placement_decide.c
@@ -72,11 +72,15 @@
 
 	victims.placement = placement;
 	victims.count = 0;
-	if (job->bucket->failed_version == placement->version)
+	if (job->bucket->failed_version == placement->version ||
+	    job->bucket->searched_version == placement->guaranteed_version)
 		return false;
 	if (cells_try(placement->cells, &shape, true, places, add_victim,
-		&victims) != 0 ||
-	    !claim(placement, job, true, places, &victims, now_ms)) {
+		&victims) != 0) {
+		job->bucket->searched_version = placement->guaranteed_version;
+		return false;
+	}
+	if (!claim(placement, job, true, places, &victims, now_ms)) {
 		job->bucket->failed_version = placement->version;
 		return false;
 	}
--- a/policy/placement_health.c
+++ b/policy/placement_health.c
@@ -59,6 +59,7 @@
 		g_hash_table_remove(placement->suspects, worker);
 	cells_set_usable(placement->cells, worker, !suspect);
 	placement->version++;
+	placement->guaranteed_version++;
 	placement->hardware_version++;
 	placement_drop_reservations(placement);
 }
--- a/policy/placement_private.h
+++ b/policy/placement_private.h
@@ -44,8 +44,9 @@
 	const char *workspace; /* interned */
 	job_priority_t priority;
 	shape_t *shape;
-	GQueue jobs;             /* pjob_t, by order */
-	uint64_t failed_version; /* of the search in the guarantee */
+	GQueue jobs;               /* pjob_t, by order */
+	uint64_t failed_version;   /* of a claim in the guarantee */
+	uint64_t searched_version; /* guaranteed, of a search that failed */
 	uint64_t backfill_version;
 	uint64_t urgent_version; /* of the search that reclaims */
 } bucket_t;
@@ -113,6 +114,8 @@
 	GHashTable *jobs;
 	size_t waiting;
 	uint64_t version; /* grows when a search may newly succeed */
+	/* The same for guarantees, which opportunistic work does not touch. */
+	uint64_t guaranteed_version;
 	uint64_t
 	    hardware_version; /* grows when hardware or guarantees change */
 	GPtrArray *placed;    /* pjob_t with accelerators */
