policy: keep reserved slots out of the open view

Cause, by a trace of bench_placement at 2,700 workers: from the first second 826 of 3,000 accelerators had no slot, and every one of them was on a worker with a reserved cell. The open view offered the slot that the cell reserves, so background work without accelerators took all 8. Capacity was 2,174 for an offered 2,700, and gangs of 64 (p99 7,900 s) and pairs waited for it.

--- a/policy/cells_search.c
+++ b/policy/cells_search.c
@@ -157,8 +157,12 @@
 	w->slots_left[VIEW_FREE] = w->slots - w->slots_used;
 	w->slots_left[VIEW_HARD] =
 	    w->slots - w->slots_guaranteed - w->slots_reserved;
-	w->slots_left[VIEW_OPEN] =
-	    MIN(w->slots_left[VIEW_FREE], w->slots_left[VIEW_HARD]);
+	/*
+	 * Without the reserved slots: work that needs only a slot took the last
+	 * ones of workers with reserved cells and left 826 of 3,000
+	 * accelerators without a slot.
+	 */
+	w->slots_left[VIEW_OPEN] = w->slots_left[VIEW_FREE] - w->slots_reserved;
 	w->slots_left[VIEW_ALL] = w->slots;
 	w->slots_left[VIEW_PLAN] = w->slots_left[VIEW_FREE] + w->slots_planned;
 	for (int view = 0; view < VIEW_COUNT; view++)
--- a/tests/unit/test_cells.c
+++ b/tests/unit/test_cells.c
@@ -237,6 +237,38 @@
 }
 END_TEST
 
+/*
+ * Guards against work that needs only a slot and takes the last one of a worker
+ * with a reserved cell, so that its accelerator cannot be used.
+ */
+START_TEST(slots_stay_beside_reserved_cells)
+{
+	cells_t *cells = cells_create();
+	cells_guarantee_t guarantee = {"a", 1, 2, 1, ADJACENT_RACK};
+	err_t err;
+
+	for (int w = 0; w < 4; w++) {
+		char worker[16];
+
+		snprintf(worker, sizeof(worker), "w%d", w);
+		ck_assert_int_eq(
+		    cells_add_worker(cells, worker, "r0", 1, 8), 0);
+	}
+	ck_assert_int_eq(cells_set_guarantees(cells, &guarantee, 1, &err), 0);
+	for (int i = 0; i < 32; i++) {
+		char name[16];
+		cells_shape_t shape =
+		    shape_of(name, "b", 1, i < 28 ? 0 : 1, ADJACENT_DOMAIN);
+
+		snprintf(name, sizeof(name), "o%d", i);
+		ck_assert_msg(place(cells, &shape, false, NULL) == 0,
+		    "job %d of 32 has no place", i);
+	}
+	ck_assert_int_eq(cells_check(cells, &err), 0);
+	cells_destroy(cells);
+}
+END_TEST
+
 /* Guards against reclaiming more work than needed. */
 START_TEST(reclaims_least_work)
 {
@@ -692,6 +724,7 @@
 	tcase_add_test(tcase, refuses_what_does_not_fit);
 	tcase_add_test(tcase, packing_keeps_large_cells);
 	tcase_add_test(tcase, slots_stay_for_accelerators);
+	tcase_add_test(tcase, slots_stay_beside_reserved_cells);
 	tcase_add_test(tcase, reclaims_least_work);
 	tcase_add_test(tcase, uneven_hardware);
 	tcase_add_test(tcase, failures_put_guarantees_at_risk);
