--- a/bench/bench_placement.c
+++ b/bench/bench_placement.c
@@ -56,7 +56,7 @@
 	bool uniform; /* 8 accelerators each; else mostly 1 */
 	int jobs;
 	int background; /* members without accelerators */
-	double load;
+	double load; /* offered work over capacity, the same for all policies */
 } scenario_t;
 
 typedef enum {
@@ -693,6 +693,23 @@
 		    value <= target ? "ok" : "short");
 }
 
+/* Work done over what the hardware offers until the last job has ended. */
+static double
+utilisation(const run_t *run)
+{
+	double work_ms = 0;
+	int64_t end_ms = 1;
+
+	for (int i = 0; i < run->scenario->jobs; i++) {
+		const job_t *job = &run->jobs[i];
+
+		work_ms +=
+		    (double)job->run_ms * job->members * job->accelerators;
+		end_ms = MAX(end_ms, job->ended_ms);
+	}
+	return work_ms / total_accelerators(run->scenario) / (double)end_ms;
+}
+
 static double
 print_run(const run_t *run, const char *policy, double *small_p99)
 {
@@ -725,6 +742,9 @@
 	g_snprintf(name, sizeof(name), "placement.%s.%s.fragmentation",
 	    run->scenario->name, policy);
 	figure(name, run->fragmentation / MAX(run->samples, 1), "ratio", 0);
+	g_snprintf(name, sizeof(name), "placement.%s.%s.utilisation",
+	    run->scenario->name, policy);
+	figure(name, utilisation(run), "ratio", 0);
 	return gang_p99;
 }
 
@@ -738,6 +758,9 @@
 	char name[96];
 	run_t run;
 
+	g_snprintf(
+	    name, sizeof(name), "placement.%s.offered_load", scenario->name);
+	figure(name, scenario->load, "ratio", 0);
 	run_fifo(&run, scenario, false);
 	gang[0] = print_run(&run, "first_fit", &small[0]);
 	end_run(&run);
