policy: split the gang protocol's timers off gang.c

What a tick repeats, renews and gives up is now in gang_tick.c (131 lines), the shared types and functions are in gang_private.h; gang.c has 474.

--- a/policy/gang.c
+++ b/policy/gang.c
@@ -1,56 +1,6 @@
-#include "policy/gang.h"
-
 #include <errno.h>
-#include <glib.h>
-
-#include "common/chart.h"
-
-#define PROPOSE_AGAIN_MS 500
-#define NEVER INT64_MAX
-#define NO_ANSWER "a member does not answer"
-
-typedef enum {
-	PHASE_NEW,
-	PHASE_START_PROPOSED,
-	PHASE_RESERVING,
-	PHASE_GO_PROPOSED,
-	PHASE_STARTING,
-	PHASE_RUNNING,
-	PHASE_STOPPING,
-	PHASE_END_PROPOSED,
-	PHASE_OVER,
-} phase_t;
-
-typedef struct {
-	int state;               /* of charts/task.chart */
-	gang_action_kind_t call; /* made last */
-	bool pending;            /* the last call has no answer yet */
-	int64_t called_ms;
-	int64_t leased_ms; /* end of the longest lease it may have */
-	int64_t heard_ms;  /* last sign of life */
-	bool finished;     /* done or failed by itself */
-} member_t;
-
-struct gang_t {
-	const chart_t *job_chart;
-	const chart_t *task_chart;
-	gang_act_t *act;
-	void *ctx;
-	phase_t phase;
-	int job_state; /* of charts/job.chart, as in the log */
-	int members;
-	member_t *member;
-	int64_t now_ms;
-	int64_t phase_ms;    /* start of the phase */
-	int64_t proposed_ms; /* NEVER: no proposal is to be repeated */
-	int64_t renewed_ms;
-	bool renewals_held;
-	bool resumed;        /* a predecessor may still renew leases */
-	bool stop_confirmed; /* one member at least */
-	int failed;
-	job_end_t end;
-	const char *reason;
-};
+
+#include "policy/gang_private.h"
 
 /* Creates the protocol for one attempt; act is called for each action. */
 gang_t *
@@ -88,8 +38,8 @@
 	return gang->job_state == chart_state(gang->job_chart, state);
 }
 
-static bool
-task_is(const gang_t *gang, int member, const char *state)
+bool
+gang_task_is(const gang_t *gang, int member, const char *state)
 {
 	return gang->member[member].state ==
 	       chart_state(gang->task_chart, state);
@@ -103,8 +53,8 @@
 }
 
 /* Calls a member's backend server. */
-static void
-call(gang_t *gang, int member, gang_action_kind_t kind)
+void
+gang_call(gang_t *gang, int member, gang_action_kind_t kind)
 {
 	member_t *m = &gang->member[member];
 	gang_action_t action = {
@@ -121,8 +71,8 @@
 	gang->act(gang->ctx, &action);
 }
 
-static void
-propose(gang_t *gang, gang_action_kind_t kind)
+void
+gang_propose(gang_t *gang, gang_action_kind_t kind)
 {
 	gang_action_t action = {.kind = kind,
 	    .member = -1,
@@ -158,13 +108,13 @@
 {
 	const member_t *m = &gang->member[member];
 
-	return m->finished || task_is(gang, member, "stopped") ||
+	return m->finished || gang_task_is(gang, member, "stopped") ||
 	       gang->now_ms >= m->leased_ms;
 }
 
 /* Chooses the end that the job's state in the log allows. */
-static void
-choose_end(gang_t *gang)
+void
+gang_choose_end(gang_t *gang)
 {
 	if (job_is(gang, "stopping"))
 		gang->end = JOB_END_STOPPED;
@@ -175,8 +125,8 @@
 }
 
 /* Proposes the end once no member can run or stay reserved. */
-static void
-end_if_settled(gang_t *gang)
+void
+gang_end_if_settled(gang_t *gang)
 {
 	if (gang->phase != PHASE_STOPPING)
 		return;
@@ -184,14 +134,14 @@
 		if (!is_settled(gang, m))
 			return;
 	}
-	choose_end(gang);
+	gang_choose_end(gang);
 	enter(gang, PHASE_END_PROPOSED);
-	propose(gang, GANG_PROPOSE_END);
+	gang_propose(gang, GANG_PROPOSE_END);
 }
 
 /* Stops every member; the attempt ends once all have stopped. */
-static void
-stop_all(gang_t *gang, job_end_t end, const char *reason)
+void
+gang_stop_all(gang_t *gang, job_end_t end, const char *reason)
 {
 	if (gang->phase >= PHASE_STOPPING)
 		return;
@@ -200,9 +150,9 @@
 	enter(gang, PHASE_STOPPING);
 	for (int m = 0; m < gang->members; m++) {
 		if (!gang->member[m].finished)
-			call(gang, m, GANG_STOP);
+			gang_call(gang, m, GANG_STOP);
 	}
-	end_if_settled(gang);
+	gang_end_if_settled(gang);
 }
 
 /* Proposes the start of an attempt that was decided here. */
@@ -211,7 +161,7 @@
 {
 	gang->now_ms = now_ms;
 	enter(gang, PHASE_START_PROPOSED);
-	propose(gang, GANG_PROPOSE_START);
+	gang_propose(gang, GANG_PROPOSE_START);
 }
 
 static void
@@ -219,7 +169,7 @@
 {
 	enter(gang, PHASE_STARTING);
 	for (int m = 0; m < gang->members; m++)
-		call(gang, m, GANG_START);
+		gang_call(gang, m, GANG_START);
 }
 
 /* See gang.h. */
@@ -237,9 +187,9 @@
 	if (job_is(gang, "running"))
 		start_all(gang);
 	else if (job_is(gang, "starting"))
-		stop_all(gang, JOB_END_ABORTED, "the placer was replaced");
+		gang_stop_all(gang, JOB_END_ABORTED, "the placer was replaced");
 	else if (job_is(gang, "stopping"))
-		stop_all(gang, JOB_END_STOPPED, "cancelled");
+		gang_stop_all(gang, JOB_END_STOPPED, "cancelled");
 	else
 		finish(gang);
 }
@@ -252,11 +202,11 @@
 		chart_step(gang->job_chart, &gang->job_state, "start");
 	enter(gang, PHASE_RESERVING);
 	if (job_is(gang, "stopping")) {
-		stop_all(gang, JOB_END_STOPPED, "cancelled");
+		gang_stop_all(gang, JOB_END_STOPPED, "cancelled");
 		return;
 	}
 	for (int m = 0; m < gang->members; m++)
-		call(gang, m, GANG_RESERVE);
+		gang_call(gang, m, GANG_RESERVE);
 }
 
 static void
@@ -294,7 +244,8 @@
 	} else if (kind == GANG_PROPOSE_START && code != -ETIMEDOUT) {
 		finish(gang);
 	} else if (kind == GANG_PROPOSE_GO && code == -EALREADY) {
-		stop_all(gang, JOB_END_ABORTED, "the attempt may not go on");
+		gang_stop_all(
+		    gang, JOB_END_ABORTED, "the attempt may not go on");
 	} else {
 		gang->proposed_ms = now_ms;
 	}
@@ -304,7 +255,7 @@
 all_are(const gang_t *gang, const char *state)
 {
 	for (int m = 0; m < gang->members; m++) {
-		if (!task_is(gang, m, state))
+		if (!gang_task_is(gang, m, state))
 			return false;
 	}
 	return true;
@@ -317,7 +268,7 @@
 	if (gang->phase != PHASE_RESERVING || !all_are(gang, "reserved"))
 		return;
 	enter(gang, PHASE_GO_PROPOSED);
-	propose(gang, GANG_PROPOSE_GO);
+	gang_propose(gang, GANG_PROPOSE_GO);
 }
 
 /* Whether every member has been seen to run, or has finished. */
@@ -329,7 +280,8 @@
 	if (gang->phase != PHASE_STARTING && gang->phase != PHASE_RUNNING)
 		return;
 	for (int m = 0; m < gang->members; m++) {
-		if (!gang->member[m].finished && !task_is(gang, m, "running"))
+		if (!gang->member[m].finished &&
+		    !gang_task_is(gang, m, "running"))
 			return;
 		all_finished &= gang->member[m].finished;
 	}
@@ -342,7 +294,7 @@
 	gang->end = JOB_END_DONE;
 	gang->reason = "";
 	enter(gang, PHASE_END_PROPOSED);
-	propose(gang, GANG_PROPOSE_END);
+	gang_propose(gang, GANG_PROPOSE_END);
 }
 
 /* Takes in the state that a backend server reports of a member. */
@@ -404,25 +356,25 @@
 		if (answer == GANG_IS_STOPPED || answer == GANG_IS_DONE ||
 		    answer == GANG_IS_FAILED)
 			stop_was_confirmed(gang);
-		end_if_settled(gang);
+		gang_end_if_settled(gang);
 		return;
 	}
 	if (gang->failed >= 0) {
-		stop_all(gang, JOB_END_FAILED, "a member failed");
+		gang_stop_all(gang, JOB_END_FAILED, "a member failed");
 		return;
 	}
 	if (kind == GANG_RESERVE &&
 	    (answer == GANG_REFUSED || answer == GANG_IS_STOPPED)) {
-		stop_all(gang, JOB_END_ABORTED, "a member was refused");
+		gang_stop_all(gang, JOB_END_ABORTED, "a member was refused");
 		return;
 	}
 	if (answer == GANG_IS_STOPPED ||
 	    (answer == GANG_REFUSED && kind == GANG_START)) {
 		/* A renewal is refused for a finished member, too. */
 		if (kind == GANG_RENEW)
-			call(gang, member, GANG_POLL);
+			gang_call(gang, member, GANG_POLL);
 		else
-			stop_all(gang, JOB_END_LOST, "a member was lost");
+			gang_stop_all(gang, JOB_END_LOST, "a member was lost");
 		return;
 	}
 	reserved(gang);
@@ -452,131 +404,6 @@
 	act_on_report(gang, member, kind, answer);
 }
 
-/* Repeats a call to a member that has not answered. */
-static void
-call_again(gang_t *gang, int member, gang_action_kind_t kind)
-{
-	member_t *m = &gang->member[member];
-
-	if (gang->now_ms - m->called_ms >= GANG_CALL_MS)
-		call(gang, member, kind);
-}
-
-/*
- * Renews every lease while all members were heard of lately, or none.  A member
- * that stays silent for almost a lease is taken for lost.
- */
-static void
-tick_running(gang_t *gang)
-{
-	bool all_alive = true;
-
-	for (int m = 0; m < gang->members; m++) {
-		const member_t *member = &gang->member[m];
-		int64_t silent_ms = gang->now_ms - member->heard_ms;
-
-		if (member->finished)
-			continue;
-		all_alive = all_alive && silent_ms < 2 * GANG_RENEW_MS;
-		if (silent_ms >= GANG_LEASE_MS - GANG_RENEW_MS) {
-			stop_all(gang, JOB_END_LOST, NO_ANSWER);
-			return;
-		}
-	}
-	if (gang->renewals_held || !all_alive ||
-	    gang->now_ms - gang->renewed_ms < GANG_RENEW_MS)
-		return;
-	gang->renewed_ms = gang->now_ms;
-	for (int m = 0; m < gang->members; m++) {
-		if (!gang->member[m].finished)
-			call(gang, m, GANG_RENEW);
-	}
-	for (int m = 0; m < gang->members && gang->phase == PHASE_RUNNING;
-	     m++) {
-		if (!gang->member[m].finished)
-			call(gang, m, GANG_POLL);
-	}
-}
-
-static void
-tick_starting(gang_t *gang)
-{
-	if (gang->now_ms - gang->phase_ms >= GANG_LEASE_MS - GANG_RENEW_MS) {
-		stop_all(gang, JOB_END_LOST, "a member did not start");
-		return;
-	}
-	for (int m = 0; m < gang->members; m++) {
-		if (!gang->member[m].finished && !task_is(gang, m, "running"))
-			call_again(gang, m, GANG_START);
-	}
-}
-
-static void
-tick_reserving(gang_t *gang)
-{
-	if (gang->now_ms - gang->phase_ms >= GANG_RESERVE_LIMIT_MS) {
-		stop_all(gang, JOB_END_ABORTED, NO_ANSWER);
-		return;
-	}
-	for (int m = 0; m < gang->members; m++) {
-		if (!task_is(gang, m, "reserved"))
-			call_again(gang, m, GANG_RESERVE);
-	}
-}
-
-static void
-tick_stopping(gang_t *gang)
-{
-	for (int m = 0; m < gang->members; m++) {
-		if (!gang->member[m].finished && !task_is(gang, m, "stopped"))
-			call_again(gang, m, GANG_STOP);
-	}
-	end_if_settled(gang);
-}
-
-/* Makes a proposal again whose outcome is not known. */
-static void
-tick_proposal(gang_t *gang, gang_action_kind_t kind)
-{
-	if (gang->proposed_ms != NEVER &&
-	    gang->now_ms - gang->proposed_ms >= PROPOSE_AGAIN_MS)
-		propose(gang, kind);
-}
-
-/* Repeats, renews and gives up what is due; call it every 100 ms or so. */
-void
-gang_tick(gang_t *gang, int64_t now_ms)
-{
-	gang->now_ms = now_ms;
-	switch (gang->phase) {
-	case PHASE_START_PROPOSED:
-		tick_proposal(gang, GANG_PROPOSE_START);
-		break;
-	case PHASE_RESERVING:
-		tick_reserving(gang);
-		break;
-	case PHASE_GO_PROPOSED:
-		tick_proposal(gang, GANG_PROPOSE_GO);
-		break;
-	case PHASE_STARTING:
-		tick_starting(gang);
-		break;
-	case PHASE_RUNNING:
-		tick_running(gang);
-		break;
-	case PHASE_STOPPING:
-		tick_stopping(gang);
-		break;
-	case PHASE_END_PROPOSED:
-		choose_end(gang);
-		tick_proposal(gang, GANG_PROPOSE_END);
-		break;
-	case PHASE_NEW:
-	case PHASE_OVER:
-		break;
-	}
-}
-
 /* See gang.h. */
 void
 gang_logged(gang_t *gang, const char *job_state, int64_t now_ms)
@@ -591,10 +418,10 @@
 	if (gang->phase == PHASE_END_PROPOSED && gang->end == JOB_END_DONE) {
 		/* The log refuses the proposed end; the job is cancelled. */
 		enter(gang, PHASE_STOPPING);
-		end_if_settled(gang);
+		gang_end_if_settled(gang);
 		return;
 	}
-	stop_all(gang, JOB_END_STOPPED, "cancelled");
+	gang_stop_all(gang, JOB_END_STOPPED, "cancelled");
 }
 
 /* See gang.h. */
@@ -603,9 +430,9 @@
 {
 	gang->now_ms = now_ms;
 	if (gang->phase == PHASE_RESERVING || gang->phase == PHASE_GO_PROPOSED)
-		stop_all(gang, JOB_END_ABORTED, reason);
+		gang_stop_all(gang, JOB_END_ABORTED, reason);
 	else if (gang->phase != PHASE_START_PROPOSED)
-		stop_all(gang, JOB_END_RECLAIMED, reason);
+		gang_stop_all(gang, JOB_END_RECLAIMED, reason);
 }
 
 /* See gang.h. */
@@ -617,7 +444,7 @@
 	gang->now_ms = now_ms;
 	m->leased_ms = MIN(m->leased_ms, now_ms + GANG_CALL_MS + GANG_LEASE_MS);
 	if (gang->phase > PHASE_START_PROPOSED && !m->finished)
-		stop_all(gang,
+		gang_stop_all(gang,
 		    job_is(gang, "starting") ? JOB_END_ABORTED : JOB_END_LOST,
 		    "a worker was lost");
 }
--- /dev/null
+++ b/policy/gang_tick.c
@@ -0,0 +1,131 @@
+#include "policy/gang_private.h"
+
+#define PROPOSE_AGAIN_MS 500
+#define NO_ANSWER "a member does not answer"
+
+/* Repeats a call to a member that has not answered. */
+static void
+call_again(gang_t *gang, int member, gang_action_kind_t kind)
+{
+	member_t *m = &gang->member[member];
+
+	if (gang->now_ms - m->called_ms >= GANG_CALL_MS)
+		gang_call(gang, member, kind);
+}
+
+/*
+ * Renews every lease while all members were heard of lately, or none.  A member
+ * that stays silent for almost a lease is taken for lost.
+ */
+static void
+tick_running(gang_t *gang)
+{
+	bool all_alive = true;
+
+	for (int m = 0; m < gang->members; m++) {
+		const member_t *member = &gang->member[m];
+		int64_t silent_ms = gang->now_ms - member->heard_ms;
+
+		if (member->finished)
+			continue;
+		all_alive = all_alive && silent_ms < 2 * GANG_RENEW_MS;
+		if (silent_ms >= GANG_LEASE_MS - GANG_RENEW_MS) {
+			gang_stop_all(gang, JOB_END_LOST, NO_ANSWER);
+			return;
+		}
+	}
+	if (gang->renewals_held || !all_alive ||
+	    gang->now_ms - gang->renewed_ms < GANG_RENEW_MS)
+		return;
+	gang->renewed_ms = gang->now_ms;
+	for (int m = 0; m < gang->members; m++) {
+		if (!gang->member[m].finished)
+			gang_call(gang, m, GANG_RENEW);
+	}
+	for (int m = 0; m < gang->members && gang->phase == PHASE_RUNNING;
+	     m++) {
+		if (!gang->member[m].finished)
+			gang_call(gang, m, GANG_POLL);
+	}
+}
+
+static void
+tick_starting(gang_t *gang)
+{
+	if (gang->now_ms - gang->phase_ms >= GANG_LEASE_MS - GANG_RENEW_MS) {
+		gang_stop_all(gang, JOB_END_LOST, "a member did not start");
+		return;
+	}
+	for (int m = 0; m < gang->members; m++) {
+		if (!gang->member[m].finished &&
+		    !gang_task_is(gang, m, "running"))
+			call_again(gang, m, GANG_START);
+	}
+}
+
+static void
+tick_reserving(gang_t *gang)
+{
+	if (gang->now_ms - gang->phase_ms >= GANG_RESERVE_LIMIT_MS) {
+		gang_stop_all(gang, JOB_END_ABORTED, NO_ANSWER);
+		return;
+	}
+	for (int m = 0; m < gang->members; m++) {
+		if (!gang_task_is(gang, m, "reserved"))
+			call_again(gang, m, GANG_RESERVE);
+	}
+}
+
+static void
+tick_stopping(gang_t *gang)
+{
+	for (int m = 0; m < gang->members; m++) {
+		if (!gang->member[m].finished &&
+		    !gang_task_is(gang, m, "stopped"))
+			call_again(gang, m, GANG_STOP);
+	}
+	gang_end_if_settled(gang);
+}
+
+/* Makes a proposal again whose outcome is not known. */
+static void
+tick_proposal(gang_t *gang, gang_action_kind_t kind)
+{
+	if (gang->proposed_ms != NEVER &&
+	    gang->now_ms - gang->proposed_ms >= PROPOSE_AGAIN_MS)
+		gang_propose(gang, kind);
+}
+
+/* Repeats, renews and gives up what is due; call it every 100 ms or so. */
+void
+gang_tick(gang_t *gang, int64_t now_ms)
+{
+	gang->now_ms = now_ms;
+	switch (gang->phase) {
+	case PHASE_START_PROPOSED:
+		tick_proposal(gang, GANG_PROPOSE_START);
+		break;
+	case PHASE_RESERVING:
+		tick_reserving(gang);
+		break;
+	case PHASE_GO_PROPOSED:
+		tick_proposal(gang, GANG_PROPOSE_GO);
+		break;
+	case PHASE_STARTING:
+		tick_starting(gang);
+		break;
+	case PHASE_RUNNING:
+		tick_running(gang);
+		break;
+	case PHASE_STOPPING:
+		tick_stopping(gang);
+		break;
+	case PHASE_END_PROPOSED:
+		gang_choose_end(gang);
+		tick_proposal(gang, GANG_PROPOSE_END);
+		break;
+	case PHASE_NEW:
+	case PHASE_OVER:
+		break;
+	}
+}
