policy: try a failed guaranteed job on other workers first

Cause: only opportunistic searches avoided the workers on which a job had failed. A guaranteed job was tried again on the failed worker while its unused unit could move to another one. cells_avoid leaves workers out of a search; a unit whose workers are avoided may exchange its cells or move to free ones. Marking the worker unusable was ruled out, as that moves guarantees. When nothing else fits, the failed worker is used again. The avoiding hold of opportunistic searches is replaced by the same means.

--- a/policy/cells.h
+++ b/policy/cells.h
@@ -76,6 +76,8 @@
 int cells_plan(const cells_t *cells, const cells_shape_t *shape,
     const char *const *jobs, size_t count, cells_place_t *places,
     size_t *needed);
+/* Leaves a worker out of searches, without moving any guarantee. */
+void cells_avoid(cells_t *cells, const char *worker, bool avoided);
 /* Visits each job with a member on one of the places, some of them twice. */
 void cells_users(const cells_t *cells, const cells_place_t *places, int count,
     void (*visit)(void *ctx, const char *job), void *ctx);
--- a/policy/cells_find.c
+++ b/policy/cells_find.c
@@ -141,7 +141,7 @@
 		if (cell->worker == CELLS_NONE)
 			continue;
 		w = cells_worker_at(cells, cell->worker);
-		if (!w->usable || !w->present)
+		if (!w->usable || !w->present || w->avoided)
 			continue;
 		pool[count++] = (pool_t){
 		    .worker = cell->worker,
@@ -247,7 +247,7 @@
 	for (guint i = 0; i < cells->units->len; i++) {
 		const unit_t *unit = g_ptr_array_index(cells->units, i);
 
-		if (best->victims->len == 0)
+		if (best->found && best->victims->len == 0)
 			return;
 		if (unit->workspace != workspace &&
 		    is_exchangeable(unit, shape))
@@ -299,9 +299,10 @@
 	options_t options = options_of(cells, shape);
 
 	search_own_units(cells, shape, &options, candidate, best);
-	if (options.exchangeable && best->found && best->victims->len > 0)
+	/* Nothing is found when the unit's workers are avoided. */
+	if (options.exchangeable && (!best->found || best->victims->len > 0))
 		search_other_units(cells, shape, candidate, best);
-	if (options.exchangeable && best->found && best->victims->len > 0 &&
+	if (options.exchangeable && (!best->found || best->victims->len > 0) &&
 	    cells_search(cells, VIEW_OPEN, shape->members, shape->accelerators,
 		cells_tightest(shape->members, shape->adjacency), CELLS_NONE,
 		candidate->places) == 0) {
--- a/policy/cells_hold.c
+++ b/policy/cells_hold.c
@@ -102,6 +102,18 @@
 	return 0;
 }
 
+/* Leaves a worker out of searches for places, or no longer. */
+void
+cells_avoid(cells_t *cells, const char *worker, bool avoided)
+{
+	int id = cells_worker_find(cells, worker);
+
+	if (id == CELLS_NONE)
+		return;
+	cells_worker_at(cells, id)->avoided = avoided;
+	cells_refresh(cells, id);
+}
+
 /* Supposes that a job has ended, or no longer. */
 static void
 suppose_ended(const cells_t *cells, const char *id, bool ended)
--- a/policy/cells_private.h
+++ b/policy/cells_private.h
@@ -31,6 +31,7 @@
 	int slots;
 	bool present;
 	bool usable;
+	bool avoided;        /* left out of searches for the time being */
 	uint32_t used;       /* by any work */
 	uint32_t guaranteed; /* by guaranteed work */
 	uint32_t reserved;   /* cells of guarantees, used or not */
--- a/policy/cells_search.c
+++ b/policy/cells_search.c
@@ -145,7 +145,7 @@
 {
 	worker_t *w = cells_worker_at(cells, worker);
 	uint32_t all = w->present ? cells_full_mask(w->accelerators) : 0;
-	uint32_t up = w->usable ? all : 0;
+	uint32_t up = w->usable && !w->avoided ? all : 0;
 	uint32_t masks[VIEW_COUNT] = {
 	    [VIEW_OPEN] = up & ~w->used & ~w->held & ~w->reserved,
 	    [VIEW_FREE] = up & ~w->used & ~w->held,
@@ -163,6 +163,11 @@
 	 * accelerators without a slot.
 	 */
 	w->slots_left[VIEW_OPEN] = w->slots_left[VIEW_FREE] - w->slots_reserved;
+	if (w->avoided) {
+		w->slots_left[VIEW_FREE] = 0;
+		w->slots_left[VIEW_HARD] = 0;
+		w->slots_left[VIEW_OPEN] = 0;
+	}
 	w->slots_left[VIEW_ALL] = w->slots;
 	w->slots_left[VIEW_PLAN] = w->slots_left[VIEW_FREE] + w->slots_planned;
 	for (int view = 0; view < VIEW_COUNT; view++)
--- a/policy/placement_decide.c
+++ b/policy/placement_decide.c
@@ -62,6 +62,26 @@
 	return true;
 }
 
+/* Searches places off the workers on which the job has failed. */
+static int
+find_elsewhere(placement_t *placement, const pjob_t *job, bool guaranteed,
+    cells_place_t *places, victims_t *victims)
+{
+	cells_shape_t shape = placement_shape(job);
+	int rc;
+
+	if (job->failures.failures == 0)
+		return -ENOSPC;
+	for (int i = 0; i < job->failures.failures; i++)
+		cells_avoid(placement->cells, job->failures.failed_on[i], true);
+	rc = cells_try(placement->cells, &shape, guaranteed, places,
+	    victims != NULL ? add_victim : NULL, victims);
+	for (int i = 0; i < job->failures.failures; i++)
+		cells_avoid(
+		    placement->cells, job->failures.failed_on[i], false);
+	return rc;
+}
+
 /* Tries the guarantee of the job's workspace. */
 static bool
 claim_guaranteed(placement_t *placement, pjob_t *job, int64_t now_ms)
@@ -75,7 +95,8 @@
 	if (job->bucket->failed_version == placement->version ||
 	    job->bucket->searched_version == placement->guaranteed_version)
 		return false;
-	if (cells_try(placement->cells, &shape, true, places, add_victim,
+	if (find_elsewhere(placement, job, true, places, &victims) != 0 &&
+	    cells_try(placement->cells, &shape, true, places, add_victim,
 		&victims) != 0) {
 		job->bucket->searched_version = placement->guaranteed_version;
 		return false;
@@ -88,27 +109,6 @@
 	return true;
 }
 
-/* Searches free places off the workers on which the job has failed. */
-static int
-find_elsewhere(placement_t *placement, const pjob_t *job, cells_place_t *places)
-{
-	cells_shape_t wanted = placement_shape(job);
-	cells_place_t avoid[HEALTH_BLAME_AFTER];
-	int rc;
-
-	if (job->failures.failures == 0)
-		return -ENOSPC;
-	for (int i = 0; i < job->failures.failures; i++) {
-		g_strlcpy(avoid[i].worker, job->failures.failed_on[i],
-		    sizeof(avoid[i].worker));
-		avoid[i].accelerator_mask = UINT32_MAX;
-	}
-	cells_hold(placement->cells, AVOID_HOLD, avoid, job->failures.failures);
-	rc = cells_try(placement->cells, &wanted, false, places, NULL, NULL);
-	cells_unhold(placement->cells, AVOID_HOLD);
-	return rc;
-}
-
 /* Finds free places, else some inside the reservation. */
 static int
 find_free(placement_t *placement, const pjob_t *job, int64_t now_ms,
@@ -140,7 +140,7 @@
 
 	if (!placement_within_quota(job))
 		return false;
-	if ((find_elsewhere(placement, job, places) != 0 &&
+	if ((find_elsewhere(placement, job, false, places, NULL) != 0 &&
 		find_free(placement, job, now_ms, places, &backfill) != 0) ||
 	    placement_claim(placement, job, false, places, now_ms) != 0)
 		return false;
--- a/policy/placement_private.h
+++ b/policy/placement_private.h
@@ -133,7 +133,6 @@
 
 /* Not a valid job id, which names the other holds. */
 #define RESERVATION_HOLD "/reservation%d"
-#define AVOID_HOLD "/avoid"
 
 /* placement.c */
 cells_shape_t placement_shape(const pjob_t *job);
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -372,6 +372,43 @@
 }
 END_TEST
 
+/*
+ * Guards against a guaranteed job that is tried again on the worker where it
+ * failed while its cell could move to another one.
+ */
+START_TEST(guaranteed_job_leaves_failed_worker)
+{
+	placement_t *placement = uniform(1, 2);
+	cells_guarantee_t guarantee = {"a", 1, 1, 8, ADJACENT_DOMAIN};
+	char failed[NAME_MAX_LEN + 1];
+	char next[NAME_MAX_LEN + 1];
+
+	ck_assert_int_eq(
+	    placement_set_guarantees(placement, &guarantee, 1, NULL), 0);
+	submit(placement, "g", "a", 1, 8, PRIORITY_GUARANTEED, 1000, 0);
+	start(placement, 0, "g", failed);
+	ck_assert(!placement_failed_on(placement, "g", failed, 0));
+	placement_ended(placement, "g", PLACEMENT_LOST, 0);
+	start(placement, 0, "g", next);
+	ck_assert_str_ne(failed, next);
+	ck_assert(cells_is_guaranteed(placement_cells(placement), "g"));
+	ck_assert_int_eq(cells_check(placement_cells(placement), NULL), 0);
+	placement_destroy(placement);
+
+	/* Where no other worker fits, it is tried there again. */
+	placement = uniform(1, 1);
+	ck_assert_int_eq(
+	    placement_set_guarantees(placement, &guarantee, 1, NULL), 0);
+	submit(placement, "g", "a", 1, 8, PRIORITY_GUARANTEED, 1000, 0);
+	start(placement, 0, "g", failed);
+	ck_assert(!placement_failed_on(placement, "g", failed, 0));
+	placement_ended(placement, "g", PLACEMENT_LOST, 0);
+	start(placement, 0, "g", next);
+	ck_assert_str_eq(failed, next);
+	placement_destroy(placement);
+}
+END_TEST
+
 /*
  * Guards against a large job that waits although moving small work would free
  * a whole rack, and against work that is moved without a checkpoint.
@@ -690,6 +727,7 @@
 	tcase_add_test(tcase, waiting_is_bounded);
 	tcase_add_test(tcase, small_jobs_get_reservations);
 	tcase_add_test(tcase, health_by_evidence_of_both);
+	tcase_add_test(tcase, guaranteed_job_leaves_failed_worker);
 	tcase_add_test(tcase, migration_frees_large_cell);
 	tcase_add_test(tcase, random_load);
 	suite_add_tcase(suite, tcase);
