--- a/policy/placement_decide.c
+++ b/policy/placement_decide.c
@@ -62,6 +62,26 @@
 	return true;
 }
 
+/* Searches places off the workers on which the job has failed. */
+static int
+find_elsewhere(placement_t *placement, const pjob_t *job, bool guaranteed,
+    cells_place_t *places, victims_t *victims)
+{
+	cells_shape_t shape = placement_shape(job);
+	int rc;
+
+	if (job->failures.failures == 0)
+		return -ENOSPC;
+	for (int i = 0; i < job->failures.failures; i++)
+		cells_avoid(placement->cells, job->failures.failed_on[i], true);
+	rc = cells_try(placement->cells, &shape, guaranteed, places,
+	    victims != NULL ? add_victim : NULL, victims);
+	for (int i = 0; i < job->failures.failures; i++)
+		cells_avoid(
+		    placement->cells, job->failures.failed_on[i], false);
+	return rc;
+}
+
 /* Tries the guarantee of the job's workspace. */
 static bool
 claim_guaranteed(placement_t *placement, pjob_t *job, int64_t now_ms)
@@ -75,7 +95,8 @@
 	if (job->bucket->failed_version == placement->version ||
 	    job->bucket->searched_version == placement->guaranteed_version)
 		return false;
-	if (cells_try(placement->cells, &shape, true, places, add_victim,
+	if (find_elsewhere(placement, job, true, places, &victims) != 0 &&
+	    cells_try(placement->cells, &shape, true, places, add_victim,
 		&victims) != 0) {
 		job->bucket->searched_version = placement->guaranteed_version;
 		return false;
@@ -88,27 +109,6 @@
 	return true;
 }
 
-/* Searches free places off the workers on which the job has failed. */
-static int
-find_elsewhere(placement_t *placement, const pjob_t *job, cells_place_t *places)
-{
-	cells_shape_t wanted = placement_shape(job);
-	cells_place_t avoid[HEALTH_BLAME_AFTER];
-	int rc;
-
-	if (job->failures.failures == 0)
-		return -ENOSPC;
-	for (int i = 0; i < job->failures.failures; i++) {
-		g_strlcpy(avoid[i].worker, job->failures.failed_on[i],
-		    sizeof(avoid[i].worker));
-		avoid[i].accelerator_mask = UINT32_MAX;
-	}
-	cells_hold(placement->cells, AVOID_HOLD, avoid, job->failures.failures);
-	rc = cells_try(placement->cells, &wanted, false, places, NULL, NULL);
-	cells_unhold(placement->cells, AVOID_HOLD);
-	return rc;
-}
-
 /* Finds free places, else some inside the reservation. */
 static int
 find_free(placement_t *placement, const pjob_t *job, int64_t now_ms,
@@ -140,7 +140,7 @@
 
 	if (!placement_within_quota(job))
 		return false;
-	if ((find_elsewhere(placement, job, places) != 0 &&
+	if ((find_elsewhere(placement, job, false, places, NULL) != 0 &&
 		find_free(placement, job, now_ms, places, &backfill) != 0) ||
 	    placement_claim(placement, job, false, places, now_ms) != 0)
 		return false;
@@ -270,23 +270,26 @@
 next_unreserved(
     const placement_t *placement, const bucket_t *bucket, int64_t now_ms)
 {
+	int64_t after_ms = is_large(bucket->shape)
+			       ? PLACEMENT_RESERVE_AFTER_MS
+			       : PLACEMENT_RESERVE_ANY_AFTER_MS;
 	GList *link = bucket->jobs.head;
 	pjob_t *job;
 
-	if (link == NULL || !is_large(bucket->shape) || bucket->shape->never ||
+	if (link == NULL || bucket->shape->accelerators == 0 ||
+	    bucket->shape->never ||
 	    bucket->shape->reserve_version == placement->version)
 		return NULL;
 	while (link != NULL && ((pjob_t *)link->data)->reservation != NULL)
 		link = link->next;
 	job = link != NULL ? link->data : NULL;
-	if (job == NULL ||
-	    now_ms - job->waiting_ms < PLACEMENT_RESERVE_AFTER_MS ||
+	if (job == NULL || now_ms - job->waiting_ms < after_ms ||
 	    !placement_within_quota(job))
 		return NULL;
 	return job;
 }
 
-/* Gives a reservation to the large job that has waited longest. */
+/* Gives a reservation to the job that has waited longest. */
 static bool
 consider_reservation(placement_t *placement, int64_t now_ms)
 {
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -292,6 +292,28 @@
 }
 END_TEST
 
+/* Guards against small jobs that wait for ever, as nothing is kept for them. */
+START_TEST(small_jobs_get_reservations)
+{
+	placement_t *placement = uniform(1, 1);
+	int64_t reserved = PLACEMENT_RESERVE_ANY_AFTER_MS;
+	int64_t now = PLACEMENT_MAX_WAIT_MS;
+
+	submit(placement, "x", "a", 1, 8, PRIORITY_OPPORTUNISTIC, 1, 0);
+	expect(placement, 0, PLACEMENT_START, "x");
+	submit(placement, "small", "b", 1, 2, PRIORITY_OPPORTUNISTIC, 1000, 0);
+	expect_none(placement, reserved - 1);
+	expect_reason(placement, "small", reserved - 1, "2 in the domain");
+	expect_none(placement, reserved);
+	expect_reason(placement, "small", reserved, "are reserved for it");
+	expect_none(placement, now - 1);
+	expect(placement, now, PLACEMENT_CHECKPOINT, "x");
+	placement_ended(placement, "x", PLACEMENT_LOST, now + 1);
+	expect(placement, now + 1, PLACEMENT_START, "small");
+	placement_destroy(placement);
+}
+END_TEST
+
 /* Starts the job and tells on which worker its first member is. */
 static void
 start(placement_t *placement, int64_t now_ms, const char *job, char *worker)
@@ -350,6 +372,43 @@
 }
 END_TEST
 
+/*
+ * Guards against a guaranteed job that is tried again on the worker where it
+ * failed while its cell could move to another one.
+ */
+START_TEST(guaranteed_job_leaves_failed_worker)
+{
+	placement_t *placement = uniform(1, 2);
+	cells_guarantee_t guarantee = {"a", 1, 1, 8, ADJACENT_DOMAIN};
+	char failed[NAME_MAX_LEN + 1];
+	char next[NAME_MAX_LEN + 1];
+
+	ck_assert_int_eq(
+	    placement_set_guarantees(placement, &guarantee, 1, NULL), 0);
+	submit(placement, "g", "a", 1, 8, PRIORITY_GUARANTEED, 1000, 0);
+	start(placement, 0, "g", failed);
+	ck_assert(!placement_failed_on(placement, "g", failed, 0));
+	placement_ended(placement, "g", PLACEMENT_LOST, 0);
+	start(placement, 0, "g", next);
+	ck_assert_str_ne(failed, next);
+	ck_assert(cells_is_guaranteed(placement_cells(placement), "g"));
+	ck_assert_int_eq(cells_check(placement_cells(placement), NULL), 0);
+	placement_destroy(placement);
+
+	/* Where no other worker fits, it is tried there again. */
+	placement = uniform(1, 1);
+	ck_assert_int_eq(
+	    placement_set_guarantees(placement, &guarantee, 1, NULL), 0);
+	submit(placement, "g", "a", 1, 8, PRIORITY_GUARANTEED, 1000, 0);
+	start(placement, 0, "g", failed);
+	ck_assert(!placement_failed_on(placement, "g", failed, 0));
+	placement_ended(placement, "g", PLACEMENT_LOST, 0);
+	start(placement, 0, "g", next);
+	ck_assert_str_eq(failed, next);
+	placement_destroy(placement);
+}
+END_TEST
+
 /*
  * Guards against a large job that waits although moving small work would free
  * a whole rack, and against work that is moved without a checkpoint.
@@ -666,7 +725,9 @@
 	tcase_add_test(tcase, checkpoint_ends_the_wait);
 	tcase_add_test(tcase, backfill_never_delays);
 	tcase_add_test(tcase, waiting_is_bounded);
+	tcase_add_test(tcase, small_jobs_get_reservations);
 	tcase_add_test(tcase, health_by_evidence_of_both);
+	tcase_add_test(tcase, guaranteed_job_leaves_failed_worker);
 	tcase_add_test(tcase, migration_frees_large_cell);
 	tcase_add_test(tcase, random_load);
 	suite_add_tcase(suite, tcase);
