entry, daemon: share one client between the entry and the placer

The entry and the placer of an instance each had a client with the whole share of 9 connections, 126 of 64 for 7 instances. Two shares, 8 and 1 or 7 and 2, were ruled out: a request keeps its connection while it runs, so the owner needs 8 for its slots and one for control calls. The placer now uses the entry's client. Its members of jobs count as slots there, and its calls are as short as other control calls. The limit also follows backend servers of other owners, which the placer calls.

Fewer connections than instances still give each instance one.

--- a/daemon/node.c
+++ b/daemon/node.c
@@ -9,10 +9,12 @@
 #include "entry/entry.h"
 #include "entry/operator.h"
 #include "entry/placer.h"
+#include "policy/slots.h"
 #include "rpc/endpoint.h"
 #include "state/replica.h"
 
-/* Connections of each backend server, shared by all instances. */
+/* Connections of each backend server, shared by all instances, for an instance
+ * without an entry, which learns the real number. */
 #define WORKER_CONNECTIONS 64
 #define MAX_ANSWER_BYTES 4194304
 
@@ -21,7 +23,7 @@
 	const settings_t *settings;
 	endpoint_t *endpoint;
 	replica_t *replica;
-	client_t *client;
+	client_t *client; /* NULL when the placer uses the entry's */
 	entry_t *entry;
 	placer_t *placer;
 	operator_t *op;
@@ -74,7 +76,8 @@
 create_tasks(node_t *node, uint64_t incarnation, err_t *err)
 {
 	const settings_t *settings = node->settings;
-	int share = WORKER_CONNECTIONS / (int)settings->peer_count;
+	int share = slots_connection_share(
+	    WORKER_CONNECTIONS, (int)settings->peer_count);
 
 	node->endpoint = endpoint_create(
 	    node->loop, settings, incarnation, serve_rpc, node, err);
@@ -92,10 +95,15 @@
 			return err->code;
 	}
 	if (settings->role_placer) {
-		node->client =
-		    client_create(node->loop, share, MAX_ANSWER_BYTES);
-		node->placer = placer_create(
-		    node->loop, settings, node->replica, node->client, err);
+		/* A client of its own would double the instance's share. */
+		if (node->entry == NULL)
+			node->client =
+			    client_create(node->loop, share, MAX_ANSWER_BYTES);
+		node->placer =
+		    placer_create(node->loop, settings, node->replica,
+			node->entry != NULL ? entry_client(node->entry)
+					    : node->client,
+			err);
 		if (node->placer == NULL)
 			return err->code;
 	}
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -472,6 +472,13 @@
 	return listener_port(entry->listener);
 }
 
+/* Returns the client of backend servers. */
+client_t *
+entry_client(const entry_t *entry)
+{
+	return entry->client;
+}
+
 /* Serves a call of another instance. */
 void
 entry_serve_rpc(entry_t *entry, const char *peer, uint32_t procedure,
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -5,6 +5,7 @@
 
 #include "common/err.h"
 #include "common/settings.h"
+#include "entry/client.h"
 #include "rpc/endpoint.h"
 #include "state/replica.h"
 
@@ -18,6 +19,11 @@
     endpoint_t *endpoint, replica_t *replica, uint64_t incarnation, err_t *err);
 void entry_destroy(entry_t *entry);
 uint16_t entry_port(const entry_t *entry);
+/*
+ * The client of backend servers, which keeps the instance's share of their
+ * connections; owned by the entry.
+ */
+client_t *entry_client(const entry_t *entry);
 /* RPC_FORWARD, RPC_ASK, RPC_SEEN and RPC_SHARE; see endpoint_serve_t. */
 void entry_serve_rpc(entry_t *entry, const char *peer, uint32_t procedure,
     void *args, endpoint_request_t *request);
--- a/entry/workers.c
+++ b/entry/workers.c
@@ -41,19 +41,27 @@
     {INTEGER(generation, INT64_MIN, INT64_MAX), .required = true},
 };
 
-/* The connections and slots of a worker that this instance may use. */
 static int
 connection_share(const entry_t *entry, const machine_worker_t *worker)
 {
-	return MAX(
-	    worker->connections / (int)MAX(entry->settings->peer_count, 1), 1);
+	return slots_connection_share(
+	    worker->connections, (int)entry->settings->peer_count);
 }
 
-/* One connection stays free for control calls. */
-static int
-slot_share(const entry_t *entry, const machine_worker_t *worker)
+/*
+ * Lowers the limit of connections to what the smallest backend server allows.
+ * Those of other owners count too: members of jobs and tasks of earlier owners
+ * are called through the same client.
+ */
+static void
+limit_connections(entry_t *entry, const machine_worker_t *worker)
 {
-	return MIN(worker->slots, MAX(connection_share(entry, worker) - 1, 1));
+	int share = connection_share(entry, worker);
+
+	if (share >= entry->connections)
+		return;
+	entry->connections = share;
+	client_set_connections(entry->client, share);
 }
 
 static void
@@ -73,8 +81,9 @@
 take_over(entry_t *entry, const machine_worker_t *worker)
 {
 	bool is_new = slots_find(entry->slots, worker->id) == NULL;
-	slots_worker_t *slot = slots_set(entry->slots, worker->id,
-	    worker->generation, slot_share(entry, worker));
+	slots_worker_t *slot =
+	    slots_set(entry->slots, worker->id, worker->generation,
+		slots_share(worker->slots, connection_share(entry, worker)));
 	const int64_t *seen = g_hash_table_lookup(entry->last_seen, worker->id);
 
 	if (worker->leaving)
@@ -85,10 +94,6 @@
 		if (seen != NULL)
 			slots_seen(slot, *seen);
 	}
-	if (connection_share(entry, worker) < entry->connections) {
-		entry->connections = connection_share(entry, worker);
-		client_set_connections(entry->client, entry->connections);
-	}
 	entry->dispatch_wanted = true;
 }
 
@@ -99,6 +104,8 @@
 	const machine_worker_t *worker =
 	    machine_worker(entry_machine(entry), id);
 
+	if (worker != NULL)
+		limit_connections(entry, worker);
 	if (worker != NULL && entry_is_self(entry, worker->owner)) {
 		take_over(entry, worker);
 		return;
--- a/policy/slots.c
+++ b/policy/slots.c
@@ -14,6 +14,27 @@
 	guint next;  /* where the next scan starts, to spread equal choices */
 };
 
+/*
+ * Returns how many connections of a backend server one instance may use, for
+ * all its tasks together.  At least one, or the instance could not ask what
+ * became of a task.
+ */
+int
+slots_connection_share(int connections, int instances)
+{
+	return MAX(connections / MAX(instances, 1), 1);
+}
+
+/*
+ * Returns how many slots of a backend server its owner may use: a request
+ * keeps a connection while it runs, and one stays free for control calls.
+ */
+int
+slots_share(int slots, int connection_share)
+{
+	return MIN(slots, MAX(connection_share - 1, 1));
+}
+
 static void
 worker_free(void *data)
 {
--- a/policy/slots.h
+++ b/policy/slots.h
@@ -29,6 +29,8 @@
  */
 typedef int slots_rank_t(void *ctx, const slots_worker_t *worker);
 
+int slots_connection_share(int connections, int instances);
+int slots_share(int slots, int connection_share);
 slots_t *slots_create(int short_reserved, int64_t lease_ms);
 void slots_destroy(slots_t *slots);
 slots_worker_t *slots_set(
--- a/tests/unit/test_slots.c
+++ b/tests/unit/test_slots.c
@@ -116,6 +116,29 @@
 }
 END_TEST
 
+/* Guards against instances that together open more connections to a backend
+ * server than it accepts, or run more tasks than they have connections for. */
+START_TEST(connections_divided)
+{
+	ck_assert_int_eq(slots_connection_share(64, 7), 9);
+	ck_assert_int_eq(slots_share(8, 9), 8);
+	for (int instances = 1; instances <= 64; instances++) {
+		for (int all = instances; all <= 512; all++) {
+			int share = slots_connection_share(all, instances);
+
+			ck_assert_int_ge(share, 1);
+			ck_assert_int_le(share * instances, all);
+			ck_assert_int_gt((share + 1) * instances, all);
+			ck_assert_int_le(
+			    slots_share(1024, share), MAX(share - 1, 1));
+		}
+	}
+	/* Every instance needs one to ask what became of a task. */
+	ck_assert_int_eq(slots_connection_share(4, 7), 1);
+	ck_assert_int_eq(slots_share(8, 1), 1);
+}
+END_TEST
+
 static int
 exclude_w2(void *ctx, const slots_worker_t *worker)
 {
@@ -155,6 +178,7 @@
 
 	tcase_add_test(tcase, batch_cap);
 	tcase_add_test(tcase, members_count);
+	tcase_add_test(tcase, connections_divided);
 	tcase_add_test(tcase, total_of_usable);
 	tcase_add_test(tcase, leases);
 	tcase_add_test(tcase, choice);
