entry: shorten a lease by the time that SEEN was on its way

An announcement passed on to the owner counted from its arrival there minus age_ms, which the sender sets when it queues the message. Time in its queue or on a stalled connection, up to 1.5 s, made the lease longer, against "no new work later than 3 s".

SEEN now carries the incarnation and the monotonic clock of the sender. The owner takes the smallest difference of both clocks over 30 to 60 s as the offset and shortens the lease by what exceeds it. Ruled out: wall clocks, which may be set, and round trips, which tell nothing of the message at hand. Not known: the transit of the fastest message itself, and that of the first message of an incarnation.

The message changes, so the protocol version does: instances of versions 1 and 2 refuse each other in HELLO.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -378,6 +378,8 @@
 	entry->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	entry->by_key = g_hash_table_new(g_str_hash, g_str_equal);
 	entry->ended = g_hash_table_new(g_str_hash, g_str_equal);
+	entry->transits =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	entry->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
 	entry->last_seen =
@@ -457,6 +459,7 @@
 	g_hash_table_unref(entry->by_key);
 	g_hash_table_unref(entry->ended);
 	g_hash_table_unref(entry->peers);
+	g_hash_table_unref(entry->transits);
 	g_hash_table_unref(entry->last_seen);
 	g_hash_table_unref(entry->seen);
 	g_hash_table_unref(entry->moving);
@@ -492,7 +495,7 @@
 		forward_serve_ask(entry, args, request);
 		break;
 	case RPC_SEEN:
-		workers_serve_seen(entry, args);
+		workers_serve_seen(entry, peer, args);
 		break;
 	case RPC_SHARE:
 		forward_serve_share(entry, args);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -17,6 +17,7 @@
 #include "policy/limiter.h"
 #include "policy/retry_budget.h"
 #include "policy/slots.h"
+#include "policy/transit.h"
 
 /* What the parts of the entry task share; private to entry/. */
 
@@ -185,6 +186,7 @@
 	size_t ended_bytes;
 	GQueue claim_ends;
 	GHashTable *peers;     /* id -> peer_t */
+	GHashTable *transits;  /* sender of RPC_SEEN -> transit_t */
 	GHashTable *last_seen; /* worker -> int64_t ms, for a change of owner */
 	GHashTable *seen;      /* owner -> GArray of seen_item_t */
 	GHashTable *moving;    /* workers whose owner is being changed */
@@ -361,7 +363,8 @@
 void workers_sync(entry_t *entry);
 void workers_sync_one(entry_t *entry, const char *id);
 void workers_count_members(entry_t *entry);
-void workers_serve_seen(entry_t *entry, const seen_args_t *args);
+void workers_serve_seen(
+    entry_t *entry, const char *peer, const seen_args_t *args);
 void workers_sweep(entry_t *entry, int64_t now_ms);
 void workers_destroy(entry_t *entry);
 
--- a/entry/workers.c
+++ b/entry/workers.c
@@ -250,7 +250,9 @@
 	g_hash_table_iter_init(&iter, entry->seen);
 	while (g_hash_table_iter_next(&iter, &owner, &value)) {
 		GArray *items = value;
-		seen_args_t args = {.items.items_len = items->len,
+		seen_args_t args = {.incarnation = entry->incarnation,
+		    .sent_ms = now_ms,
+		    .items.items_len = items->len,
 		    .items.items_val = (seen_item_t *)(void *)items->data};
 
 		for (guint i = 0; i < items->len; i++)
@@ -263,17 +265,29 @@
 	entry->seen_sent_ms = now_ms;
 }
 
-/* Serves RPC_SEEN: announcements that arrived at another instance. */
+/*
+ * Serves RPC_SEEN: announcements that arrived at another instance.  A lease is
+ * shortened by the time in a queue of the sender or on a stalled connection.
+ */
 void
-workers_serve_seen(entry_t *entry, const seen_args_t *args)
+workers_serve_seen(entry_t *entry, const char *peer, const seen_args_t *args)
 {
+	transit_t *transit = g_hash_table_lookup(entry->transits, peer);
 	int64_t now_ms = clock_mono_ms();
+	int64_t excess_ms;
+
+	if (transit == NULL) {
+		transit = g_new0(transit_t, 1);
+		g_hash_table_insert(entry->transits, g_strdup(peer), transit);
+	}
+	excess_ms = transit_excess_ms(
+	    transit, args->incarnation, args->sent_ms, now_ms);
 
 	for (u_int i = 0; i < args->items.items_len; i++) {
 		const seen_item_t *item = &args->items.items_val[i];
 
 		note_seen(entry, item->worker, item->generation,
-		    now_ms - MAX(item->age_ms, 0), item->leaving);
+		    now_ms - MAX(item->age_ms, 0) - excess_ms, item->leaving);
 	}
 }
 
@@ -417,7 +431,10 @@
 	seen_item_t item = {.worker = worker->id,
 	    .generation = worker->generation,
 	    .leaving = true};
-	seen_args_t args = {.items.items_len = 1, .items.items_val = &item};
+	seen_args_t args = {.incarnation = entry->incarnation,
+	    .sent_ms = clock_mono_ms(),
+	    .items.items_len = 1,
+	    .items.items_val = &item};
 
 	note_seen(entry, worker->id, worker->generation, 0, true);
 	if (entry_is_self(entry, worker->owner))
--- a/rpc/protocol.h
+++ b/rpc/protocol.h
@@ -13,8 +13,8 @@
 extern "C" {
 #endif
 
-#define PROTOCOL_VERSION_MIN 1
-#define PROTOCOL_VERSION_MAX 1
+#define PROTOCOL_VERSION_MIN 2
+#define PROTOCOL_VERSION_MAX 2
 #define NAME_MAX_LEN 128
 #define TEXT_MAX_LEN 4096
 #define BODY_MAX_LEN 4194304
@@ -399,6 +399,8 @@
 typedef struct seen_item_t seen_item_t;
 
 struct seen_args_t {
+	u_quad_t incarnation;
+	quad_t sent_ms;
 	struct {
 		u_int items_len;
 		seen_item_t *items_val;
--- a/rpc/protocol.x
+++ b/rpc/protocol.x
@@ -3,8 +3,8 @@
  * the commands of the replicated log, which use the same XDR encoding.
  */
 
-const PROTOCOL_VERSION_MIN = 1;
-const PROTOCOL_VERSION_MAX = 1;
+const PROTOCOL_VERSION_MIN = 2;
+const PROTOCOL_VERSION_MAX = 2;
 const NAME_MAX_LEN = 128;
 const TEXT_MAX_LEN = 4096;
 const BODY_MAX_LEN = 4194304;
@@ -370,7 +370,10 @@
 	body_t usage;
 };
 
+/* sent_ms is of the sender's monotonic clock, age_ms counted until then. */
 struct seen_args_t {
+	unsigned hyper incarnation;
+	hyper sent_ms;
 	seen_item_t items<MAX_BATCH>;
 };
 
--- a/rpc/protocol_xdr.c
+++ b/rpc/protocol_xdr.c
@@ -827,6 +827,10 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->sent_ms))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, MAX_BATCH,
 		sizeof (seen_item_t), (xdrproc_t) xdr_seen_item_t))
 		 return FALSE;
--- a/tests/unit/test_entry_load.c
+++ b/tests/unit/test_entry_load.c
@@ -220,6 +220,41 @@
 }
 END_TEST
 
+static void
+serve_seen(int64_t sent_ms)
+{
+	seen_item_t item = {.worker = (char *)"w1", .generation = 1};
+	seen_args_t args = {.incarnation = 1,
+	    .sent_ms = sent_ms,
+	    .items.items_len = 1,
+	    .items.items_val = &item};
+
+	entry_serve_rpc(fake.instances[0].entry, "i2", RPC_SEEN, &args, NULL);
+}
+
+/* Guards against new work after the end of a lease whose announcement was held
+ * up on its way from another instance. */
+START_TEST(held_up_announcement)
+{
+	worker_t worker;
+
+	world_start(1, "\"worker_lease_ms\":1000,");
+	worker_start(&worker, "w1", "d1", 8);
+	worker_announce(&worker, 0);
+	serve_seen(clock_mono_ms());
+	turn(1300, NULL);
+	serve_seen(clock_mono_ms() - 1100);
+	start_calls(0, 1, REPEATABLE("r", 100, 0));
+	ck_assert_int_eq(end_calls(0, 1, 503), 1);
+	ck_assert_int_eq(worker.puts, 0);
+	serve_seen(clock_mono_ms());
+	start_calls(0, 1, REPEATABLE("r", 100, 0));
+	ck_assert_int_eq(end_calls(0, 1, 200), 1);
+	worker_stop(&worker);
+	world_stop();
+}
+END_TEST
+
 /* Guards against work for a server that is lost between claim and dispatch. */
 START_TEST(owner_changes_during_claim)
 {
@@ -339,6 +374,7 @@
 	tcase_add_test(tcase, retries_bounded);
 	tcase_add_test(tcase, long_short_request);
 	tcase_add_test(tcase, lease_and_leave);
+	tcase_add_test(tcase, held_up_announcement);
 	tcase_add_test(tcase, owner_changes_during_claim);
 	tcase_add_test(tcase, hopeless_refused_at_once);
 	tcase_add_test(tcase, tenant_limits);
--- /dev/null
+++ b/tests/unit/test_transit.c
@@ -0,0 +1,68 @@
+#include <check.h>
+#include <stdlib.h>
+
+#include "policy/transit.h"
+
+#define OFFSET_MS 700000 /* between the clocks of sender and receiver */
+
+/* Guards against a message that counts as fresh although it was held up. */
+START_TEST(stall_is_seen)
+{
+	transit_t transit = {0};
+
+	for (int64_t at_ms = 1000; at_ms < 5000; at_ms += 200)
+		ck_assert_int_eq(
+		    transit_excess_ms(&transit, 1, at_ms, at_ms + OFFSET_MS),
+		    0);
+	ck_assert_int_eq(
+	    transit_excess_ms(&transit, 1, 5000, 6500 + OFFSET_MS), 1500);
+	ck_assert_int_eq(
+	    transit_excess_ms(&transit, 1, 6400, 6500 + OFFSET_MS), 100);
+	ck_assert_int_eq(
+	    transit_excess_ms(&transit, 1, 6600, 6600 + OFFSET_MS), 0);
+}
+END_TEST
+
+/* Guards against the offset of an earlier clock after a restart. */
+START_TEST(restart_begins_anew)
+{
+	transit_t transit = {0};
+
+	transit_excess_ms(&transit, 1, 900000, 900000 + OFFSET_MS);
+	ck_assert_int_eq(
+	    transit_excess_ms(&transit, 2, 100, 905000 + OFFSET_MS), 0);
+	ck_assert_int_eq(
+	    transit_excess_ms(&transit, 2, 300, 905300 + OFFSET_MS), 100);
+}
+END_TEST
+
+/* Guards against clocks that drift apart, which would end leases early. */
+START_TEST(drift_is_forgotten)
+{
+	transit_t transit = {0};
+
+	for (int64_t at_ms = 1000; at_ms < 36000000; at_ms += 200)
+		ck_assert_int_le(transit_excess_ms(&transit, 1, at_ms,
+				     at_ms + at_ms / 10000 + OFFSET_MS),
+		    7);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("transit");
+	TCase *tcase = tcase_create("transit");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_test(tcase, stall_is_seen);
+	tcase_add_test(tcase, restart_begins_anew);
+	tcase_add_test(tcase, drift_is_forgotten);
+	suite_add_tcase(suite, tcase);
+	srunner_set_fork_status(runner, CK_NOFORK);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
