daemon: drain when an operator drains the instance

POST /v1/instances/{id}/drain was recorded in the log, but nothing in the daemon acted on it. The node now begins its graceful shutdown once the command for its present incarnation is applied. The scripted run drains i4 with "chervilhold drain" through i1 under load: exit code 0, nothing lost, unknown or wrong.

--- a/daemon/node.c
+++ b/daemon/node.c
@@ -71,6 +71,12 @@
 		placer_explain(node->placer, job, out);
 }
 
+static void
+on_operator_drain(void *ctx)
+{
+	node_drain(ctx);
+}
+
 /* Creates the tasks in the order in which they depend on each other. */
 static int
 create_tasks(node_t *node, uint64_t incarnation, err_t *err)
@@ -111,6 +117,7 @@
 	if (node->op == NULL)
 		return err->code;
 	operator_set_explain(node->op, explain, node);
+	operator_set_drain(node->op, incarnation, on_operator_drain, node);
 	return 0;
 }
 
