--- a/entry/workers.c
+++ b/entry/workers.c
@@ -41,19 +41,27 @@
     {INTEGER(generation, INT64_MIN, INT64_MAX), .required = true},
 };
 
-/* The connections and slots of a worker that this instance may use. */
 static int
 connection_share(const entry_t *entry, const machine_worker_t *worker)
 {
-	return MAX(
-	    worker->connections / (int)MAX(entry->settings->peer_count, 1), 1);
+	return slots_connection_share(
+	    worker->connections, (int)entry->settings->peer_count);
 }
 
-/* One connection stays free for control calls. */
-static int
-slot_share(const entry_t *entry, const machine_worker_t *worker)
+/*
+ * Lowers the limit of connections to what the smallest backend server allows.
+ * Those of other owners count too: members of jobs and tasks of earlier owners
+ * are called through the same client.
+ */
+static void
+limit_connections(entry_t *entry, const machine_worker_t *worker)
 {
-	return MIN(worker->slots, MAX(connection_share(entry, worker) - 1, 1));
+	int share = connection_share(entry, worker);
+
+	if (share >= entry->connections)
+		return;
+	entry->connections = share;
+	client_set_connections(entry->client, share);
 }
 
 static void
@@ -73,8 +81,9 @@
 take_over(entry_t *entry, const machine_worker_t *worker)
 {
 	bool is_new = slots_find(entry->slots, worker->id) == NULL;
-	slots_worker_t *slot = slots_set(entry->slots, worker->id,
-	    worker->generation, slot_share(entry, worker));
+	slots_worker_t *slot =
+	    slots_set(entry->slots, worker->id, worker->generation,
+		slots_share(worker->slots, connection_share(entry, worker)));
 	const int64_t *seen = g_hash_table_lookup(entry->last_seen, worker->id);
 
 	if (worker->leaving)
@@ -85,10 +94,6 @@
 		if (seen != NULL)
 			slots_seen(slot, *seen);
 	}
-	if (connection_share(entry, worker) < entry->connections) {
-		entry->connections = connection_share(entry, worker);
-		client_set_connections(entry->client, entry->connections);
-	}
 	entry->dispatch_wanted = true;
 }
 
@@ -99,6 +104,8 @@
 	const machine_worker_t *worker =
 	    machine_worker(entry_machine(entry), id);
 
+	if (worker != NULL)
+		limit_connections(entry, worker);
 	if (worker != NULL && entry_is_self(entry, worker->owner)) {
 		take_over(entry, worker);
 		return;
@@ -243,7 +250,9 @@
 	g_hash_table_iter_init(&iter, entry->seen);
 	while (g_hash_table_iter_next(&iter, &owner, &value)) {
 		GArray *items = value;
-		seen_args_t args = {.items.items_len = items->len,
+		seen_args_t args = {.incarnation = entry->incarnation,
+		    .sent_ms = now_ms,
+		    .items.items_len = items->len,
 		    .items.items_val = (seen_item_t *)(void *)items->data};
 
 		for (guint i = 0; i < items->len; i++)
@@ -256,17 +265,29 @@
 	entry->seen_sent_ms = now_ms;
 }
 
-/* Serves RPC_SEEN: announcements that arrived at another instance. */
+/*
+ * Serves RPC_SEEN: announcements that arrived at another instance.  A lease is
+ * shortened by the time in a queue of the sender or on a stalled connection.
+ */
 void
-workers_serve_seen(entry_t *entry, const seen_args_t *args)
+workers_serve_seen(entry_t *entry, const char *peer, const seen_args_t *args)
 {
+	transit_t *transit = g_hash_table_lookup(entry->transits, peer);
 	int64_t now_ms = clock_mono_ms();
+	int64_t excess_ms;
+
+	if (transit == NULL) {
+		transit = g_new0(transit_t, 1);
+		g_hash_table_insert(entry->transits, g_strdup(peer), transit);
+	}
+	excess_ms = transit_excess_ms(
+	    transit, args->incarnation, args->sent_ms, now_ms);
 
 	for (u_int i = 0; i < args->items.items_len; i++) {
 		const seen_item_t *item = &args->items.items_val[i];
 
 		note_seen(entry, item->worker, item->generation,
-		    now_ms - MAX(item->age_ms, 0), item->leaving);
+		    now_ms - MAX(item->age_ms, 0) - excess_ms, item->leaving);
 	}
 }
 
@@ -410,7 +431,10 @@
 	seen_item_t item = {.worker = worker->id,
 	    .generation = worker->generation,
 	    .leaving = true};
-	seen_args_t args = {.items.items_len = 1, .items.items_val = &item};
+	seen_args_t args = {.incarnation = entry->incarnation,
+	    .sent_ms = clock_mono_ms(),
+	    .items.items_len = 1,
+	    .items.items_val = &item};
 
 	note_seen(entry, worker->id, worker->generation, 0, true);
 	if (entry_is_self(entry, worker->owner))
