replica: remove learners that the settings no longer name

An instance that was taken from the settings stayed a raft member for ever: the leader looked only at the instances of its settings, so it kept sending to the removed one. A learner still in contact is kept, as its settings may be newer than the leader's. A voter is never removed by that: an operator's replacement makes it a learner first.

--- a/state/replica_members.c
+++ b/state/replica_members.c
@@ -342,6 +342,71 @@
 	return member->role == MEMBER_VOTER ? "voter" : "learner";
 }
 
+static bool
+is_in_settings(const settings_t *settings, const char *id)
+{
+	for (size_t i = 0; i < settings->peer_count; i++) {
+		if (strcmp(settings->peers[i].id, id) == 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Changes the record of a member that the settings no longer name: a silent
+ * learner is removed.  A voter first becomes a learner by an operator's
+ * replacement, as fewer voters survive fewer losses.  A learner that is still
+ * in contact is kept: its settings may be newer than the leader's.  Returns the
+ * id of the changed member, which belongs to raft, or NULL.
+ */
+static const char *
+change_unnamed(replica_t *replica, raft_members_t *wanted, int64_t now_ms)
+{
+	const raft_members_t *present = raft_members(replica->raft);
+	u_int *len = &wanted->members.members_len;
+
+	for (u_int i = 0; i < *len; i++) {
+		raft_member_t *member = &wanted->members.members_val[i];
+		const char *id = present->members.members_val[i].id;
+
+		if (is_in_settings(replica->settings, id))
+			continue;
+		if (member->role == MEMBER_VOTER) {
+			if (!replica_seen(replica, id)->replace_wanted)
+				continue;
+			member->role = MEMBER_LEARNER;
+			return id;
+		}
+		if (raft_member_silent_ms(replica->raft, id, now_ms) < LOST_MS)
+			continue;
+		g_free(member->id);
+		memmove(member, member + 1, (*len - i - 1) * sizeof(*member));
+		(*len)--;
+		return id;
+	}
+	return NULL;
+}
+
+/* As leader, removes members that the settings no longer name. */
+static void
+remove_unnamed(replica_t *replica, int64_t now_ms)
+{
+	raft_members_t wanted;
+	const char *changed;
+	char *id;
+
+	storage_members_copy(&wanted, raft_members(replica->raft));
+	changed = change_unnamed(replica, &wanted, now_ms);
+	/* The proposal replaces the membership that the id belongs to. */
+	id = g_strdup(changed);
+	if (id != NULL &&
+	    raft_propose_members(replica->raft, &wanted, NULL, NULL) == 0)
+		log_line(LOG_NOTICE, "members: %s becomes %s", id,
+		    role_name(&wanted, id));
+	g_free(id);
+	storage_members_clear(&wanted);
+}
+
 /*
  * Proposes the next membership change, one instance at a time.  Raft refuses it
  * while another one is under way or too few voters are in contact.
@@ -370,6 +435,7 @@
 		if (changed && (code == 0 || code == -EBUSY))
 			return;
 	}
+	remove_unnamed(replica, now_ms);
 }
 
 /* ---- */
--- a/tests/unit/test_replica.c
+++ b/tests/unit/test_replica.c
@@ -593,6 +593,112 @@
 }
 END_TEST
 
+/* ---- instances that the settings no longer name ---- */
+
+static const raft_member_t *
+member_of(const bed_t *bed, const char *id)
+{
+	int leader = leader_of(bed);
+	const raft_members_t *members;
+
+	if (leader < 0)
+		return NULL;
+	members = raft_members(replica_raft(bed->nodes[leader].replica));
+	for (u_int i = 0; i < members->members.members_len; i++) {
+		if (strcmp(members->members.members_val[i].id, id) == 0)
+			return &members->members.members_val[i];
+	}
+	return NULL;
+}
+
+static bool
+fourth_is_member(void *ctx)
+{
+	return leader_of(ctx) >= 0 && member_of(ctx, "i4") != NULL;
+}
+
+static bool
+fourth_is_gone(void *ctx)
+{
+	return leader_of(ctx) >= 0 && member_of(ctx, "i4") == NULL;
+}
+
+static bool
+third_is_gone(void *ctx)
+{
+	return leader_of(ctx) >= 0 && member_of(ctx, "i3") == NULL;
+}
+
+/* Stops all instances and starts the first ones with settings that end there.
+ */
+static void
+restart_without_last(bed_t *bed)
+{
+	size_t kept = bed->system->count - 1;
+
+	for (size_t i = 0; i <= kept; i++)
+		stop_node(bed, i);
+	for (size_t i = 0; i < kept; i++) {
+		bed->system->settings[i]->peer_count = kept;
+		start_node(bed, i);
+	}
+}
+
+/* The settings free the names of as many peers as they count. */
+static void
+name_last_again(bed_t *bed)
+{
+	for (size_t i = 0; i < bed->system->count; i++)
+		bed->system->settings[i]->peer_count = bed->system->count;
+}
+
+/* Guards against learners that stay members for ever after they were taken
+ * from the settings. */
+START_TEST(learner_not_in_settings)
+{
+	bed_t bed;
+
+	bed_open(&bed, 4, "");
+	start_all(&bed);
+	WAIT(&bed, all_confirmed, &bed);
+	WAIT(&bed, fourth_is_member, &bed);
+	restart_without_last(&bed);
+	WAIT(&bed, all_confirmed, &bed);
+	WAIT(&bed, fourth_is_gone, &bed);
+	ck_assert_ptr_nonnull(member_of(&bed, "i3"));
+	put(&bed, 0, "later");
+	name_last_again(&bed);
+	bed_close(&bed);
+}
+END_TEST
+
+/* Guards against a voter that loses its vote because it is missing from the
+ * settings, without an operator's order. */
+START_TEST(voter_not_in_settings)
+{
+	bed_t bed;
+
+	bed_open(&bed, 3, "");
+	start_all(&bed);
+	WAIT(&bed, leader_finds_it_safe, &bed);
+	for (int i = 0; i < 3; i++)
+		wait_visible(&bed, i, "i3");
+	restart_without_last(&bed);
+	WAIT(&bed, all_confirmed, &bed);
+	/* Longer than the silence after which a learner is removed. */
+	let_elections_pass(&bed);
+	let_elections_pass(&bed);
+	WAIT(&bed, all_confirmed, &bed);
+	ck_assert_ptr_nonnull(member_of(&bed, "i3"));
+	ck_assert_int_eq(member_of(&bed, "i3")->role, MEMBER_VOTER);
+	order_replacement(&bed, leader_of(&bed), "i3");
+	WAIT(&bed, third_is_gone, &bed);
+	put(&bed, 0, "later");
+	name_last_again(&bed);
+	bed_close(&bed);
+}
+END_TEST
+
 /* Guards against a replica that came too late for the bootstrap and never
  * gets its vote. */
 START_TEST(replica_late_for_bootstrap)
@@ -774,6 +880,8 @@
 	tcase_add_test(tcase, learner_catches_up_by_snapshot);
 	tcase_add_test(tcase, lost_disk_then_replacement);
 	tcase_add_loop_test(tcase, replacement_then_new_disk, 0, 2);
+	tcase_add_test(tcase, learner_not_in_settings);
+	tcase_add_test(tcase, voter_not_in_settings);
 	tcase_add_test(tcase, replica_late_for_bootstrap);
 	tcase_add_test(tcase, no_second_system);
 	tcase_add_test(tcase, bootstrap_asks_first);
