tests: wait for the cut and the leave that a run checks

The run cut its links one after the other during 1 s and waited for the silence of the leader only. When the leader i1 was cut first, requests were passed on to i7, whose silence was noticed up to 0.5 s later, and the retry budget did not cover all that were lost with it.

The stand-in sent its leave once with a timeout of 1 s and ignored the answer, and the 3 s counted from the signal. That this was the cause of the failure is not shown.

--- a/tests/cases/leave.sh
+++ b/tests/cases/leave.sh
@@ -10,6 +10,11 @@
 }
 wait_for 10 "lone gets work" gets_work
 kill -USR1 "$(field pid lone)"
+# The 3 s count from the answer to the announcement.
+left() {
+	grep -q '^left lone$' "$WORK/worker-lone.ports"
+}
+wait_for 20 "lone's leave is answered" left
 sleep 3
 before=$(grep -c '^start lone' "$WORK/ran.ledger")
 call --stages 200:2000 --repeatable --prefix after --sleep-ms 10
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -125,6 +125,22 @@
 	rule "cut $1 $2" "cut $2 $1"
 }
 
+# cut_off ID...: nothing passes between these instances and all others, from one
+# moment on.
+cut_off() {
+	lines=""
+	for inside in "$@"; do
+		for outside in $INSTANCES; do
+			case " $* " in *" $outside "*) continue ;; esac
+			lines="${lines}cut $inside $outside
+cut $outside $inside
+"
+		done
+	done
+	printf '%s' "$lines" >>"$WORK/rules"
+	sleep 0.1 # the relay reads its rules every 20 ms
+}
+
 # heal: takes every rule back.
 heal() {
 	: >"$WORK/rules"
@@ -279,6 +295,61 @@
 	"$BUILD/standin-json" "$1"
 }
 
+# patch_at ID BODY: sends a patch of the configuration to an instance.
+patch_at() {
+	http PATCH "http://$(field address "$1"):$(field operator "$1")/v1/config" \
+	    "$2"
+}
+
+# key NAME: an idempotency key of this moment; NAME has 8 to 64 letters.
+key() {
+	echo "$(date +%s)000-$1"
+}
+
+# submit KEY FIELDS: submits a job of tenant hall and prints its id.
+submit() {
+	http POST "$URL/v1/jobs" "{\"tenant\": \"hall\",
+	 \"workspace\": \"tours\", $2}" "Idempotency-Key: $1" | json job
+}
+
+# job_state JOB
+job_state() {
+	http GET "$URL/v1/jobs/$1" | json state
+}
+
+# job_is JOB STATE
+job_is() {
+	[ "$(job_state "$1")" = "$2" ]
+}
+
+# events EVENT TAG: how often backend servers recorded it for a tag.
+events() {
+	awk -v event="$1" -v tag="$2" '$1 == event && $4 == tag { n++ }
+	    END { print n + 0 }' "$WORK/ran.ledger"
+}
+
+# config_version ID: the version in force on an instance.
+config_version() {
+	status_of "$1" | json config_version
+}
+
+# at_version ID VERSION
+at_version() {
+	[ "$(config_version "$1")" = "$2" ]
+}
+
+# is_voter ID: whether instance i1 counts a replica as a voter.
+is_voter() {
+	status_of i1 | json members | tr '{' '\n' | grep "\"$1\"" |
+	    grep -q voter
+}
+
+# leader_is_not OLD ID: whether an instance knows of a leader other than OLD.
+leader_is_not() {
+	leader_now=$(leader_of "$2")
+	[ -n "$leader_now" ] && [ "$leader_now" != "$1" ]
+}
+
 status_of() {
 	http GET "http://$(field address "$1"):$(field operator "$1")/v1/status"
 }
@@ -289,6 +360,17 @@
 	[ "$(status)" = 200 ]
 }
 
+# noticed_silence ID PEER...: whether an instance has closed its connections to
+# these peers for silence since the size of its log was put into log_mark.
+noticed_silence() {
+	watcher=$1
+	shift
+	for peer in "$@"; do
+		tail -c "+$log_mark" "$WORK/$watcher.log" |
+		    grep -q "rpc receive: $peer: peer is silent" || return 1
+	done
+}
+
 leader_of() {
 	status_of "$1" | json leader
 }
