tests: lose instances and disks twice in a row

kill_twice hung at first: it took i3 for repaired as long as the membership still named the voter of the lost disk, wiped i5 as well and so destroyed two of three disks.

--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -344,6 +344,14 @@
 	    grep -q voter
 }
 
+# is_repaired ID: whether a replica votes and the leader says that another one
+# may be lost; its membership alone may still be that of the lost disk.
+is_repaired() {
+	leader_now=$(leader_of i1)
+	[ -n "$leader_now" ] && is_voter "$1" &&
+	    [ "$(status_of "$leader_now" | json safe_to_continue)" = true ]
+}
+
 # leader_is_not OLD ID: whether an instance knows of a leader other than OLD.
 leader_is_not() {
 	leader_now=$(leader_of "$2")
