daemon: treat a file size limit as a full disk

SIGXFSZ was left at its default action, which ends the process at the first write beyond RLIMIT_FSIZE. It is ignored now, so that the write fails with EFBIG and the replica takes the path for failed storage. full_disk runs one replica under such a limit: 60 patches go on through the others and the replica has all of them once it starts without the limit. It passed once with the change; it was not run without it.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -83,6 +83,8 @@
 	int exit_code;
 
 	signal(SIGPIPE, SIG_IGN);
+	/* A write beyond the file size limit fails with EFBIG instead. */
+	signal(SIGXFSZ, SIG_IGN);
 	log_open("chervilholdd", settings->instance);
 	set_log_level(settings->log_level);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
--- a/tests/standin/worker_main.c
+++ b/tests/standin/worker_main.c
@@ -361,10 +361,9 @@
 {
 	char *path = g_strdup_printf("/v1/workers/%s/leave", worker->id);
 
-	while (!stop_requested && post(path,
-				      json_pack("{s:I}", "generation",
-					  (json_int_t)worker->generation)) !=
-				      200)
+	while (!stop_requested &&
+	       post(path, json_pack("{s:I}", "generation",
+			      (json_int_t)worker->generation)) != 200)
 		g_usleep(10000);
 	g_free(path);
 	printf("left %s\n", worker->id);
