tests: compare the output of scripted runs in mutants, too

tests/mutants/run.sh looked at the exit status of a scripted run only, so that a mutant with wrong output counted as missed. Both runners use run_case of tests/case.sh now.

--- a/tests/mutants/run.sh
+++ b/tests/mutants/run.sh
@@ -39,7 +39,8 @@
 	case $1 in
 	unit/*) env $2 timeout "$limit_s" "build/$1" ;;
 	cases/*) env $2 CHERVILHOLD_BUILD=build timeout "$limit_s" \
-	    sh "tests/$1.sh" ;;
+	    sh -c '. tests/case.sh; run_case "$1" case.out' _ \
+	    "${1#cases/}" ;;
 	*) echo "unknown test $1"; return 0 ;;
 	esac >test.log 2>&1
 }
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -3,6 +3,7 @@
 # at a time.  Usage: tests/run.sh BUILD.  Tests listed in KNOWN-RED.txt are run
 # and printed but do not decide the verdict.
 set -u
+. tests/case.sh
 build=${1:-build}
 jobs=${TEST_JOBS:-4}
 logs=$build/test-logs
@@ -13,21 +14,12 @@
 	[ -f KNOWN-RED.txt ] && grep -q "^test: $1\$" KNOWN-RED.txt
 }
 
-# Runs a scripted run and compares what it prints with its .expected file.
-run_case() {
-	actual=$logs/case-$1.out
-	sh "tests/cases/$1.sh" >"$actual"
-	rc=$?
-	cat "$actual"
-	[ "$rc" -eq 0 ] || return 1
-	diff -u "tests/cases/$1.expected" "$actual"
-}
-
 # Runs one test by its name and leaves the verdict in a file of its own.
 run_one() {
 	log=$logs/$(echo "$1" | tr / _).log
 	case $1 in
-	cases/*) run_case "${1#cases/}" >"$log" 2>&1 ;;
+	cases/*) run_case "${1#cases/}" \
+	    "$logs/case-${1#cases/}.out" >"$log" 2>&1 ;;
 	*) "$build/$1" >"$log" 2>&1 ;;
 	esac
 	rc=$?
