tests: run suites through one function, wait by the clock

The same seven lines stood at the end of 25 unit test programs; they are one function now, and every program keeps its way of forking. wait_for counted its tries, so that a blocked call made a wait of 30 s last much longer; it goes by the clock now. lost_disk waits until the leader says that it is safe to continue, as the list of members alone may still be that of the lost disk.

--- a/tests/cases/lost_disk.sh
+++ b/tests/cases/lost_disk.sh
@@ -11,12 +11,8 @@
 	rm -rf "$WORK/data-$victim"
 	start "$victim"
 	wait_for 20 "$victim ready again" is_ready "$victim"
-	voter() {
-		[ "$(status_of i1 | json members | tr '{' '\n' |
-		    grep "\"$victim\"" | grep -c voter)" = 1 ]
-	}
 	cli i1 replace "$victim" >"$WORK/replace" 2>&1 || cat "$WORK/replace"
-	wait_for 20 "$victim votes again" voter
+	wait_for 20 "$victim votes again" is_repaired "$victim"
 	note "$victim votes again"
 done
 wait "$caller" || fail "the caller saw a wrong answer"
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -55,12 +55,11 @@
 
 # wait_for SECONDS TEXT COMMAND...: waits until the command succeeds.
 wait_for() {
-	limit=$(($1 * 20))
+	limit=$(($(date +%s) + $1))
 	what=$2
 	shift 2
 	while ! "$@" >/dev/null 2>&1; do
-		limit=$((limit - 1))
-		[ "$limit" -gt 0 ] || fail "timed out: $what"
+		[ "$(date +%s)" -le "$limit" ] || fail "timed out: $what"
 		sleep 0.05
 	done
 }
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -3,6 +3,7 @@
 
 #include "policy/admission.h"
 #include "policy/slots.h"
+#include "tests/unit/runner.h"
 
 static bool
 fits(const admission_t *admission, lane_t lane, int ahead, int slots,
@@ -235,8 +236,6 @@
 {
 	Suite *suite = suite_create("admission");
 	TCase *tcase = tcase_create("admission");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_test(tcase, predicts_wait);
 	tcase_add_test(tcase, counts_the_claim);
@@ -245,9 +244,5 @@
 	tcase_add_test(tcase, follows_changes);
 	tcase_add_test(tcase, declared_is_not_trusted);
 	suite_add_tcase(suite, tcase);
-	srunner_set_fork_status(runner, CK_NOFORK);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return unit_run(suite, CK_NOFORK);
 }
--- a/tests/unit/test_burn.c
+++ b/tests/unit/test_burn.c
@@ -3,6 +3,7 @@
 
 #include "common/counters.h"
 #include "entry/burn.h"
+#include "tests/unit/runner.h"
 
 #define MINUTE_MS 60000
 
@@ -67,14 +68,8 @@
 {
 	Suite *suite = suite_create("burn");
 	TCase *tcase = tcase_create("burn");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tcase, burn_windows);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return unit_run(suite, CK_FORK_GETENV);
 }
--- a/tests/unit/test_cells.c
+++ b/tests/unit/test_cells.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "policy/cells.h"
+#include "tests/unit/runner.h"
 
 #define DEFAULT_SEED 20261204
 #define RANDOM_ROUNDS 40
@@ -715,8 +716,6 @@
 {
 	Suite *suite = suite_create("cells");
 	TCase *tcase = tcase_create("cells");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, 120);
 	tcase_add_test(tcase, guarantee_survives_other_work);
@@ -731,9 +730,5 @@
 	tcase_add_test(tcase, successor_binds_running_work);
 	tcase_add_test(tcase, random_operations);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return unit_run(suite, CK_FORK_GETENV);
 }
--- a/tests/unit/test_common.c
+++ b/tests/unit/test_common.c
@@ -7,6 +7,7 @@
 #include "common/counters.h"
 #include "common/settings.h"
 #include "common/str.h"
+#include "tests/unit/runner.h"
 
 #define MINIMAL_SETTINGS                                                      \
 	"{\"instance\":\"i1\",\"address\":\"127.0.0.1\","                     \
@@ -99,17 +100,11 @@
 {
 	Suite *suite = suite_create("common");
 	TCase *tcase = tcase_create("common");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tcase, str_integers);
 	tcase_add_test(tcase, histogram_error_bound);
 	tcase_add_test(tcase, charts);
 	tcase_add_test(tcase, settings_problems);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return unit_run(suite, CK_FORK_GETENV);
 }
--- a/tests/unit/test_config.c
+++ b/tests/unit/test_config.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "state/config.h"
+#include "tests/unit/runner.h"
 
 /* Patches the default document and returns the error text, "" without one. */
 static void
@@ -185,17 +186,11 @@
 {
 	Suite *suite = suite_create("config");
 	TCase *tcase = tcase_create("config");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tcase, check_table, 0, (int)G_N_ELEMENTS(checks));
 	tcase_add_test(tcase, merge_removes);
 	tcase_add_loop_test(
 	    tcase, guarantees, 0, (int)G_N_ELEMENTS(guarantee_checks));
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return unit_run(suite, CK_FORK_GETENV);
 }
--- a/tests/unit/test_entry.c
+++ b/tests/unit/test_entry.c
@@ -1,4 +1,5 @@
 #include "tests/unit/entry_world.h"
+#include "tests/unit/runner.h"
 
 #include <xxhash.h>
 
@@ -458,8 +459,6 @@
 {
 	Suite *suite = suite_create("entry");
 	TCase *tcase = tcase_create("entry");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	loop = ev_default_loop(0);
 	tcase_set_timeout(tcase, 300);
@@ -476,9 +475,5 @@
 	tcase_add_test(tcase, cancel);
 	tcase_add_test(tcase, caller_gone);
 	suite_add_tcase(suite, tcase);
-	srunner_set_fork_status(runner, CK_NOFORK);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return unit_run(suite, CK_NOFORK);
 }
--- a/tests/unit/test_entry_load.c
+++ b/tests/unit/test_entry_load.c
@@ -1,4 +1,5 @@
 #include "tests/unit/entry_world.h"
+#include "tests/unit/runner.h"
 
 #define MAX_CALLS 40
 
@@ -362,8 +363,6 @@
 {
 	Suite *suite = suite_create("entry_load");
 	TCase *tcase = tcase_create("entry_load");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	loop = ev_default_loop(0);
 	tcase_set_timeout(tcase, 300);
@@ -379,9 +378,5 @@
 	tcase_add_test(tcase, hopeless_refused_at_once);
 	tcase_add_test(tcase, tenant_limits);
 	suite_add_tcase(suite, tcase);
-	srunner_set_fork_status(runner, CK_NOFORK);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return unit_run(suite, CK_NOFORK);
 }
--- a/tests/unit/test_entry_peers.c
+++ b/tests/unit/test_entry_peers.c
@@ -1,4 +1,5 @@
 #include "tests/unit/entry_world.h"
+#include "tests/unit/runner.h"
 
 static int64_t
 counter_of(const char *name)
@@ -279,8 +280,6 @@
 {
 	Suite *suite = suite_create("entry_peers");
 	TCase *tcase = tcase_create("entry_peers");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	loop = ev_default_loop(0);
 	tcase_set_timeout(tcase, 300);
@@ -292,9 +291,5 @@
 	tcase_add_test(tcase, drain);
 	tcase_add_test(tcase, jobs);
 	suite_add_tcase(suite, tcase);
-	srunner_set_fork_status(runner, CK_NOFORK);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return unit_run(suite, CK_NOFORK);
 }
--- a/tests/unit/test_fields.c
+++ b/tests/unit/test_fields.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 
 #include "entry/fields.h"
+#include "tests/unit/runner.h"
 
 /* Guards against a value that is passed on in part, or the wrong one. */
 START_TEST(raw_values)
@@ -98,16 +99,10 @@
 {
 	Suite *suite = suite_create("fields");
 	TCase *tcase = tcase_create("fields");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_test(tcase, raw_values);
 	tcase_add_test(tcase, raw_values_cut);
 	tcase_add_test(tcase, one_problem);
 	suite_add_tcase(suite, tcase);
-	srunner_set_fork_status(runner, CK_NOFORK);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return unit_run(suite, CK_NOFORK);
 }
--- a/tests/unit/test_gang.c
+++ b/tests/unit/test_gang.c
@@ -7,6 +7,7 @@
 
 #include "common/chart.h"
 #include "policy/gang.h"
+#include "tests/unit/runner.h"
 
 #define MEMBERS 3
 #define TICK_MS 100
@@ -491,16 +492,10 @@
 {
 	Suite *suite = suite_create("gang");
 	TCase *tcase = tcase_create("gang");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, 60);
 	tcase_add_test(tcase, undisturbed);
 	tcase_add_test(tcase, every_fault_at_every_step);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return unit_run(suite, CK_FORK_GETENV);
 }
--- a/tests/unit/test_health.c
+++ b/tests/unit/test_health.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 
 #include "policy/health.h"
+#include "tests/unit/runner.h"
 
 static health_t *
 four_workers(void)
@@ -156,8 +157,6 @@
 {
 	Suite *suite = suite_create("health");
 	TCase *tcase = tcase_create("health");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_test(tcase, quarantine_and_trial);
 	tcase_add_test(tcase, longest_quarantine);
@@ -165,9 +164,5 @@
 	tcase_add_test(tcase, fast_failures_draw_no_work);
 	tcase_add_test(tcase, half_stay);
 	suite_add_tcase(suite, tcase);
-	srunner_set_fork_status(runner, CK_NOFORK);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return unit_run(suite, CK_NOFORK);
 }
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -11,6 +11,7 @@
 
 #include "entry/client.h"
 #include "entry/listener.h"
+#include "tests/unit/runner.h"
 
 #define MAX_BODY 4096
 #define GIVE_UP_S 20 /* only stops a test that would hang */
@@ -621,8 +622,6 @@
 	Suite *suite = suite_create("http");
 	TCase *listener_case = tcase_create("listener");
 	TCase *client_case = tcase_create("client");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	loop = ev_default_loop(0);
 	tcase_set_timeout(listener_case, 60);
@@ -641,9 +640,5 @@
 	tcase_add_test(client_case, client_fresh_connection);
 	suite_add_tcase(suite, listener_case);
 	suite_add_tcase(suite, client_case);
-	srunner_set_fork_status(runner, CK_NOFORK);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return unit_run(suite, CK_NOFORK);
 }
--- a/tests/unit/test_lanes.c
+++ b/tests/unit/test_lanes.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "policy/lanes.h"
+#include "tests/unit/runner.h"
 
 #define ITEM_COUNT 64
 
@@ -168,8 +169,6 @@
 {
 	Suite *suite = suite_create("lanes");
 	TCase *tcase = tcase_create("lanes");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_test(tcase, fair_by_weight);
 	tcase_add_test(tcase, order_within_tenant);
@@ -180,9 +179,5 @@
 	tcase_add_test(tcase, ahead_by_weight);
 	tcase_add_test(tcase, reclassification);
 	suite_add_tcase(suite, tcase);
-	srunner_set_fork_status(runner, CK_NOFORK);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return unit_run(suite, CK_NOFORK);
 }
--- a/tests/unit/test_limiter.c
+++ b/tests/unit/test_limiter.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 
 #include "policy/limiter.h"
+#include "tests/unit/runner.h"
 
 /* Guards against a rate or a burst above what the configuration allows. */
 START_TEST(rate_and_burst)
@@ -40,15 +41,9 @@
 {
 	Suite *suite = suite_create("limiter");
 	TCase *tcase = tcase_create("limiter");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_test(tcase, rate_and_burst);
 	tcase_add_test(tcase, tenants_apart);
 	suite_add_tcase(suite, tcase);
-	srunner_set_fork_status(runner, CK_NOFORK);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return unit_run(suite, CK_NOFORK);
 }
--- a/tests/unit/test_machine.c
+++ b/tests/unit/test_machine.c
@@ -6,6 +6,7 @@
 #include "common/chart.h"
 #include "tests/unit/machine_driver.h"
 #include "tests/unit/machine_random.h"
+#include "tests/unit/runner.h"
 
 #define KEY "1800000000000-abcdefgh"
 #define OTHER_KEY "1800000000001-abcdefgh"
@@ -535,8 +536,6 @@
 {
 	Suite *suite = suite_create("machine");
 	TCase *tcase = tcase_create("machine");
-	SRunner *runner;
-	int failed;
 
 	/* The sanitizer build needs longer than the default of 4 s. */
 	tcase_set_timeout(tcase, 120);
@@ -562,9 +561,5 @@
 	tcase_add_test(tcase, snapshot_damaged);
 	tcase_add_loop_test(tcase, random_commands, 0, 20);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return unit_run(suite, CK_FORK_GETENV);
 }
--- a/tests/unit/test_operator.c
+++ b/tests/unit/test_operator.c
@@ -10,6 +10,7 @@
 #include "entry/operator_private.h"
 #include "tests/unit/machine_driver.h"
 #include "tests/unit/raft_sim.h"
+#include "tests/unit/runner.h"
 
 #define OPERATOR_KEY "operator-key-0123456789"
 #define READER_KEY "reader-key-0123456789"
@@ -596,8 +597,6 @@
 {
 	Suite *suite = suite_create("operator");
 	TCase *tcase = tcase_create("operator");
-	SRunner *runner;
-	int failed;
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	/* Only stops a test that would hang. */
@@ -617,9 +616,5 @@
 	tcase_add_test(tcase, cli_exit_codes);
 	tcase_add_test(tcase, cli_lost_answer);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return unit_run(suite, CK_FORK_GETENV);
 }
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "policy/placement.h"
+#include "tests/unit/runner.h"
 
 #define DEFAULT_SEED 20261204
 #define RANDOM_ROUNDS 12
@@ -713,8 +714,6 @@
 {
 	Suite *suite = suite_create("placement");
 	TCase *tcase = tcase_create("placement");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, 120);
 	tcase_add_test(tcase, order_of_priorities);
@@ -731,9 +730,5 @@
 	tcase_add_test(tcase, migration_frees_large_cell);
 	tcase_add_test(tcase, random_load);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return unit_run(suite, CK_FORK_GETENV);
 }
--- a/tests/unit/test_placer.c
+++ b/tests/unit/test_placer.c
@@ -8,6 +8,7 @@
 #include "entry/placer.h"
 #include "policy/gang.h"
 #include "rpc/codec.h"
+#include "tests/unit/runner.h"
 
 /*
  * The placer task with a replicated state machine and backend servers inside
@@ -651,8 +652,6 @@
 {
 	Suite *suite = suite_create("placer");
 	TCase *tcase = tcase_create("placer");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, 120);
 	tcase_add_test(tcase, runs_a_gang);
@@ -665,9 +664,5 @@
 	tcase_add_test(tcase, worker_is_lost);
 	tcase_add_test(tcase, no_start_without_quorum);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return unit_run(suite, CK_FORK_GETENV);
 }
--- a/tests/unit/test_raft.c
+++ b/tests/unit/test_raft.c
@@ -5,6 +5,7 @@
 
 #include "state/raft_internal.h"
 #include "tests/unit/raft_sim.h"
+#include "tests/unit/runner.h"
 
 #define ELECTION_MS 500
 
@@ -836,8 +837,6 @@
 {
 	Suite *suite = suite_create("raft");
 	TCase *tcase = tcase_create("raft");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, 60);
 	tcase_add_test(tcase, vote_after_sync);
@@ -862,9 +861,5 @@
 	tcase_add_test(tcase, snapshot_in_chunks);
 	tcase_add_test(tcase, learner_without_disk);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return unit_run(suite, CK_FORK_GETENV);
 }
--- a/tests/unit/test_replica.c
+++ b/tests/unit/test_replica.c
@@ -12,6 +12,7 @@
 #include "state/replica.h"
 #include "state/wal_internal.h"
 #include "tests/unit/system.h"
+#include "tests/unit/runner.h"
 
 #define TEST_TIMEOUT_S 240
 /* A deadline that no test waits for. */
@@ -869,8 +870,6 @@
 {
 	Suite *suite = suite_create("replica");
 	TCase *tcase = tcase_create("replica");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
 	tcase_add_test(tcase, propose_anywhere);
@@ -888,9 +887,5 @@
 	tcase_add_test(tcase, fate_without_quorum);
 	tcase_add_test(tcase, full_disk_of_the_leader);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return unit_run(suite, CK_FORK_GETENV);
 }
--- a/tests/unit/test_retry_budget.c
+++ b/tests/unit/test_retry_budget.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 
 #include "policy/retry_budget.h"
+#include "tests/unit/runner.h"
 
 /* Guards against retries that multiply an overload: 10% of successes. */
 START_TEST(share_of_successes)
@@ -40,15 +41,9 @@
 {
 	Suite *suite = suite_create("retry_budget");
 	TCase *tcase = tcase_create("retry_budget");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_test(tcase, share_of_successes);
 	tcase_add_test(tcase, small_floor);
 	suite_add_tcase(suite, tcase);
-	srunner_set_fork_status(runner, CK_NOFORK);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return unit_run(suite, CK_NOFORK);
 }
--- a/tests/unit/test_rpc.c
+++ b/tests/unit/test_rpc.c
@@ -15,6 +15,7 @@
 #include "rpc/message.h"
 #include "rpc/record.h"
 #include "tests/unit/system.h"
+#include "tests/unit/runner.h"
 
 #define TEST_TIMEOUT_S 120
 /* A deadline that no test waits for. */
@@ -884,8 +885,6 @@
 {
 	Suite *suite = suite_create("rpc");
 	TCase *tcase = tcase_create("rpc");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
 	tcase_add_test(tcase, record_fragments);
@@ -907,9 +906,5 @@
 	tcase_add_test(tcase, peer_restart);
 	tcase_add_test(tcase, idle_connection_stays);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return unit_run(suite, CK_FORK_GETENV);
 }
--- a/tests/unit/test_slots.c
+++ b/tests/unit/test_slots.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "policy/slots.h"
+#include "tests/unit/runner.h"
 
 #define LEASE_MS 3000
 
@@ -173,8 +174,6 @@
 {
 	Suite *suite = suite_create("slots");
 	TCase *tcase = tcase_create("slots");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_test(tcase, batch_cap);
 	tcase_add_test(tcase, members_count);
@@ -184,9 +183,5 @@
 	tcase_add_test(tcase, choice);
 	tcase_add_test(tcase, moved_to_batch);
 	suite_add_tcase(suite, tcase);
-	srunner_set_fork_status(runner, CK_NOFORK);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return unit_run(suite, CK_NOFORK);
 }
--- a/tests/unit/test_transit.c
+++ b/tests/unit/test_transit.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 
 #include "policy/transit.h"
+#include "tests/unit/runner.h"
 
 #define OFFSET_MS 700000 /* between the clocks of sender and receiver */
 
@@ -53,16 +54,10 @@
 {
 	Suite *suite = suite_create("transit");
 	TCase *tcase = tcase_create("transit");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_test(tcase, stall_is_seen);
 	tcase_add_test(tcase, restart_begins_anew);
 	tcase_add_test(tcase, drift_is_forgotten);
 	suite_add_tcase(suite, tcase);
-	srunner_set_fork_status(runner, CK_NOFORK);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return unit_run(suite, CK_NOFORK);
 }
--- a/tests/unit/test_wal.c
+++ b/tests/unit/test_wal.c
@@ -10,6 +10,7 @@
 
 #include "common/log.h"
 #include "state/wal_internal.h"
+#include "tests/unit/runner.h"
 
 #define DATA_BYTES 40
 #define FIRST_SEGMENT "log-000000000001"
@@ -644,8 +645,6 @@
 {
 	Suite *suite = suite_create("wal");
 	TCase *tcase = tcase_create("wal");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_checked_fixture(tcase, setup, teardown);
 	tcase_set_timeout(tcase, 60);
@@ -666,9 +665,5 @@
 	tcase_add_test(tcase, failed_sync);
 	tcase_add_loop_test(tcase, full_disk_at_creation, 0, 10);
 	suite_add_tcase(suite, tcase);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return unit_run(suite, CK_FORK_GETENV);
 }
