tests: ask for all ports of the relay at once

Ruled out: the instances, which never got a connection. The same explains two such failures seen while cut_domain was repeated 24 times.

--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -94,10 +94,12 @@
 start_relay() {
 	: >"$WORK/rules"
 	links=""
+	# All ports are asked for at once: a second call may get some of the first
+	# one's again.
+	count=$(echo "$INSTANCES" | wc -w)
+	# shellcheck disable=SC2046
+	set -- $("$BUILD/standin-ports" "$RELAY" $((count * count)))
 	for from in $INSTANCES; do
-		# shellcheck disable=SC2046,SC2086
-		set -- $("$BUILD/standin-ports" "$RELAY" \
-		    $(echo $INSTANCES | wc -w))
 		for to in $INSTANCES; do
 			eval "relay_${from}_${to}=$1"
 			links="$links --link $RELAY:$1=$(field address "$to"):$(
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -55,7 +55,7 @@
 passed=$(grep -c '^pass  ' "$logs/verdicts")
 failed=$(grep -c '^FAIL  ' "$logs/verdicts")
 known=$(grep -c '^KNOWN-RED  ' "$logs/verdicts")
-if [ "$known" -gt 0 ]; then
+if [ -f KNOWN-RED.txt ]; then
 	echo "known red:"
 	cat KNOWN-RED.txt
 fi
