--- a/tests/standin/caller_main.c
+++ b/tests/standin/caller_main.c
@@ -419,6 +419,7 @@
 		    error != NULL ? error->message : "--url is required");
 		return EXIT_FAILURE;
 	}
+	g_option_context_free(context);
 	if (options.prefix == NULL)
 		options.prefix = g_strdup("t");
 	state.tenants = g_strsplit(
--- a/tests/standin/json_main.c
+++ b/tests/standin/json_main.c
@@ -4,6 +4,7 @@
  */
 #include <glib.h>
 #include <jansson.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -30,20 +31,21 @@
 	json_t *root = json_loadf(stdin, JSON_DECODE_ANY, NULL);
 	const json_t *value = root;
 	char **keys = g_strsplit(argc == 2 ? argv[1] : "", ".", -1);
+	bool counts = false;
 
 	for (char **key = keys; *key != NULL && value != NULL; key++) {
-		if (strcmp(*key, "#") == 0) {
-			printf("%zu\n", json_array_size(value));
-			return EXIT_SUCCESS;
-		}
+		counts = strcmp(*key, "#") == 0;
+		if (counts)
+			break;
 		value = json_is_array(value)
 			    ? json_array_get(value, strtoul(*key, NULL, 10))
 			    : json_object_get(value, *key);
 	}
-	if (value == NULL)
-		return EXIT_FAILURE;
-	print_value(value);
+	if (counts)
+		printf("%zu\n", json_array_size(value));
+	else if (value != NULL)
+		print_value(value);
 	json_decref(root);
 	g_strfreev(keys);
-	return EXIT_SUCCESS;
+	return value != NULL ? EXIT_SUCCESS : EXIT_FAILURE;
 }
