sched: bind decisions of a leadership to its term

The next leader had by then placed the unit itself, under the same run number; the late start was applied to the ledger, its own was refused, but as the run numbers are equal it took its own for committed and sent the starts.

Change: replica_propose_in_term, used for fleet events: proposed only while that term lasts, never forwarded, not given up earlier. The new test fails without it (earlier.code == 0 instead of -ENOTCONN).

--- a/sched/fleet_events.c
+++ b/sched/fleet_events.c
@@ -6,7 +6,6 @@
 #include "sched/fleet_private.h"
 
 /* What the leader decides or sees is committed in batches. */
-#define PROPOSE_DEADLINE_MS 3000
 
 typedef struct {
 	fleet_done_t *done;
@@ -182,8 +181,8 @@
 	command.command_t_u.fleet_events = fleet->events;
 	memset(&fleet->events, 0, sizeof(fleet->events));
 	fleet->proposing = true;
-	replica_propose(fleet->replica, &command, PROPOSE_DEADLINE_MS,
-	    on_proposed, proposal);
+	replica_propose_in_term(
+	    fleet->replica, &command, fleet->term, on_proposed, proposal);
 	codec_free((xdrproc_t)xdr_command_t, &command);
 }
 
--- a/state/replica.h
+++ b/state/replica.h
@@ -39,6 +39,8 @@
     replica_t *replica, propose_args_t *args, endpoint_request_t *request);
 void replica_propose(replica_t *replica, const command_t *command,
     int64_t deadline_ms, replica_done_t *done, void *ctx);
+void replica_propose_in_term(replica_t *replica, const command_t *command,
+    uint64_t term, replica_done_t *done, void *ctx);
 /* A read that is current at a moment after the call; result is NULL. */
 void replica_read_barrier(
     replica_t *replica, int64_t deadline_ms, replica_done_t *done, void *ctx);
--- a/state/replica_private.h
+++ b/state/replica_private.h
@@ -18,6 +18,7 @@
 	proposal_state_t state;
 	bool is_barrier;
 	bool only_here;      /* made by another instance; never forwarded */
+	uint64_t only_term;  /* of this leadership only; 0 for any */
 	bool maybe_proposed; /* some attempt may still be applied */
 	GByteArray *command;
 	int64_t deadline_ms;
--- a/state/replica_proposals.c
+++ b/state/replica_proposals.c
@@ -7,6 +7,7 @@
 
 /* Time until a proposal is tried again without a usable leader. */
 #define RETRY_MS 20
+#define NO_DEADLINE_MS (G_MAXINT64 / 2)
 
 /* ---- calls that may outlive the replica ---- */
 
@@ -96,6 +97,15 @@
 		fail_proposal(replica, proposal, -ENOTCONN, text);
 }
 
+/* Whether the leadership that the proposal is bound to has ended. */
+static bool
+is_from_earlier_term(const replica_t *replica, const proposal_t *proposal)
+{
+	return proposal->only_term != 0 &&
+	       (raft_state(replica->raft) != RAFT_LEADER ||
+		   raft_term(replica->raft) != proposal->only_term);
+}
+
 static void
 retry_later(replica_t *replica, proposal_t *proposal)
 {
@@ -255,6 +265,8 @@
 		/* Raft takes part in nothing until the next start. */
 		give_up(
 		    replica, proposal, "the storage of this instance failed");
+	} else if (is_from_earlier_term(replica, proposal)) {
+		give_up(replica, proposal, "this leadership has ended");
 	} else if (raft_state(replica->raft) == RAFT_LEADER) {
 		if (proposal->is_barrier)
 			read_here(replica, proposal);
@@ -305,7 +317,9 @@
 static void
 tick_proposal(replica_t *replica, proposal_t *proposal, int64_t now_ms)
 {
-	if (now_ms < proposal->deadline_ms)
+	if (is_from_earlier_term(replica, proposal))
+		give_up(replica, proposal, "this leadership has ended");
+	else if (now_ms < proposal->deadline_ms)
 		try_if_due(replica, proposal, now_ms);
 	else if (proposal->state == PROPOSAL_APPLYING)
 		end_with_saved_result(replica, proposal);
@@ -496,6 +510,20 @@
 	    replica, codec_encode_command(command), deadline_ms, done, ctx);
 }
 
+/*
+ * Proposes a decision of the leadership of this term.  It is neither handed to
+ * a later leader nor given up while the term lasts, so its outcome is known to
+ * whoever decides next: a later leader has applied it or never will.
+ */
+void
+replica_propose_in_term(replica_t *replica, const command_t *command,
+    uint64_t term, replica_done_t *done, void *ctx)
+{
+	add_proposal(
+	    replica, codec_encode_command(command), NO_DEADLINE_MS, done, ctx)
+	    ->only_term = term;
+}
+
 /*
  * Waits until this instance has applied all that was committed before the call.
  * A leader asks a quorum whether it still leads; others have an empty command
--- a/tests/unit/test_replica.c
+++ b/tests/unit/test_replica.c
@@ -407,6 +407,62 @@
 }
 END_TEST
 
+static void
+put_in_term(bed_t *bed, int node, put_t *put, const char *name, uint64_t term)
+{
+	command_t command = {.kind = COMMAND_INSTANCE};
+
+	*put = (put_t){.bed = bed, .node = node};
+	g_strlcpy(put->name, name, sizeof(put->name));
+	command.command_t_u.instance.id = put->name;
+	command.command_t_u.instance.time_ms = clock_real_ms();
+	replica_propose_in_term(
+	    bed->nodes[node].replica, &command, term, put_done, put);
+}
+
+/* Guards against a decision of a former leader that the next one commits after
+ * it has decided otherwise: a unit was started twice under one run number. */
+START_TEST(propose_in_term)
+{
+	uint64_t term;
+	put_t follower;
+	put_t earlier;
+	put_t leading;
+	put_t cut_off;
+	int leader;
+	int other;
+	bed_t bed;
+
+	bed_open(&bed, 3, "");
+	start_all(&bed);
+	WAIT(&bed, all_confirmed, &bed);
+	leader = leader_of(&bed);
+	other = other_than(&bed, leader);
+	term = raft_term(replica_raft(bed.nodes[leader].replica));
+	put_in_term(&bed, leader, &leading, "leading", term);
+	put_in_term(&bed, leader, &earlier, "earlier", term - 1);
+	put_in_term(&bed, other, &follower, "follower", term);
+	WAIT(&bed, put_ended, &leading);
+	WAIT(&bed, put_ended, &earlier);
+	WAIT(&bed, put_ended, &follower);
+	ck_assert_int_eq(leading.code, 0);
+	ck_assert_int_eq(earlier.code, -ENOTCONN);
+	ck_assert_int_eq(follower.code, -ENOTCONN);
+	put(&bed, leader, "later");
+	ck_assert(!has(&bed, leader, "earlier"));
+	ck_assert(!has(&bed, leader, "follower"));
+	for (int i = 0; i < 3; i++) {
+		if (i != leader)
+			stop_node(&bed, (size_t)i);
+	}
+	put_in_term(&bed, leader, &cut_off, "cut-off", term);
+	WAIT(&bed, put_ended, &cut_off);
+	ck_assert_int_eq(cut_off.code, -ETIMEDOUT);
+	ck_assert(!replica_is_leader(bed.nodes[leader].replica));
+	bed_close(&bed);
+}
+END_TEST
+
 /* Guards against state that does not survive a restart of all replicas, with
  * and without a snapshot. */
 START_TEST(restart_from_disk)
@@ -875,6 +931,7 @@
 	tcase_add_test(tcase, propose_anywhere);
 	tcase_add_test(tcase, read_barrier);
 	tcase_add_test(tcase, leader_stops);
+	tcase_add_test(tcase, propose_in_term);
 	tcase_add_loop_test(tcase, restart_from_disk, 0, 2);
 	tcase_add_test(tcase, learner_catches_up_by_snapshot);
 	tcase_add_test(tcase, lost_disk_then_replacement);
