sched: choose what to displace from indexes by worker and by run

What may be stopped is collected from the runs, not by searching them per member; units that need more accelerators than there are skip the search.

--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -31,8 +31,9 @@
 	plan_worker_t *workers;
 	worker_t **views; /* of the same index */
 	size_t count;
-	int free;     /* accelerators on usable workers */
-	int headroom; /* of these, kept for urgent work */
+	int free;      /* accelerators on usable workers, at most */
+	int releasing; /* the same of runs that are being stopped */
+	int headroom;  /* of the free ones, kept for urgent work */
 } round_t;
 
 /* ---- what waits ---- */
@@ -151,6 +152,7 @@
 		worker_t *view = value;
 		plan_worker_t *worker = &round->workers[round->count];
 
+		view->plan_index = round->count;
 		round->views[round->count++] = view;
 		worker->worker = &view->info;
 		worker->free = view->info.capacity;
@@ -162,6 +164,7 @@
 			continue;
 		capacity += view->info.capacity.accelerators;
 		round->free += MAX(worker->free.accelerators, 0);
+		round->releasing += worker->releasing.accelerators;
 	}
 	round->headroom = headroom_wanted(&fleet->headroom, capacity, now_ms);
 }
@@ -225,40 +228,46 @@
 	GPtrArray *views; /* run_t of the same index */
 } displaceable_set_t;
 
-static size_t
-index_of_run(displaceable_set_t *set, run_t *run, int64_t now_ms)
+static void
+add_displaceable(displaceable_set_t *set, run_t *run, int64_t now_ms)
 {
 	displaceable_run_t entry = {.loss = loss_of(run, now_ms)};
-	guint index;
 
-	if (g_ptr_array_find(set->views, run, &index))
-		return index;
 	g_ptr_array_add(set->views, run);
 	g_array_append_val(set->runs, entry);
-	return set->views->len - 1;
+	for (int i = 0; i < run->member_count; i++) {
+		const worker_t *worker = run->members[i].worker;
+		displaceable_t member = {
+		    .run = set->views->len - 1, .shape = run->shape};
+
+		if (worker == NULL)
+			continue;
+		member.worker = worker->plan_index;
+		g_array_append_val(set->members, member);
+	}
 }
 
 static void
 collect_displaceable(
     round_t *round, const waiting_t *item, displaceable_set_t *set)
 {
-	for (size_t i = 0; i < round->count; i++) {
-		const GPtrArray *members = round->views[i]->members;
+	const GPtrArray *runs = round->fleet->runs;
 
-		for (guint m = 0; m < members->len; m++) {
-			const member_t *member = g_ptr_array_index(members, m);
-			displaceable_t entry = {
-			    .worker = i, .shape = member->run->shape};
+	for (guint i = 0; i < runs->len; i++) {
+		run_t *run = g_ptr_array_index(runs, i);
 
-			if (!may_displace(member->run, item->priority))
-				continue;
-			entry.run =
-			    index_of_run(set, member->run, round->now_ms);
-			g_array_append_val(set->members, entry);
-		}
+		if (may_displace(run, item->priority))
+			add_displaceable(set, run, round->now_ms);
 	}
 }
 
+static void
+release(round_t *round, const displaceable_t *member)
+{
+	plan_give(&round->workers[member->worker].releasing, &member->shape, 1);
+	round->releasing += member->shape.accelerators;
+}
+
 static void
 stop_chosen(round_t *round, const displaceable_set_t *set)
 {
@@ -274,8 +283,7 @@
 
 		if (g_array_index(set->runs, displaceable_run_t, member->run)
 			.stop)
-			plan_give(&round->workers[member->worker].releasing,
-			    &member->shape, 1);
+			release(round, member);
 	}
 }
 
@@ -438,6 +446,19 @@
 	g_free(step);
 }
 
+/* As plan_unit; tries it only where enough accelerators are there at all. */
+static bool
+plan(round_t *round, const waiting_t *item, const plan_unit_t *unit,
+    plan_room_t room)
+{
+	int most = round->free;
+
+	if (room == PLAN_RELEASING)
+		most += round->releasing;
+	return accelerators_of_unit(item) <= most &&
+	       plan_unit(round->workers, round->count, unit, room);
+}
+
 /* Places the unit or keeps room for it; false when it has to wait. */
 static bool
 place(round_t *round, const waiting_t *item)
@@ -459,13 +480,13 @@
 	}
 	unit.may_spread = !wish_is_possible(round, &unit) ||
 			  round->now_ms > item->latest_start_ms;
-	if (plan_unit(round->workers, round->count, &unit, PLAN_FREE)) {
+	if (plan(round, item, &unit, PLAN_FREE)) {
 		start_unit(round, item);
 		reserve(round, unit.step);
 		round->free -= accelerators_of_unit(item);
 		return true;
 	}
-	if (plan_unit(round->workers, round->count, &unit, PLAN_RELEASING)) {
+	if (plan(round, item, &unit, PLAN_RELEASING)) {
 		reserve(round, unit.step);
 		return false;
 	}
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -45,6 +45,7 @@
 	GPtrArray *members; /* member_t that have not ended here */
 	int failures;       /* ends failed in a row */
 	int64_t suspect_until_ms;
+	size_t plan_index; /* among the workers of the planning round */
 	bool expelled; /* its incarnation has ended; retired in the next turn */
 	bool gone;
 	int orders; /* under way */
