sched: end a proposal under way, ended jobs and tickets properly

Three faults, each with a test that failed first.

The proposal is now told that the fleet has ended; a read of the configuration looks at the ledger only when it succeeded. - Ended jobs were forgotten one after the other, each after another whole interval: the time of a job began when the one before it was forgotten, and asking again set it anew. 12 jobs took 6.1 s with an interval of 0.5 s; with 120 s memory grew with every job. The time begins when the end is seen. - Tickets of ended jobs were never forgotten, also when the answer comes after the end; a question and an order of pace under way leaked at exit.

Clean-up: orders of pace are kept like starts and stops; run_drop reuses leave_worker and run_detach; ledger_unit uses ledger_unit_of_task; a refused start is found by its unit; the wrapper fleet_restart is gone.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -13,6 +13,7 @@
 /* Things that happen together are planned and proposed together. */
 #define SOON_S 0.001
 #define FORGET_PER_TICK 16
+#define FORGET_RETRY_MS 1000
 
 /* Steady time in milliseconds. */
 int64_t
@@ -113,14 +114,18 @@
 
 		job->seen_ms = 0;
 		job->ended_ms = 0;
+		job->forget_ms = 0;
 		for (size_t i = 0; i < job->unit_count; i++)
 			run_detach(&job->units[i]);
 	}
 }
 
-/* Drops everything that is not committed. */
-static void
-step_down(fleet_t *fleet, const char *why)
+/*
+ * Drops the view of workers and runs, which holds what is not committed.  The
+ * next leadership builds it anew from what is.
+ */
+void
+fleet_step_down(fleet_t *fleet, const char *why)
 {
 	ledger_t *ledger = fleet_ledger(fleet);
 	GHashTableIter iter;
@@ -144,13 +149,6 @@
 	fleet_events_clear(fleet, FLEET_NO_ANSWER);
 }
 
-/* A proposal failed: what it held is found again from the committed state. */
-void
-fleet_restart(fleet_t *fleet, const char *why)
-{
-	step_down(fleet, why);
-}
-
 static void
 check_leadership(fleet_t *fleet, int64_t now_ms)
 {
@@ -158,13 +156,29 @@
 
 	if (fleet->leading &&
 	    (!leads || fleet->term != raft_term(replica_raft(fleet->replica))))
-		step_down(fleet, "not_leader");
+		fleet_step_down(fleet, "not_leader");
 	if (leads && !fleet->leading)
 		take_over(fleet, now_ms);
 }
 
 /* ---- regular work ---- */
 
+/* Notes when jobs have ended, the last ones first; they are listed in order. */
+static void
+note_ended(fleet_t *fleet, int64_t now_ms)
+{
+	const GQueue *ended = ledger_ended_jobs(fleet_ledger(fleet));
+
+	for (const GList *at = ended->tail; at != NULL; at = at->prev) {
+		ledger_job_t *job = at->data;
+
+		if (job->ended_ms != 0)
+			break;
+		job->ended_ms = now_ms;
+		tickets_forget_job(fleet->tickets, job->submit.id);
+	}
+}
+
 static void
 forget_ended(fleet_t *fleet, int64_t now_ms)
 {
@@ -175,11 +189,13 @@
 	     at = at->next) {
 		ledger_job_t *job = at->data;
 
-		if (job->ended_ms == 0)
-			job->ended_ms = now_ms;
 		if (now_ms - job->ended_ms < fleet->bounds.keep_ended_ms)
 			break;
-		job->ended_ms = now_ms;
+		/* A job is kept while one of its runs has not ended. */
+		if (job->forget_ms != 0 &&
+		    now_ms - job->forget_ms < FORGET_RETRY_MS)
+			continue;
+		job->forget_ms = now_ms;
 		fleet_event_forget(fleet, job->submit.id);
 		left--;
 	}
@@ -228,6 +244,7 @@
 	for (guint i = 0; i < runs->len; i++)
 		run_tick(g_ptr_array_index(runs, i), now_ms);
 	g_ptr_array_unref(runs);
+	note_ended(fleet, now_ms);
 	forget_ended(fleet, now_ms);
 	on_soon(loop, &fleet->soon, 0);
 	fleet_reap_runs(fleet);
@@ -252,20 +269,16 @@
 		run_committed(run);
 }
 
-/* Starts that were refused, as their job had ended, release their room. */
+/* A start that was refused, as its job had ended, releases its room. */
 static void
 drop_refused(fleet_t *fleet, const unit_start_t *start)
 {
-	for (guint i = fleet->runs->len; i-- > 0;) {
-		run_t *run = g_ptr_array_index(fleet->runs, i);
+	const ledger_unit_t *unit =
+	    ledger_unit(fleet_ledger(fleet), &start->unit);
+	run_t *run = unit != NULL ? unit->live : NULL;
 
-		if (!run->committed && run->number == start->run &&
-		    strcmp(run->job, start->unit.job) == 0 &&
-		    run->name.occurrence == start->unit.occurrence &&
-		    run->name.step == start->unit.step &&
-		    run->name.unit == start->unit.unit)
-			run_drop(run);
-	}
+	if (run != NULL && !run->committed && run->number == start->run)
+		run_drop(run);
 }
 
 static void
@@ -377,10 +390,12 @@
 {
 	if (fleet == NULL)
 		return;
-	step_down(fleet, "stopping");
+	fleet_step_down(fleet, "stopping");
 	ev_timer_stop(fleet->loop, &fleet->tick);
 	fleet_calls_clear(fleet);
+	fleet_drop_proposal(fleet);
 	fleet_drop_orders(fleet);
+	fleet_drop_question(fleet);
 	fleet_reap_runs(fleet);
 	fleet_reap_workers(fleet);
 	tickets_destroy(fleet->tickets);
--- a/sched/fleet_advice.c
+++ b/sched/fleet_advice.c
@@ -11,13 +11,13 @@
 #define ADVICE_ANSWER_MS 5000
 
 /* A question under way. */
-typedef struct {
+struct question_t {
 	fleet_t *fleet;
-	uint64_t term;
+	char *job;
 	char *step;
 	GPtrArray *workers; /* ids, NULL-terminated */
 	GArray *born;
-} question_t;
+};
 
 /* The adviser's name of a step: JOB.OCCURRENCE.STEP. */
 char *
@@ -26,6 +26,25 @@
 	return g_strdup_printf("%s.%d.%d", job, occurrence, step);
 }
 
+static void
+question_free(question_t *question)
+{
+	g_free(question->job);
+	g_free(question->step);
+	g_ptr_array_unref(question->workers);
+	g_array_unref(question->born);
+	g_free(question);
+}
+
+static bool
+is_still_wanted(const question_t *question)
+{
+	const ledger_job_t *job =
+	    ledger_job(fleet_ledger(question->fleet), question->job);
+
+	return job != NULL && !ledger_job_has_ended(job);
+}
+
 static uint64_t
 born_of(const question_t *question, const char *worker)
 {
@@ -65,11 +84,11 @@
 	else
 		tickets_not_answered(
 		    fleet->tickets, question->step, fleet_now_ms());
+	if (!is_still_wanted(question))
+		tickets_forget_job(fleet->tickets, question->job);
+	fleet->question = NULL;
+	question_free(question);
 	fleet_kick(fleet);
-	g_free(question->step);
-	g_ptr_array_unref(question->workers);
-	g_array_unref(question->born);
-	g_free(question);
 }
 
 static void
@@ -102,8 +121,8 @@
 
 /* Asks the adviser which workers may run the step, if that may help. */
 void
-fleet_ask_advice(fleet_t *fleet, const char *step, const plan_worker_t *workers,
-    size_t count, const plan_unit_t *unit)
+fleet_ask_advice(fleet_t *fleet, const char *job, const char *step,
+    const plan_worker_t *workers, size_t count, const plan_unit_t *unit)
 {
 	question_t *question;
 
@@ -112,20 +131,27 @@
 		return;
 	question = g_new0(question_t, 1);
 	question->fleet = fleet;
+	question->job = g_strdup(job);
 	question->step = g_strdup(step);
 	question->workers = g_ptr_array_new_with_free_func(g_free);
 	question->born = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	choose_workers(question, workers, count, unit);
 	g_ptr_array_add(question->workers, NULL);
 	if (question->born->len == 0) {
-		g_ptr_array_unref(question->workers);
-		g_array_unref(question->born);
-		g_free(question->step);
-		g_free(question);
+		question_free(question);
 		return;
 	}
 	tickets_asked(fleet->tickets, step);
+	fleet->question = question;
 	fleet->orders.advise(fleet->orders.ctx, step,
 	    (const char *const *)question->workers->pdata, ADVICE_ANSWER_MS,
 	    on_advised, question);
 }
+
+void
+fleet_drop_question(fleet_t *fleet)
+{
+	if (fleet->question != NULL)
+		question_free(fleet->question);
+	fleet->question = NULL;
+}
--- a/sched/fleet_calls.c
+++ b/sched/fleet_calls.c
@@ -314,15 +314,21 @@
 on_read_ready(void *ctx, const err_t *err, const command_result_t *result)
 {
 	config_call_t *call = ctx;
-	const fleet_config_t *config = ledger_config(fleet_ledger(call->fleet));
-	str_t text = {config->document.body_t_val, config->document.body_t_len};
+	const fleet_config_t *config;
 
-	if (err->code != 0)
+	/* It fails, too, when the replica ends after the fleet. */
+	if (err->code != 0) {
 		call->document(call->ctx, FLEET_NO_ANSWER, (str_t){NULL, 0});
-	else if (config->number == 0)
+		g_free(call);
+		return;
+	}
+	config = ledger_config(fleet_ledger(call->fleet));
+	if (config->number == 0)
 		call->document(call->ctx, FLEET_NONE, (str_t){NULL, 0});
 	else
-		call->document(call->ctx, FLEET_OK, text);
+		call->document(call->ctx, FLEET_OK,
+		    (str_t){config->document.body_t_val,
+			config->document.body_t_len});
 	g_free(call);
 }
 
--- a/sched/fleet_events.c
+++ b/sched/fleet_events.c
@@ -12,11 +12,11 @@
 	void *ctx;
 } waiter_t;
 
-typedef struct {
-	fleet_t *fleet;
+struct fleet_proposal_t {
+	fleet_t *fleet; /* NULL once the task has ended */
 	uint64_t term;
 	GPtrArray *waiters;
-} proposal_ctx_t;
+};
 
 static unit_name_t
 copy_name(const char *job, const unit_name_t *name)
@@ -145,22 +145,32 @@
 	g_ptr_array_set_size(waiters, 0);
 }
 
+static void
+proposal_free(fleet_proposal_t *proposal)
+{
+	g_ptr_array_unref(proposal->waiters);
+	g_free(proposal);
+}
+
 static void
 on_proposed(void *ctx, const err_t *err, const command_result_t *result)
 {
-	proposal_ctx_t *proposal = ctx;
+	fleet_proposal_t *proposal = ctx;
 	fleet_t *fleet = proposal->fleet;
 
-	fleet->proposing = false;
+	if (fleet == NULL) {
+		proposal_free(proposal);
+		return;
+	}
+	fleet->proposal = NULL;
 	tell_waiters(
 	    proposal->waiters, err->code == 0 ? FLEET_OK : FLEET_NO_ANSWER);
-	g_ptr_array_unref(proposal->waiters);
 	if (err->code != 0) {
 		log_err(LOG_WARNING, err);
 		if (fleet->term == proposal->term)
-			fleet_restart(fleet, "proposal_failed");
+			fleet_step_down(fleet, "proposal_failed");
 	}
-	g_free(proposal);
+	proposal_free(proposal);
 	fleet_kick(fleet);
 }
 
@@ -169,18 +179,18 @@
 fleet_events_propose(fleet_t *fleet)
 {
 	command_t command = {.kind = COMMAND_FLEET_EVENTS};
-	proposal_ctx_t *proposal;
+	fleet_proposal_t *proposal;
 
-	if (fleet->proposing || is_empty(&fleet->events))
+	if (fleet->proposal != NULL || is_empty(&fleet->events))
 		return;
-	proposal = g_new0(proposal_ctx_t, 1);
+	proposal = g_new0(fleet_proposal_t, 1);
 	proposal->fleet = fleet;
 	proposal->term = fleet->term;
 	proposal->waiters = fleet->announced;
 	fleet->announced = g_ptr_array_new_with_free_func(g_free);
 	command.command_t_u.fleet_events = fleet->events;
 	memset(&fleet->events, 0, sizeof(fleet->events));
-	fleet->proposing = true;
+	fleet->proposal = proposal;
 	replica_propose_in_term(
 	    fleet->replica, &command, fleet->term, on_proposed, proposal);
 	codec_free((xdrproc_t)xdr_command_t, &command);
@@ -194,3 +204,14 @@
 	memset(&fleet->events, 0, sizeof(fleet->events));
 	tell_waiters(fleet->announced, outcome);
 }
+
+/* The task ends before its proposal, whose waiters get no answer. */
+void
+fleet_drop_proposal(fleet_t *fleet)
+{
+	if (fleet->proposal == NULL)
+		return;
+	tell_waiters(fleet->proposal->waiters, FLEET_NO_ANSWER);
+	fleet->proposal->fleet = NULL;
+	fleet->proposal = NULL;
+}
--- a/sched/fleet_pace.c
+++ b/sched/fleet_pace.c
@@ -5,14 +5,6 @@
 
 #define PACE_ANSWER_MS 700
 
-/* An order to change the pace of one member. */
-typedef struct {
-	run_t *run;
-	worker_t *worker;
-	int member;
-	int percent;
-} pace_order_t;
-
 static bool
 serves_users(const member_t *member)
 {
@@ -22,13 +14,11 @@
 static void
 on_paced(void *ctx, const order_answer_t *answer)
 {
-	pace_order_t *order = ctx;
+	member_order_t *order = ctx;
 
 	if (answer->outcome == ORDER_OK)
 		order->run->members[order->member].pace = order->percent;
-	order->run->orders--;
-	order->worker->orders--;
-	g_free(order);
+	member_order_end(order);
 }
 
 static void
@@ -38,12 +28,9 @@
 	order_target_t target = {
 	    &member->worker->info, fleet->term, PACE_ANSWER_MS};
 	task_name_t task = member_task(member);
-	pace_order_t *order = g_new0(pace_order_t, 1);
+	member_order_t *order = member_order_begin(member);
 
-	*order = (pace_order_t){member->run, member->worker,
-	    (int)(member - member->run->members), percent};
-	order->run->orders++;
-	order->worker->orders++;
+	order->percent = percent;
 	evlog("pace", "{s:s,s:i,s:i,s:s,s:i,s:i}", "job", member->run->job,
 	    "step", member->run->name.step, "index", member->index, "worker",
 	    member->worker->info.id, "before", member->pace, "percent",
--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -484,8 +484,8 @@
 			places += plan_fit(&worker->free, &unit->step->shape);
 	}
 	if (places < unit->members)
-		fleet_ask_advice(
-		    fleet, step, round->workers, round->count, unit);
+		fleet_ask_advice(fleet, item->unit->job->submit.id, step,
+		    round->workers, round->count, unit);
 	g_free(step);
 }
 
--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -295,7 +295,8 @@
 		take_lists(worker, answer, now_ms);
 		worker_adjust_pace(worker);
 		acknowledgeable(worker);
-		if (worker->kept.length > 0 && !worker->fleet->proposing &&
+		if (worker->kept.length > 0 &&
+		    worker->fleet->proposal == NULL &&
 		    worker->fleet->events.ends.ends_len == 0)
 			worker->next_poll_ms = now_ms + POLL_UNSETTLED_MS;
 		break;
@@ -378,7 +379,7 @@
 	    worker->info.address[0] == '\0')
 		return;
 	/* Ends are committed first, so that the poll can acknowledge them. */
-	if (worker->kept.length > 0 && worker->fleet->proposing &&
+	if (worker->kept.length > 0 && worker->fleet->proposal != NULL &&
 	    !worker->needs_poll && now_ms - worker->poll_done_ms < POLL_HOLD_MS)
 		return;
 	if (wants_poll(worker))
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -10,6 +10,8 @@
 
 typedef struct run_t run_t;
 typedef struct member_t member_t;
+typedef struct question_t question_t;
+typedef struct fleet_proposal_t fleet_proposal_t;
 
 /* An end that the worker still keeps for us. */
 typedef struct {
@@ -112,6 +114,7 @@
 	worker_orders_t orders;
 	headroom_t headroom;
 	tickets_t *tickets;
+	question_t *question; /* to the adviser, under way */
 	uint64_t steps;
 	bool leading;
 	uint64_t term;
@@ -120,10 +123,10 @@
 	GPtrArray *gone_workers;
 	GPtrArray *runs; /* run_t that are not over */
 	GPtrArray *over_runs;
-	GQueue orders_out;     /* orders about members */
-	fleet_events_t events; /* to be proposed */
-	GPtrArray *announced;  /* waiters of the next proposal */
-	bool proposing;
+	GQueue orders_out;          /* orders about members */
+	fleet_events_t events;      /* to be proposed */
+	GPtrArray *announced;       /* waiters of the next proposal */
+	fleet_proposal_t *proposal; /* under way */
 	ev_timer tick;
 	ev_timer soon; /* plans and proposes what has come together */
 	GQueue calls;  /* calls of callers that wait for a commit */
@@ -144,9 +147,7 @@
 uint64_t fleet_step(fleet_t *fleet);
 ledger_t *fleet_ledger(const fleet_t *fleet);
 void fleet_kick(fleet_t *fleet);
-/* Drops the view of workers and runs; it is built anew from what is committed.
- */
-void fleet_restart(fleet_t *fleet, const char *why);
+void fleet_step_down(fleet_t *fleet, const char *why);
 void fleet_worker_copy(fleet_worker_t *copy, const fleet_worker_t *worker);
 
 /* fleet_events.c */
@@ -159,6 +160,7 @@
     fleet_done_t *done, void *ctx);
 void fleet_event_forget(fleet_t *fleet, const char *job);
 void fleet_events_propose(fleet_t *fleet);
+void fleet_drop_proposal(fleet_t *fleet);
 void fleet_events_clear(fleet_t *fleet, fleet_outcome_t outcome);
 
 /* fleet_polls.c */
@@ -177,7 +179,18 @@
 void worker_note_answer(worker_t *worker, const order_answer_t *answer);
 bool worker_is_usable(const worker_t *worker, int64_t now_ms);
 
+/* An order about one member that is under way. */
+typedef struct {
+	run_t *run;
+	worker_t *worker;
+	int member;
+	int percent; /* of a pace order */
+	GList link;  /* among the orders of the fleet */
+} member_order_t;
+
 /* fleet_runs.c */
+member_order_t *member_order_begin(member_t *member);
+void member_order_end(member_order_t *order);
 run_t *run_create(fleet_t *fleet, ledger_unit_t *unit, uint32_t number,
     const unit_place_t *places);
 void run_committed(run_t *run);
@@ -207,8 +220,10 @@
 
 /* fleet_advice.c */
 char *fleet_step_name(const char *job, int occurrence, int step);
-void fleet_ask_advice(fleet_t *fleet, const char *step,
+void fleet_ask_advice(fleet_t *fleet, const char *job, const char *step,
     const plan_worker_t *workers, size_t count, const plan_unit_t *unit);
+/* Forgets a question whose transport has ended without an answer. */
+void fleet_drop_question(fleet_t *fleet);
 
 /* fleet_calls.c */
 void fleet_calls_clear(fleet_t *fleet);
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -11,14 +11,6 @@
 #define STOP_RETRY_MS 200
 #define NO_ATTEMPT_LIMIT 1000000
 
-/* An order about one member that is under way. */
-typedef struct {
-	run_t *run;
-	worker_t *worker;
-	int member;
-	GList link; /* among the orders of the fleet */
-} order_ctx_t;
-
 /* ---- runs ---- */
 
 /* Makes a run of a unit on the given places; nothing is sent yet. */
@@ -104,6 +96,26 @@
 	}
 }
 
+static void
+leave_worker(member_t *member)
+{
+	g_ptr_array_remove_fast(member->worker->members, member);
+	member->worker = NULL;
+	member->state = MEMBER_ENDED;
+}
+
+/* Unties a unit from its run, whose end is committed or which is dropped. */
+void
+run_detach(ledger_unit_t *unit)
+{
+	run_t *run = unit->live;
+
+	if (run == NULL)
+		return;
+	unit->live = NULL;
+	run->unit = NULL;
+}
+
 /* Forgets a run without any further order. */
 void
 run_drop(run_t *run)
@@ -112,14 +124,10 @@
 		member_t *member = &run->members[i];
 
 		if (member->worker != NULL)
-			g_ptr_array_remove_fast(
-			    member->worker->members, member);
-		member->worker = NULL;
-		member->state = MEMBER_ENDED;
+			leave_worker(member);
 	}
-	if (run->unit != NULL && run->unit->live == run)
-		run->unit->live = NULL;
-	run->unit = NULL;
+	if (run->unit != NULL)
+		run_detach(run->unit);
 	run_retire(run);
 }
 
@@ -183,18 +191,6 @@
 	run_retire(run);
 }
 
-/* The unit is no longer tied to its run, whose end is committed. */
-void
-run_detach(ledger_unit_t *unit)
-{
-	run_t *run = unit->live;
-
-	if (run == NULL)
-		return;
-	unit->live = NULL;
-	run->unit = NULL;
-}
-
 /* ---- members ---- */
 
 task_name_t
@@ -206,14 +202,6 @@
 	    .index = member->index};
 }
 
-static void
-leave_worker(member_t *member)
-{
-	g_ptr_array_remove_fast(member->worker->members, member);
-	member->worker = NULL;
-	member->state = MEMBER_ENDED;
-}
-
 static void
 keep_checkpoint(member_t *member, const char *checkpoint)
 {
@@ -288,10 +276,11 @@
 
 /* ---- orders ---- */
 
-static order_ctx_t *
-order_begin(member_t *member)
+/* Notes an order; its run and worker stay until member_order_end. */
+member_order_t *
+member_order_begin(member_t *member)
 {
-	order_ctx_t *order = g_new0(order_ctx_t, 1);
+	member_order_t *order = g_new0(member_order_t, 1);
 
 	order->run = member->run;
 	order->worker = member->worker;
@@ -300,13 +289,12 @@
 	order->worker->orders++;
 	order->link.data = order;
 	g_queue_push_tail_link(&order->run->fleet->orders_out, &order->link);
-	member->calling = true;
 	return order;
 }
 
 /* Returns the member, or NULL when the run is over or the member has ended. */
 static member_t *
-order_member(order_ctx_t *order, const order_answer_t *answer)
+order_member(member_order_t *order, const order_answer_t *answer)
 {
 	member_t *member = &order->run->members[order->member];
 
@@ -319,8 +307,8 @@
 	return member;
 }
 
-static void
-order_end(order_ctx_t *order)
+void
+member_order_end(member_order_t *order)
 {
 	order->run->orders--;
 	order->worker->orders--;
@@ -332,7 +320,7 @@
 fleet_drop_orders(fleet_t *fleet)
 {
 	while (fleet->orders_out.length > 0)
-		order_end(g_queue_peek_head(&fleet->orders_out));
+		member_order_end(g_queue_peek_head(&fleet->orders_out));
 	for (guint i = 0; i < fleet->gone_workers->len; i++)
 		((worker_t *)g_ptr_array_index(fleet->gone_workers, i))
 		    ->orders = 0;
@@ -360,7 +348,7 @@
 static void
 on_started(void *ctx, const order_answer_t *answer)
 {
-	order_ctx_t *order = ctx;
+	member_order_t *order = ctx;
 	member_t *member = order_member(order, answer);
 	int64_t now_ms = fleet_now_ms();
 
@@ -406,7 +394,7 @@
 	}
 	fleet_kick(order->run->fleet);
 done:
-	order_end(order);
+	member_order_end(order);
 }
 
 static void
@@ -415,6 +403,7 @@
 	run_t *run = member->run;
 	fleet_t *fleet = run->fleet;
 	const body_t *payload;
+	char *step = NULL;
 	order_target_t target = {
 	    &member->worker->info, fleet->term, START_ANSWER_MS};
 	start_order_t order = {
@@ -424,8 +413,6 @@
 	    .lease_end_ms = worker_lease_end(member->worker, now_ms),
 	};
 
-	char *step = NULL;
-
 	if (order.lease_end_ms == 0)
 		return;
 	if (run->needs_ticket) {
@@ -437,16 +424,17 @@
 	payload = &run->unit->job->submit.spec.payload;
 	order.payload = (str_t){payload->body_t_val, payload->body_t_len};
 	member->state = MEMBER_SENT;
+	member->calling = true;
 	counter_add(fleet->starts, 1);
 	fleet->orders.start(fleet->orders.ctx, &target, &order, on_started,
-	    order_begin(member));
+	    member_order_begin(member));
 	g_free(step);
 }
 
 static void
 on_stopped(void *ctx, const order_answer_t *answer)
 {
-	order_ctx_t *order = ctx;
+	member_order_t *order = ctx;
 	member_t *member = order_member(order, answer);
 	int64_t now_ms = fleet_now_ms();
 
@@ -460,7 +448,7 @@
 	}
 	fleet_kick(order->run->fleet);
 done:
-	order_end(order);
+	member_order_end(order);
 }
 
 static void
@@ -473,9 +461,10 @@
 	task_name_t task = member_task(member);
 
 	member->stop = STOP_SENT;
+	member->calling = true;
 	counter_add(fleet->stops, 1);
 	fleet->orders.stop(fleet->orders.ctx, &target, &task, run->number,
-	    on_stopped, order_begin(member));
+	    on_stopped, member_order_begin(member));
 }
 
 /* The start of the run is committed: orders go out, to all members at once. */
--- a/sched/ledger.c
+++ b/sched/ledger.c
@@ -345,17 +345,13 @@
 ledger_unit(const ledger_t *ledger, const unit_name_t *name)
 {
 	ledger_job_t *job = ledger_job(ledger, name->job);
+	ledger_unit_t *unit;
 
 	if (job == NULL)
 		return NULL;
-	for (size_t i = 0; i < job->unit_count; i++) {
-		ledger_unit_t *unit = &job->units[i];
-
-		if (unit->occurrence == name->occurrence &&
-		    unit->step == name->step && unit->first == name->unit)
-			return unit;
-	}
-	return NULL;
+	unit =
+	    ledger_unit_of_task(job, name->occurrence, name->step, name->unit);
+	return unit != NULL && unit->first == name->unit ? unit : NULL;
 }
 
 ledger_unit_t *
--- a/sched/ledger.h
+++ b/sched/ledger.h
@@ -46,10 +46,12 @@
 	size_t unit_count;
 	size_t units_left; /* not done */
 	size_t units_started;
-	int *step_left;  /* units not done, by occurrence and step */
-	int64_t seen_ms; /* steady time of the leader's first poll, 0 before */
-	int64_t ended_ms;
-	GList link; /* in the list of open jobs, or of ended ones */
+	int *step_left; /* units not done, by occurrence and step */
+	/* Steady times of the leader, 0 before. */
+	int64_t seen_ms;   /* handed in */
+	int64_t ended_ms;  /* found ended */
+	int64_t forget_ms; /* last asked to forget it */
+	GList link;        /* in the list of open jobs, or of ended ones */
 };
 
 ledger_t *ledger_create(void);
--- a/sched/tickets.c
+++ b/sched/tickets.c
@@ -62,10 +62,18 @@
 	g_free(tickets);
 }
 
+static gboolean
+is_step_of(gpointer step, gpointer value, gpointer job)
+{
+	size_t len = strlen(job);
+
+	return strncmp(step, job, len) == 0 && ((const char *)step)[len] == '.';
+}
+
 void
-tickets_forget(tickets_t *tickets, const char *step)
+tickets_forget_job(tickets_t *tickets, const char *job)
 {
-	g_hash_table_remove(tickets->steps, step);
+	g_hash_table_foreach_remove(tickets->steps, is_step_of, (gpointer)job);
 }
 
 static step_t *
--- a/sched/tickets.h
+++ b/sched/tickets.h
@@ -14,8 +14,8 @@
 
 tickets_t *tickets_create(void);
 void tickets_destroy(tickets_t *tickets);
-/* Forgets a step, named JOB.OCCURRENCE.STEP. */
-void tickets_forget(tickets_t *tickets, const char *step);
+/* Forgets all steps of a job; steps are named JOB.OCCURRENCE.STEP. */
+void tickets_forget_job(tickets_t *tickets, const char *job);
 
 /* The ticket of an incarnation of a worker for a step, NULL without a valid
  * one. */
--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -403,7 +403,7 @@
 	fleet_bounds_t bounds = {
 	    .worker_beat_ms = BEAT_MS,
 	    .lease_ms = BED_LEASE_MS,
-	    .keep_ended_ms = BEAT_MS,
+	    .keep_ended_ms = BED_KEEP_MS,
 	};
 	worker_orders_t orders = {.start = send_start,
 	    .stop = send_stop,
@@ -664,6 +664,15 @@
 	return count;
 }
 
+int
+bed_jobs(const bed_t *bed)
+{
+	ledger_t *ledger = machine_ledger(replica_machine(bed->replica));
+
+	return (int)(ledger_open_jobs(ledger)->length +
+		     ledger_ended_jobs(ledger)->length);
+}
+
 batch_state_t
 bed_state(const bed_t *bed, const char *job)
 {
--- a/tests/unit/fleet_bed.h
+++ b/tests/unit/fleet_bed.h
@@ -15,6 +15,7 @@
 
 #define BED_WORKERS 8
 #define BED_LEASE_MS 400
+#define BED_KEEP_MS 3000
 
 /* A task on a worker. */
 typedef struct {
@@ -70,5 +71,7 @@
 void bed_end_tasks(bed_t *bed, const char *job, run_how_t how);
 int bed_running(const bed_t *bed, const char *job);
 int bed_starts(const bed_t *bed);
+/* Number of jobs that can still be read, ended ones included. */
+int bed_jobs(const bed_t *bed);
 batch_state_t bed_state(const bed_t *bed, const char *job);
 void bed_run_for(bed_t *bed, int64_t ms);
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -349,6 +349,50 @@
 }
 END_TEST
 
+static bool
+none_is_known(void *ctx)
+{
+	return bed_jobs(ctx) == 0;
+}
+
+/* Guards against ended jobs that are kept far longer than promised: the time of
+ * each began when the one before it was forgotten, so memory grew. */
+START_TEST(ended_jobs_are_forgotten)
+{
+	enum { JOBS = 12 };
+	int64_t start_ms;
+	char id[17];
+	bed_t bed;
+
+	bed_open(&bed, 2, 8);
+	for (int i = 0; i < JOBS; i++) {
+		g_snprintf(id, sizeof(id), "%016x", i + 1);
+		bed_submit(&bed, id, "batch", 1, 1, false);
+	}
+	bed_run_for(&bed, 100);
+	bed_end_tasks(&bed, NULL, RUN_DONE);
+	WAIT(&bed, nothing_runs);
+	start_ms = clock_mono_ms();
+	WAIT(&bed, none_is_known);
+	/* Each is kept for one interval; a second one is for the commits. */
+	ck_assert_int_lt(clock_mono_ms() - start_ms, 2 * BED_KEEP_MS);
+	bed_close(&bed);
+}
+END_TEST
+
+/* Guards against a crash of a leader that is told to stop while what it has
+ * decided is being committed. */
+START_TEST(stops_while_committing)
+{
+	bed_t bed;
+
+	bed_open(&bed, 4, 8);
+	bed_submit(&bed, JOB, "batch", 32, 1, false);
+	bed_run_for(&bed, _i);
+	bed_close(&bed);
+}
+END_TEST
+
 static bool
 third_runs(void *ctx)
 {
@@ -400,6 +444,8 @@
 	tcase_add_test(tcase, urgent_displaces);
 	tcase_add_test(tcase, keeps_headroom);
 	tcase_add_test(tcase, late_after_on_time);
+	tcase_add_test(tcase, ended_jobs_are_forgotten);
+	tcase_add_loop_test(tcase, stops_while_committing, 0, 6);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_FORK);
 }
--- a/tests/unit/test_tickets.c
+++ b/tests/unit/test_tickets.c
@@ -46,6 +46,27 @@
 }
 END_TEST
 
+/* Guards against tickets that stay in memory after their job has ended, and
+ * against those of another job whose id begins alike. */
+START_TEST(ended_job)
+{
+	static const char *const asked[] = {"w1", NULL};
+	static const char *const steps[] = {
+	    STEP, "00000000000000aa.1.0", "00000000000000aab.0.1"};
+	tickets_t *tickets = tickets_create();
+
+	for (size_t i = 0; i < 3; i++) {
+		tickets_grant(tickets, steps[i], "w1", 1, "t", 4000);
+		tickets_answered(tickets, steps[i], asked);
+	}
+	tickets_forget_job(tickets, "00000000000000aa");
+	ck_assert_ptr_null(tickets_find(tickets, steps[0], "w1", 1, 0));
+	ck_assert_ptr_null(tickets_find(tickets, steps[1], "w1", 1, 0));
+	ck_assert_ptr_nonnull(tickets_find(tickets, steps[2], "w1", 1, 0));
+	tickets_destroy(tickets);
+}
+END_TEST
+
 /*
  * Load pattern: filling tasks disturb a serving one for some seconds.  Guards
  * against a target that stays missed, and against work that is never resumed.
@@ -74,6 +95,7 @@
 
 	tcase_add_test(tcase, grants);
 	tcase_add_test(tcase, not_answered);
+	tcase_add_test(tcase, ended_job);
 	tcase_add_test(tcase, pace);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_NOFORK);
