--- a/sched/displace.c
+++ b/sched/displace.c
@@ -51,23 +51,26 @@
 	return by_run ? member->run : member->worker;
 }
 
-static void
-index_members(index_t *index, const problem_t *problem, bool by_run)
+/* Lists the members by worker, or by run. */
+static index_t
+index_members(const problem_t *problem, bool by_run)
 {
 	size_t keys = by_run ? problem->run_count : problem->count;
+	index_t index = {
+	    .first = g_new0(size_t, keys + 1),
+	    .members = g_new0(size_t, problem->member_count),
+	};
 	size_t *next = g_new0(size_t, keys + 1);
 
-	index->first = g_new0(size_t, keys + 1);
-	index->members = g_new0(size_t, problem->member_count);
 	for (size_t m = 0; m < problem->member_count; m++)
-		index->first[key_of(&problem->members[m], by_run) + 1]++;
+		index.first[key_of(&problem->members[m], by_run) + 1]++;
 	for (size_t k = 0; k < keys; k++)
-		index->first[k + 1] += index->first[k];
-	memcpy(next, index->first, (keys + 1) * sizeof(*next));
+		index.first[k + 1] += index.first[k];
+	memcpy(next, index.first, (keys + 1) * sizeof(*next));
 	for (size_t m = 0; m < problem->member_count; m++)
-		index->members[next[key_of(&problem->members[m], by_run)]++] =
-		    m;
+		index.members[next[key_of(&problem->members[m], by_run)]++] = m;
 	g_free(next);
+	return index;
 }
 
 static void
@@ -100,8 +103,8 @@
 static void
 problem_prepare(problem_t *problem)
 {
-	index_members(&problem->by_worker, problem, false);
-	index_members(&problem->by_run, problem, true);
+	problem->by_worker = index_members(problem, false);
+	problem->by_run = index_members(problem, true);
 	number_racks(problem);
 	problem->may_hold = g_new0(bool, problem->count);
 	for (size_t i = 0; i < problem->count; i++) {
