--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -22,13 +22,28 @@
 PIDS=""
 INSTANCES=""
 
+# is_running PID: whether it is a process that this shell has started.  The
+# kernel gives the id of one that has ended to others, of other runs too.
+is_running() {
+	read -r _ _ state parent _ 2>/dev/null <"/proc/$1/stat" &&
+	    [ "$parent" = $$ ] && [ "$state" != Z ]
+}
+
+# signal_own SIGNAL PID...: skips those that have ended.
+signal_own() {
+	own_signal=$1
+	shift
+	for pid in "$@"; do
+		! is_running "$pid" || kill "-$own_signal" "$pid" 2>/dev/null
+	done
+}
+
 # cleanup_system: ends every process that was started.
 cleanup_system() {
 	# shellcheck disable=SC2086
-	for pid in $PIDS; do
-		kill -CONT "$pid" 2>/dev/null
-		kill -KILL "$pid" 2>/dev/null
-	done
+	signal_own CONT $PIDS
+	# shellcheck disable=SC2086
+	signal_own KILL $PIDS
 	wait 2>/dev/null
 	PIDS=""
 }
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -42,7 +42,7 @@
 	signal=$1
 	shift
 	for n in "$@"; do
-		eval "kill -$signal \$PID_p$n"
+		eval "signal_own $signal \$PID_p$n"
 	done
 }
 
--- a/tests/standin/platform_worker_main.c
+++ b/tests/standin/platform_worker_main.c
@@ -1,6 +1,7 @@
 /*
  * standin-platform_worker: backend servers that speak the platform's protocol.
  * A task takes as many milliseconds as its payload says; "fail" makes it fail.
+ * Prints "start TASK RUN WORKER MS" and "end TASK RUN WORKER MS HOW".
  */
 #include <ev.h>
 #include <glib.h>
@@ -53,6 +54,8 @@
 	int first_port;
 	int count;
 	int accelerators;
+	int first_number;
+	char *advertised;
 	char **controls;
 } options;
 
@@ -63,6 +66,10 @@
     {"count", 0, 0, G_OPTION_ARG_INT, &options.count, "Backend servers", "N"},
     {"accelerators", 0, 0, G_OPTION_ARG_INT, &options.accelerators,
 	"Accelerators of each", "N"},
+    {"first", 0, 0, G_OPTION_ARG_INT, &options.first_number,
+	"Number of the first backend server", "N"},
+    {"advertise", 0, 0, G_OPTION_ARG_STRING, &options.advertised,
+	"Address to announce instead, with the same ports", "IP"},
     {"control", 0, 0, G_OPTION_ARG_STRING_ARRAY, &options.controls,
 	"Control address, ADDRESS:PORT; may be given several times", "A"},
     {NULL},
@@ -98,11 +105,16 @@
 	g_free(task);
 }
 
+/* A task of a lapsed lease has ended with it, even if the process stood still.
+ */
 static void
 end_task(worker_t *worker, guint i, const char *how)
 {
 	const task_t *task = g_ptr_array_index(worker->tasks, i);
 
+	printf("end %s %d %s %lld %s\n", task->name, (int)task->run, worker->id,
+	    (long long)MIN(clock_mono_ms(), worker->lease_end_ms), how);
+	fflush(stdout);
 	json_array_append_new(
 	    worker->ends, json_pack("[I,s,I,s,s]", ++worker->next_end,
 			      task->name, task->run, how, ""));
@@ -151,7 +163,8 @@
 		task->fails = strcmp(spec, "fail") == 0;
 		task->ends_ms = clock_mono_ms() + strtol(spec, NULL, 10);
 		g_ptr_array_add(worker->tasks, task);
-		printf("start %s %d %s\n", name, (int)run, worker->id);
+		printf("start %s %d %s %lld\n", name, (int)run, worker->id,
+		    (long long)clock_mono_ms());
 		fflush(stdout);
 		http_answer_json(request, 200, answer_body());
 	}
@@ -278,7 +291,9 @@
 	char **parts =
 	    g_strsplit(options.controls[next_control % controls], ":", 2);
 	char *path = g_strdup_printf("/api/instances/%s/heartbeat", worker->id);
-	char *address = g_strdup_printf("%s:%d", options.address, worker->port);
+	char *address = g_strdup_printf("%s:%d",
+	    options.advertised != NULL ? options.advertised : options.address,
+	    worker->port);
 	char rack[8];
 	json_t *body;
 	char *text;
@@ -322,15 +337,16 @@
 	worker_t *worker = &workers[number];
 	listener_options_t listen = {
 	    .address = options.address,
-	    .port = (uint16_t)(options.first_port + number),
+	    .port =
+		(uint16_t)(options.first_port + options.first_number + number),
 	    .max_body_bytes = MAX_BODY_BYTES,
 	    .max_connections = MAX_CONNECTIONS,
 	    .idle_timeout_s = IDLE_S,
 	};
 	err_t err = {0};
 
-	worker->number = number;
-	worker->id = g_strdup_printf("w%02d", number);
+	worker->number = options.first_number + number;
+	worker->id = g_strdup_printf("w%02d", worker->number);
 	worker->port = listen.port;
 	worker->tasks = g_ptr_array_new_with_free_func(free_task);
 	worker->ends = json_array();
@@ -394,5 +410,6 @@
 	client_destroy(client);
 	g_strfreev(options.controls);
 	g_free(options.address);
+	g_free(options.advertised);
 	return EXIT_SUCCESS;
 }
