--- a/sched/fleet_events.c
+++ b/sched/fleet_events.c
@@ -5,7 +5,11 @@
 #include "rpc/codec.h"
 #include "sched/fleet_private.h"
 
-/* What the leader decides or sees is committed in batches. */
+/*
+ * What the leader decides or sees is committed in batches, one at a time, and
+ * only within its term: the next leader must not find it after it has decided
+ * otherwise.
+ */
 
 typedef struct {
 	fleet_done_t *done;
--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -283,7 +283,8 @@
 		displaceable_t member = {
 		    .run = set->views->len - 1, .shape = run->shape};
 
-		if (worker == NULL)
+		/* One that has left is not part of the round. */
+		if (worker == NULL || worker->gone)
 			continue;
 		member.worker = worker->plan_index;
 		g_array_append_val(set->members, member);
