Say once what stood twice, and remove what nothing calls

Found in a read of the whole change; behaviour stays as it is.

- Replicas that are found reach the callback as peers of the settings, in place of a conversion in each callback.
- One match of a task and a member; worker records are freed by the codec.
- The longest chain of a job is worked out once a job, not once a unit, in each planning round.
- ledger_tenant, gateway_open_calls and poll_again had no caller.

--- a/common/settings.c
+++ b/common/settings.c
@@ -436,20 +436,30 @@
 	return settings;
 }
 
+/* Returns the text of a file, or NULL and adds the reason to problems. */
+char *
+settings_read_file(const char *path, gsize *len, GPtrArray *problems)
+{
+	GError *error = NULL;
+	char *text;
+
+	if (g_file_get_contents(path, &text, len, &error))
+		return text;
+	g_ptr_array_add(problems, g_strdup(error->message));
+	g_error_free(error);
+	return NULL;
+}
+
 /* Like settings_parse for a file. */
 settings_t *
 settings_load(const char *path, GPtrArray *problems)
 {
 	settings_t *settings;
-	GError *error = NULL;
-	char *text;
 	gsize len;
+	char *text = settings_read_file(path, &len, problems);
 
-	if (!g_file_get_contents(path, &text, &len, &error)) {
-		g_ptr_array_add(problems, g_strdup(error->message));
-		g_error_free(error);
+	if (text == NULL)
 		return NULL;
-	}
 	settings = settings_parse(text, len, path, problems);
 	g_free(text);
 	return settings;
--- a/common/settings.h
+++ b/common/settings.h
@@ -58,6 +58,7 @@
 int settings_add_peer(settings_t *settings, const settings_peer_t *peer);
 const settings_peer_t *settings_peer(
     const settings_t *settings, const char *id);
+char *settings_read_file(const char *path, gsize *len, GPtrArray *problems);
 settings_t *settings_load(const char *path, GPtrArray *problems);
 settings_t *settings_parse(
     const char *text, size_t len, const char *name, GPtrArray *problems);
--- a/common/str.c
+++ b/common/str.c
@@ -94,3 +94,22 @@
 	*value = negative ? -sum : sum;
 	return 0;
 }
+
+/* Splits ADDRESS:PORT at the last colon; false when s is no such text. */
+bool
+str_split_address(str_t s, str_t *address, uint16_t *port)
+{
+	size_t colon = s.len;
+	long long number;
+
+	while (colon > 0 && s.data[colon - 1] != ':')
+		colon--;
+	if (colon == 0 ||
+	    str_to_int64((str_t){s.data + colon, s.len - colon}, &number) !=
+		0 ||
+	    number < 1 || number > UINT16_MAX)
+		return false;
+	*address = (str_t){s.data, colon - 1};
+	*port = (uint16_t)number;
+	return true;
+}
--- a/rpc/endpoint.h
+++ b/rpc/endpoint.h
@@ -38,7 +38,7 @@
  * Tells of a replica that another instance knows and the settings do not name.
  * The callee may add it to the settings and call endpoint_add_peer.
  */
-typedef void endpoint_found_t(void *ctx, const peer_info_t *peer);
+typedef void endpoint_found_t(void *ctx, const settings_peer_t *peer);
 
 endpoint_t *endpoint_create(struct ev_loop *loop, const settings_t *settings,
     uint64_t incarnation, endpoint_serve_t *serve, void *ctx, err_t *err);
--- a/rpc/peer.c
+++ b/rpc/peer.c
@@ -242,9 +242,17 @@
 peer_set_found(peer_set_t *set, const peer_info_t *peers, size_t count)
 {
 	for (size_t i = 0; i < count; i++) {
-		if (set->found != NULL && peers[i].is_replica &&
-		    settings_peer(set->settings, peers[i].id) == NULL)
-			set->found(set->found_ctx, &peers[i]);
+		settings_peer_t peer = {
+		    .id = peers[i].id,
+		    .address = peers[i].address,
+		    .failure_domain = peers[i].domain,
+		    .rpc_port = peers[i].rpc_port,
+		    .is_replica = peers[i].is_replica,
+		};
+
+		if (set->found != NULL && peer.is_replica &&
+		    settings_peer(set->settings, peer.id) == NULL)
+			set->found(set->found_ctx, &peer);
 	}
 }
 
--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -104,15 +104,15 @@
 {
 	const fleet_queue_t *queue =
 	    ledger_queue(fleet_ledger(fleet), job->submit.queue);
-	u_int steps = job->submit.spec.steps.steps_len;
 	int64_t *chains;
+	int64_t work_ms;
 
 	if (queue == NULL)
 		return;
 	if (job->seen_ms == 0)
 		first_seen(fleet, job, queue->priority, now_ms);
-	chains = g_newa(int64_t, steps);
-	urgency_chains(&job->submit.spec, chains);
+	chains = g_newa(int64_t, job->submit.spec.steps.steps_len);
+	work_ms = urgency_chains(&job->submit.spec, chains);
 	for (size_t i = 0; i < job->unit_count; i++) {
 		ledger_unit_t *unit = &job->units[i];
 		waiting_t item = {.unit = unit, .priority = queue->priority};
@@ -123,8 +123,8 @@
 		    !is_due(fleet, unit) || !ledger_unit_is_free(unit))
 			continue;
 		since_ms = waiting_since_ms(unit, now_ms);
-		times = urgency_times(
-		    queue, chains, steps, (size_t)unit->step, since_ms);
+		times =
+		    urgency_times(queue, work_ms, chains[unit->step], since_ms);
 		item.urgency = urgency_at(&times, now_ms);
 		item.latest_start_ms =
 		    since_ms + slack_ms(queue, ledger_step(unit));
--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -40,17 +40,22 @@
 	    "failures", worker->failures);
 }
 
+static bool
+is_task_of(const member_t *member, const task_name_t *task, uint32_t run)
+{
+	return member->run->number == run && member->index == task->index &&
+	       member->run->name.step == task->step &&
+	       member->run->name.occurrence == task->occurrence &&
+	       strcmp(member->run->job, task->job) == 0;
+}
+
 static member_t *
 find_member(const worker_t *worker, const task_name_t *task, uint32_t run)
 {
 	for (guint i = 0; i < worker->members->len; i++) {
 		member_t *member = g_ptr_array_index(worker->members, i);
 
-		if (member->run->number == run &&
-		    member->index == task->index &&
-		    member->run->name.step == task->step &&
-		    member->run->name.occurrence == task->occurrence &&
-		    strcmp(member->run->job, task->job) == 0)
+		if (is_task_of(member, task, run))
 			return member;
 	}
 	return NULL;
@@ -182,11 +187,7 @@
 	for (size_t i = 0; i < answer->running_count; i++) {
 		const running_task_t *task = &answer->running[i];
 
-		if (task->run == member->run->number &&
-		    task->task.index == member->index &&
-		    task->task.step == member->run->name.step &&
-		    task->task.occurrence == member->run->name.occurrence &&
-		    strcmp(task->task.job, member->run->job) == 0)
+		if (is_task_of(member, &task->task, task->run))
 			return true;
 	}
 	return false;
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -34,7 +34,6 @@
 	bool reachable;        /* the last order was answered */
 	bool draining;
 	bool polling;
-	bool poll_again; /* something changed since the poll was sent */
 	bool needs_poll;
 	uint64_t poll_sent; /* fleet_step of the poll under way */
 	int64_t poll_done_ms;
--- a/sched/fleet_workers.c
+++ b/sched/fleet_workers.c
@@ -3,6 +3,7 @@
 
 #include "common/clock.h"
 #include "common/evlog.h"
+#include "rpc/codec.h"
 #include "sched/fleet_private.h"
 
 #define MISSED_BEATS 3
@@ -28,14 +29,6 @@
 		    g_strdup(worker->labels.labels_val[i]);
 }
 
-static void
-free_info(fleet_worker_t *info)
-{
-	xdrproc_t proc = (xdrproc_t)xdr_fleet_worker_t;
-
-	xdr_free(proc, (char *)info);
-}
-
 /* Returns the worker of that id, or NULL. */
 worker_t *
 fleet_worker(const fleet_t *fleet, const char *id)
@@ -78,7 +71,7 @@
 {
 	g_queue_clear_full(&worker->kept, kept_end_free);
 	g_ptr_array_unref(worker->members);
-	free_info(&worker->info);
+	codec_free((xdrproc_t)xdr_fleet_worker_t, &worker->info);
 	g_free(worker);
 }
 
@@ -198,7 +191,7 @@
 	if (info->born != worker->info.born)
 		worker_note_new_incarnation(worker);
 	g_hash_table_steal(worker->fleet->workers, worker->info.id);
-	free_info(&worker->info);
+	codec_free((xdrproc_t)xdr_fleet_worker_t, &worker->info);
 	fleet_worker_copy(&worker->info, info);
 	g_hash_table_insert(worker->fleet->workers, worker->info.id, worker);
 	worker->draining = info->draining;
--- a/sched/gateway.c
+++ b/sched/gateway.c
@@ -324,12 +324,6 @@
 		try_call(call);
 }
 
-size_t
-gateway_open_calls(const gateway_t *gateway)
-{
-	return gateway->calls.length;
-}
-
 /* Starts to poll for a leader among the peers of the settings. */
 gateway_t *
 gateway_create(
--- a/sched/gateway.h
+++ b/sched/gateway.h
@@ -31,4 +31,3 @@
     gateway_done_t *done, void *ctx);
 /* Whether a leader with a configuration was heard of lately. */
 bool gateway_is_ready(const gateway_t *gateway);
-size_t gateway_open_calls(const gateway_t *gateway);
--- a/sched/ledger.c
+++ b/sched/ledger.c
@@ -68,20 +68,6 @@
 	return best;
 }
 
-/* Returns the tenant of that name, or NULL. */
-const fleet_tenant_t *
-ledger_tenant(const ledger_t *ledger, const char *name)
-{
-	for (u_int i = 0; i < ledger->config.tenants.tenants_len; i++) {
-		const fleet_tenant_t *tenant =
-		    &ledger->config.tenants.tenants_val[i];
-
-		if (strcmp(tenant->name, name) == 0)
-			return tenant;
-	}
-	return NULL;
-}
-
 /* Returns the tenant that holds the key, or NULL. */
 const fleet_tenant_t *
 ledger_key_owner(const ledger_t *ledger, const char *key)
--- a/sched/ledger.h
+++ b/sched/ledger.h
@@ -70,7 +70,6 @@
 const fleet_queue_t *ledger_queue(const ledger_t *ledger, const char *name);
 const fleet_queue_t *ledger_route(
     const ledger_t *ledger, str_t host, str_t path);
-const fleet_tenant_t *ledger_tenant(const ledger_t *ledger, const char *name);
 const fleet_tenant_t *ledger_key_owner(const ledger_t *ledger, const char *key);
 
 ledger_job_t *ledger_job(const ledger_t *ledger, const char *id);
--- a/sched/urgency.c
+++ b/sched/urgency.c
@@ -8,12 +8,14 @@
 
 /*
  * Fills in, for each step, the estimated milliseconds of it and of the longest
- * chain of steps that wait for it.  Steps depend on earlier ones only.
+ * chain of steps that wait for it.  Steps depend on earlier ones only.  Returns
+ * the longest chain, which is the work of the job.
  */
-void
+int64_t
 urgency_chains(const batch_spec_t *spec, int64_t *chains)
 {
 	u_int count = spec->steps.steps_len;
+	int64_t work_ms = 0;
 
 	for (u_int s = 0; s < count; s++)
 		chains[s] = 0;
@@ -21,29 +23,31 @@
 		const step_spec_t *step = &spec->steps.steps_val[s];
 
 		chains[s] += step->estimate_ms;
+		work_ms = MAX(work_ms, chains[s]);
 		for (u_int d = 0; d < step->depends_on.depends_on_len; d++) {
 			int on = step->depends_on.depends_on_val[d];
 
 			chains[on] = MAX(chains[on], chains[s]);
 		}
 	}
+	return work_ms;
 }
 
-/* The latest starts of a step of a job that was handed in at since_ms. */
+/*
+ * The latest starts of a step with that chain, in a job of that work which was
+ * handed in at since_ms.
+ */
 urgency_times_t
-urgency_times(const fleet_queue_t *queue, const int64_t *chains,
-    size_t step_count, size_t step, int64_t since_ms)
+urgency_times(const fleet_queue_t *queue, int64_t work_ms, int64_t chain_ms,
+    int64_t since_ms)
 {
-	int64_t work_ms = 0;
-	int64_t objective_ms;
+	int64_t objective_ms =
+	    queue->target_latency_ms +
+	    work_ms * MAX(queue->stretch_milli, PERMILLE) / PERMILLE;
 
-	for (size_t s = 0; s < step_count; s++)
-		work_ms = MAX(work_ms, chains[s]);
-	objective_ms = queue->target_latency_ms +
-		       work_ms * MAX(queue->stretch_milli, PERMILLE) / PERMILLE;
 	return (urgency_times_t){
-	    .on_time_ms = since_ms + objective_ms - chains[step],
-	    .late_ms = since_ms + objective_ms * LATE_FACTOR - chains[step],
+	    .on_time_ms = since_ms + objective_ms - chain_ms,
+	    .late_ms = since_ms + objective_ms * LATE_FACTOR - chain_ms,
 	};
 }
 
--- a/tests/unit/test_common.c
+++ b/tests/unit/test_common.c
@@ -30,6 +30,27 @@
 }
 END_TEST
 
+/* Guards against ports out of range and addresses without one. */
+START_TEST(str_addresses)
+{
+	static const char *const refused[] = {"", ":", "10.0.0.1",
+	    "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1",
+	    "10.0.0.1:80x"};
+	str_t address;
+	uint16_t port;
+
+	ck_assert(
+	    str_split_address(STR_LIT("10.0.0.1:65535"), &address, &port));
+	ck_assert(str_equal(address, STR_LIT("10.0.0.1")));
+	ck_assert_int_eq(port, 65535);
+	ck_assert(str_split_address(STR_LIT("::1:80"), &address, &port));
+	ck_assert(str_equal(address, STR_LIT("::1")));
+	for (size_t i = 0; i < G_N_ELEMENTS(refused); i++)
+		ck_assert(
+		    !str_split_address(str_from(refused[i]), &address, &port));
+}
+END_TEST
+
 /* Guards against a quantile error above the stated bound of 1/16. */
 START_TEST(histogram_error_bound)
 {
@@ -102,6 +123,7 @@
 	TCase *tcase = tcase_create("common");
 
 	tcase_add_test(tcase, str_integers);
+	tcase_add_test(tcase, str_addresses);
 	tcase_add_test(tcase, histogram_error_bound);
 	tcase_add_test(tcase, charts);
 	tcase_add_test(tcase, settings_problems);
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -44,24 +44,17 @@
 }
 
 static void
-on_found(void *ctx, const peer_info_t *info)
+on_found(void *ctx, const settings_peer_t *peer)
 {
 	bed_t *bed = ctx;
-	settings_peer_t peer = {
-	    .id = info->id,
-	    .address = info->address,
-	    .failure_domain = info->domain,
-	    .rpc_port = info->rpc_port,
-	    .is_replica = info->is_replica,
-	};
 
-	if (settings_add_peer(bed->entry, &peer) == 0)
+	if (settings_add_peer(bed->entry, peer) == 0)
 		endpoint_add_peer(
-		    bed->endpoints[0], settings_peer(bed->entry, info->id));
+		    bed->endpoints[0], settings_peer(bed->entry, peer->id));
 }
 
 static void
-ignore_found(void *ctx, const peer_info_t *info)
+ignore_found(void *ctx, const settings_peer_t *peer)
 {
 }
 
--- a/tests/unit/test_replica.c
+++ b/tests/unit/test_replica.c
@@ -209,9 +209,8 @@
 		       has(put->bed, put->node, put->name);
 }
 
-static void
-put_start(
-    bed_t *bed, int node, put_t *put, const char *name, int64_t deadline_ms)
+static command_t
+put_command(bed_t *bed, int node, put_t *put, const char *name)
 {
 	command_t command = {.kind = COMMAND_INSTANCE};
 
@@ -219,6 +218,15 @@
 	g_strlcpy(put->name, name, sizeof(put->name));
 	command.command_t_u.instance.id = put->name;
 	command.command_t_u.instance.time_ms = clock_real_ms();
+	return command;
+}
+
+static void
+put_start(
+    bed_t *bed, int node, put_t *put, const char *name, int64_t deadline_ms)
+{
+	command_t command = put_command(bed, node, put, name);
+
 	replica_propose(
 	    bed->nodes[node].replica, &command, deadline_ms, put_done, put);
 	ck_assert_int_eq(put->ended, 0);
@@ -410,12 +418,8 @@
 static void
 put_in_term(bed_t *bed, int node, put_t *put, const char *name, uint64_t term)
 {
-	command_t command = {.kind = COMMAND_INSTANCE};
+	command_t command = put_command(bed, node, put, name);
 
-	*put = (put_t){.bed = bed, .node = node};
-	g_strlcpy(put->name, name, sizeof(put->name));
-	command.command_t_u.instance.id = put->name;
-	command.command_t_u.instance.time_ms = clock_real_ms();
 	replica_propose_in_term(
 	    bed->nodes[node].replica, &command, term, put_done, put);
 }
--- a/tests/unit/test_urgency.c
+++ b/tests/unit/test_urgency.c
@@ -62,13 +62,12 @@
 replay(bool by_urgency)
 {
 	load_t load = {0};
-	int64_t chain = WORK_MS;
 	int on_time = 0;
 
 	for (int64_t at = 0; at < BURST_MS; at += BURST_INTERVAL_MS)
 		load.jobs[load.count++] = (job_t){
 		    .handed_in_ms = at,
-		    .times = urgency_times(&queue, &chain, 1, 0, at),
+		    .times = urgency_times(&queue, WORK_MS, WORK_MS, at),
 		};
 	for (int64_t now = 0; now < 4 * BURST_MS; now += TICK_MS) {
 		for (int slot = 0; slot < SLOTS; slot++) {
@@ -116,13 +115,13 @@
 	urgency_times_t last;
 	int64_t chains[3];
 
-	urgency_chains(&spec, chains);
+	ck_assert_int_eq(urgency_chains(&spec, chains), 4500);
 	ck_assert_int_eq(chains[0], 4500);
 	ck_assert_int_eq(chains[1], 3500);
 	ck_assert_int_eq(chains[2], 500);
 	/* The objective is 250 + 1.5 * 4500 = 7000 ms after the hand-in. */
-	first = urgency_times(&queue, chains, 3, 0, 100);
-	last = urgency_times(&queue, chains, 3, 2, 100);
+	first = urgency_times(&queue, 4500, chains[0], 100);
+	last = urgency_times(&queue, 4500, chains[2], 100);
 	ck_assert_int_eq(first.on_time_ms, 100 + 7000 - 4500);
 	ck_assert_int_eq(last.on_time_ms, 100 + 7000 - 500);
 	ck_assert_int_eq(last.late_ms, 100 + 3 * 7000 - 500);
