entry: answer "unknown" when a request that was sent before is refused

The caller's log shows a first sending without an answer for 12 s (its claim waited at a leader that was frozen), then a resend of the key, refused within 1 ms as not run by an instance without a majority. The first sending ran afterwards.

Ruled out: a second run of the task (the ledger shows one start), a late claim of the refused sending (it never proposed one).

Change: a caller that sends a key again says so (X-Chervilhold-Resend), and a refusal for the moment is then "unknown". The stand-in caller sets the header, and prints refusals and what was sent again, with times.

Test: test_entry refused_resend, failing before.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -60,6 +60,20 @@
 	return body;
 }
 
+/* Whether the caller says that it has sent the same key before. */
+bool
+entry_is_resend(http_request_t *http)
+{
+	return http_header(http, "X-Chervilhold-Resend").data != NULL;
+}
+
+/* A refusal for the moment says nothing about an earlier sending. */
+static bool
+is_for_the_moment(int status)
+{
+	return status == 429 || status == 503;
+}
+
 /* Answers with an error. */
 void
 entry_refuse(entry_t *entry, http_request_t *http, int status,
@@ -73,6 +87,9 @@
 	text = g_strdup_vprintf(format, args);
 	va_end(args);
 	metrics_refusal(error);
+	if (is_for_the_moment(status) && entry_is_resend(http) &&
+	    strcmp(outcome, outcome_name(OUTCOME_DID_NOT_RUN)) == 0)
+		outcome = outcome_name(OUTCOME_UNKNOWN);
 	http_answer_json(http, status,
 	    entry_error(entry, outcome, error, path, retry_after_ms, text));
 	g_free(text);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -84,6 +84,7 @@
 	lane_t slot_lane;
 	bool holds_slot;
 	bool may_have_run; /* some attempt was sent and its fate is not known */
+	bool resent;       /* its caller has sent it before */
 	bool requeued;     /* as batch */
 	bool lane_changed; /* since it was queued last */
 	bool no_forward;
@@ -224,6 +225,7 @@
 void entry_new_id(entry_t *entry, const char *prefix, char *id, size_t size);
 json_t *entry_error(entry_t *entry, const char *outcome, const char *error,
     const char *path, int64_t retry_after_ms, const char *text);
+bool entry_is_resend(http_request_t *http);
 void entry_refuse(entry_t *entry, http_request_t *http, int status,
     const char *outcome, const char *error, const char *path,
     int64_t retry_after_ms, const char *format, ...)
--- a/entry/requests.c
+++ b/entry/requests.c
@@ -13,6 +13,8 @@
 #define DEFAULT_BURST 200.0
 #define DEFAULT_QUEUE 500
 #define NO_BACKEND_RETRY_MS 1000
+/* A key that can't be used: no sending of this body under it has run. */
+#define STATUS_NEVER_VALID 422
 
 typedef struct {
 	const char *tenant;
@@ -146,8 +148,11 @@
 {
 	char *text = g_strdup_vprintf(format, args);
 
-	/* A refusal after a lost attempt does not undo that attempt. */
-	if (outcome == OUTCOME_DID_NOT_RUN && request->may_have_run)
+	/* A refusal does not undo a lost attempt, nor an earlier sending whose
+	 * fate is not known here. */
+	if (outcome == OUTCOME_DID_NOT_RUN &&
+	    (request->may_have_run ||
+		(request->resent && status != STATUS_NEVER_VALID)))
 		outcome = OUTCOME_UNKNOWN;
 	if (outcome == OUTCOME_DID_NOT_RUN)
 		metrics_refusal(error);
@@ -480,6 +485,7 @@
 	entry_new_id(entry, "", id, sizeof(id));
 	request = request_create(entry, id);
 	request->digest = digest;
+	request->resent = entry_is_resend(http);
 	request->http = http;
 	http_add_header(http, "X-Chervilhold-Request", id);
 	http_on_gone(http, on_gone, request);
--- a/tests/standin/caller_main.c
+++ b/tests/standin/caller_main.c
@@ -101,6 +101,7 @@
 	struct curl_slist *headers;
 	int64_t start_us;
 	int sends;
+	bool marked; /* as sent again */
 	guint url_index;
 	bool is_copy; /* one of --duplicate */
 } call_t;
@@ -116,7 +117,8 @@
 	histogram_t *done_us;
 	histogram_t *refused_us;
 	int64_t start_us;
-	GArray *buckets; /* pairs of done and refused */
+	GArray *buckets;    /* pairs of done and refused */
+	GHashTable *errors; /* text of a final refusal -> how often */
 	guint next_url;
 } state;
 
@@ -161,6 +163,17 @@
 	return text;
 }
 
+/* Says that the key was sent before. */
+static void
+mark_as_resend(call_t *call)
+{
+	if (call->marked)
+		return;
+	call->marked = true;
+	call->headers =
+	    curl_slist_append(call->headers, "X-Chervilhold-Resend: 1");
+}
+
 /* Sends the call to the next URL. */
 static void
 send_call(call_t *call)
@@ -171,6 +184,8 @@
 
 	if (call->curl != NULL)
 		curl_easy_cleanup(call->curl);
+	if (call->sends > 0 || call->is_copy)
+		mark_as_resend(call);
 	call->curl = curl_easy_init();
 	g_string_truncate(call->answer, 0);
 	curl_easy_setopt(call->curl, CURLOPT_URL, url);
@@ -262,6 +277,23 @@
 	return kind;
 }
 
+/* Counts why calls were refused in the end. */
+static void
+count_error(const call_t *call)
+{
+	json_t *answer =
+	    json_loadb(call->answer->str, call->answer->len, 0, NULL);
+	const char *error = json_string_value(json_object_get(answer, "error"));
+	gpointer count;
+
+	if (error != NULL) {
+		count = g_hash_table_lookup(state.errors, error);
+		g_hash_table_insert(state.errors, g_strdup(error),
+		    GINT_TO_POINTER(GPOINTER_TO_INT(count) + 1));
+	}
+	json_decref(answer);
+}
+
 static void
 count_bucket(answer_kind_t kind)
 {
@@ -287,15 +319,24 @@
 	curl_multi_remove_handle(state.multi, call->curl);
 	if ((kind == ANSWER_LOST || kind == ANSWER_UNKNOWN) &&
 	    call->sends <= options.resend) {
+		fprintf(stderr, "%" G_GINT64_FORMAT " us: %s %s: %s\n",
+		    clock_mono_us() - state.start_us, call->tag,
+		    answer_names[kind], call->answer->str);
 		state.resent++;
 		send_call(call);
 		return;
 	}
 	state.counts[kind]++;
 	state.open--;
+	if (kind != ANSWER_DONE)
+		count_error(call);
 	count_bucket(kind);
 	histogram_record(
 	    kind == ANSWER_DONE ? state.done_us : state.refused_us, took_us);
+	if (call->sends > 1 || kind != ANSWER_DONE)
+		fprintf(stderr, "%" G_GINT64_FORMAT " us: %s at last %s: %s\n",
+		    clock_mono_us() - state.start_us, call->tag,
+		    answer_names[kind], call->answer->str);
 	if (state.ledger != NULL)
 		fprintf(state.ledger, "%s %s%s %s\n", call->tag,
 		    answer_names[kind], call->is_copy ? " copy" : " first",
@@ -386,12 +427,19 @@
 print_summary(void)
 {
 	int64_t total_us = clock_mono_us() - state.start_us;
+	GHashTableIter iter;
+	gpointer error;
+	gpointer count;
 
 	printf("sent %lld\n", (long long)state.sent);
 	for (int kind = 0; kind < ANSWER_KINDS; kind++)
 		printf("%s %lld\n", answer_names[kind],
 		    (long long)state.counts[kind]);
 	printf("resent %lld\n", (long long)state.resent);
+	g_hash_table_iter_init(&iter, state.errors);
+	while (g_hash_table_iter_next(&iter, &error, &count))
+		printf("error_%s %d\n", (const char *)error,
+		    GPOINTER_TO_INT(count));
 	printf("done_p50_us %lld\n",
 	    (long long)histogram_quantile(state.done_us, 0.5));
 	printf("done_p99_us %lld\n",
@@ -431,6 +479,8 @@
 	state.done_us = histogram_create();
 	state.refused_us = histogram_create();
 	state.buckets = g_array_new(FALSE, TRUE, sizeof(int64_t));
+	state.errors =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	state.start_us = clock_mono_us();
 	if (options.stages != NULL)
 		run_open();
--- a/tests/unit/entry_world.h
+++ b/tests/unit/entry_world.h
@@ -20,6 +20,8 @@
 #define LONG_LEASE "\"worker_lease_ms\":600000,"
 
 static struct ev_loop *loop;
+/* Whether calls say that they are sent again. */
+static bool calls_are_resent;
 
 typedef struct {
 	char id[16];
@@ -334,6 +336,8 @@
 	    "%s %s HTTP/1.1\r\nHost: h\r\nConnection: close\r\n", method, path);
 	if (key != NULL)
 		g_string_append_printf(text, "Idempotency-Key: %s\r\n", key);
+	if (calls_are_resent)
+		g_string_append(text, "X-Chervilhold-Resend: 1\r\n");
 	g_string_append_printf(text, "Content-Length: %zu\r\n\r\n%s",
 	    body != NULL ? strlen(body) : 0, body != NULL ? body : "");
 	ck_assert_int_eq(send(call->fd, text->str, text->len, MSG_NOSIGNAL),
--- a/tests/unit/test_entry.c
+++ b/tests/unit/test_entry.c
@@ -191,6 +191,32 @@
 }
 END_TEST
 
+/*
+ * Guards against "did not run" about a key that was sent before: the instance
+ * that refuses the resend does not know what became of the first sending.
+ */
+START_TEST(refused_resend)
+{
+	worker_t worker;
+	call_t call;
+
+	world_start(1, LONG_LEASE);
+	worker_start(&worker, "w1", "d1", 8);
+	worker_announce(&worker, 0);
+	calls_are_resent = true;
+	fake.confirmed = false;
+	call_do(&call, 0, "POST", "/v1/requests", key_of(1), PLAN("p", 0));
+	check_error(&call, 503, "unknown", "no_quorum");
+	calls_are_resent = false;
+	call_do(&call, 0, "POST", "/v1/requests", key_of(1), PLAN("p", 0));
+	check_error(&call, 503, "did_not_run", "no_quorum");
+	fake.confirmed = true;
+	ck_assert_int_eq(worker.puts, 0);
+	worker_stop(&worker);
+	world_stop();
+}
+END_TEST
+
 /* Guards against a rerun of a task whose answer got lost. */
 START_TEST(answer_lost)
 {
@@ -467,6 +493,7 @@
 	tcase_add_test(tcase, claim_before_dispatch);
 	tcase_add_test(tcase, resend_while_running);
 	tcase_add_test(tcase, no_majority);
+	tcase_add_test(tcase, refused_resend);
 	tcase_add_test(tcase, answer_lost);
 	tcase_add_test(tcase, request_lost);
 	tcase_add_test(tcase, worker_restarted);
