sched: urgent jobs within their tenant's guarantee go first

Cause: the guaranteed number of a tenant was decoded and not used. Urgent jobs of one tenant could fill the fleet, and those of another waited until they ended, whatever it had been promised (test_fleet guarantee_is_reclaimed, failing before).

Change: sched/guarantee (pure) marks, oldest first, the urgent jobs that what their tenant is guaranteed covers. Until the bound of the deployment has passed they are placed before others, and after 40% of it they may displace urgent runs that are not covered, and leave their rack.

A covered job that is past its bound has no claim.

--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -18,6 +18,7 @@
 	int64_t worker_beat_ms; /* interval of the workers' announcements */
 	int64_t lease_ms;       /* of what runs on a worker */
 	int64_t keep_ended_ms;  /* how long an ended job can be read */
+	int64_t reclaim_ms;     /* until covered urgent work has begun */
 } fleet_bounds_t;
 
 /* What a worker announces about itself. */
--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -6,28 +6,41 @@
 #include "common/evlog.h"
 #include "sched/displace.h"
 #include "sched/fleet_private.h"
+#include "sched/guarantee.h"
 #include "sched/urgency.h"
 
 /*
  * Load at its worst: demand above the room, gangs among many small tasks.  The
- * units that wait are placed by priority, those that can still be on time
- * before those that are late, then by the latest time at which they can start
- * and meet the objective of their queue.
+ * units that wait are placed by priority, those that their tenant's guarantee
+ * covers before others, those that can still be on time before those that are
+ * late, then by the latest time at which they can start and meet the objective
+ * of their queue.
  */
 
 #define PERMILLE 1000
+#define PERCENT 100
 /* A clock that was set must not make a job older than that. */
 #define MAX_AGE_MS 60000
 /* A view of the workers is complete this long after a takeover. */
 #define VIEW_COMPLETE_MS 5000
 /* Evidence against a worker, in the planner's unit. */
 #define PENALTY_SUSPECT 10
+/* Urgent work is stopped only where nothing else would do. */
+#define URGENT_LOSS_FACTOR 100
+/*
+ * Share of the bound for guarantees during which a covered unit waits for its
+ * rack, and for other urgent work to end: most of that is short.
+ */
+#define RECLAIM_PATIENCE_PERCENT 40
 
 typedef struct {
 	ledger_unit_t *unit;
 	int priority;
 	urgency_t urgency;
 	int64_t latest_start_ms;
+	bool covered;          /* by the guarantee of its tenant */
+	int64_t reclaim_ms;    /* from then on at the cost of urgent work */
+	int64_t may_spread_ms; /* from then on without its rack */
 } waiting_t;
 
 typedef struct {
@@ -128,10 +141,51 @@
 		item.urgency = urgency_at(&times, now_ms);
 		item.latest_start_ms =
 		    since_ms + slack_ms(queue, ledger_step(unit));
+		/* Past the bound it has no claim before others any more. */
+		item.covered = job->covered &&
+			       now_ms <= since_ms + fleet->bounds.reclaim_ms;
+		item.reclaim_ms = since_ms + fleet->bounds.reclaim_ms *
+						 RECLAIM_PATIENCE_PERCENT /
+						 PERCENT;
+		item.may_spread_ms =
+		    item.covered ? MIN(item.latest_start_ms, item.reclaim_ms)
+				 : item.latest_start_ms;
 		g_array_append_val(waiting, item);
 	}
 }
 
+/* Finds out which urgent jobs the guarantees of their tenants cover. */
+static void
+cover_jobs(fleet_t *fleet)
+{
+	const ledger_t *ledger = fleet_ledger(fleet);
+	const fleet_config_t *config = ledger_config(ledger);
+	GQueue *open = ledger_open_jobs(fleet_ledger(fleet));
+	guarantee_job_t *entries = g_new0(guarantee_job_t, open->length);
+	ledger_job_t **jobs = g_new0(ledger_job_t *, open->length);
+	size_t count = 0;
+
+	for (GList *at = open->head; at != NULL; at = at->next) {
+		ledger_job_t *job = at->data;
+		const fleet_queue_t *queue =
+		    ledger_queue(ledger, job->submit.queue);
+
+		job->covered = false;
+		if (queue == NULL || queue->priority != 0)
+			continue;
+		entries[count].tenant = job->submit.tenant;
+		entries[count].accelerators =
+		    guarantee_demand(&job->submit.spec);
+		jobs[count++] = job;
+	}
+	guarantee_mark(entries, count, config->tenants.tenants_val,
+	    config->tenants.tenants_len);
+	for (size_t i = 0; i < count; i++)
+		jobs[i]->covered = entries[i].covered;
+	g_free(entries);
+	g_free(jobs);
+}
+
 static gint
 compare_waiting(gconstpointer a, gconstpointer b)
 {
@@ -140,6 +194,8 @@
 
 	if (first->priority != second->priority)
 		return first->priority - second->priority;
+	if (first->covered != second->covered)
+		return first->covered ? -1 : 1;
 	if (first->urgency != second->urgency)
 		return first->urgency < second->urgency ? -1 : 1;
 	if (first->latest_start_ms != second->latest_start_ms)
@@ -157,6 +213,7 @@
 	GArray *waiting = g_array_new(FALSE, FALSE, sizeof(waiting_t));
 	GQueue *open = ledger_open_jobs(fleet_ledger(fleet));
 
+	cover_jobs(fleet);
 	for (GList *at = open->head; at != NULL; at = at->next)
 		collect_job(fleet, at->data, now_ms, waiting);
 	g_array_sort(waiting, compare_waiting);
@@ -220,10 +277,21 @@
 }
 
 static bool
-may_displace(const run_t *run, int priority)
+is_covered(const run_t *run)
+{
+	return run->unit != NULL && run->unit->job->covered;
+}
+
+/* Covered work may displace whatever is not covered itself, if it has to. */
+static bool
+may_displace(const run_t *run, const waiting_t *item, int64_t now_ms)
 {
-	return run->committed && !run->stopping && !run->any_done &&
-	       !run->step->long_running && run->priority > priority;
+	if (!run->committed || run->stopping || run->any_done ||
+	    run->step->long_running)
+		return false;
+	return run->priority > item->priority ||
+	       (item->covered && now_ms >= item->reclaim_ms &&
+		   !is_covered(run));
 }
 
 /* Counts tasks of the same step, where only some may share a worker. */
@@ -256,12 +324,15 @@
 loss_of(const run_t *run, int64_t now_ms)
 {
 	int64_t ran_ms = now_ms - run->started_ms;
-	int64_t cores = run->shape.cpu_milli / PERMILLE +
-			8 * (int64_t)run->shape.accelerators;
+	int64_t cores = MAX(run->shape.cpu_milli / PERMILLE +
+				8 * (int64_t)run->shape.accelerators,
+	    1);
 
 	if (run->step->checkpoints)
 		ran_ms = MIN(ran_ms, CLOCK_MS_PER_S);
-	return ran_ms * MAX(cores, 1) * run->member_count;
+	if (run->priority == 0)
+		cores *= URGENT_LOSS_FACTOR;
+	return ran_ms * cores * run->member_count;
 }
 
 /* What may be stopped for a unit, as displace_choose takes it. */
@@ -300,7 +371,7 @@
 	for (guint i = 0; i < runs->len; i++) {
 		run_t *run = g_ptr_array_index(runs, i);
 
-		if (may_displace(run, item->priority))
+		if (may_displace(run, item, round->now_ms))
 			add_displaceable(set, run, round->now_ms);
 	}
 }
@@ -523,7 +594,7 @@
 		unit.needs_ticket = true;
 	}
 	unit.may_spread = !wish_is_possible(round, &unit) ||
-			  round->now_ms > item->latest_start_ms;
+			  round->now_ms > item->may_spread_ms;
 	if (plan(round, item, &unit, PLAN_FREE)) {
 		start_unit(round, item);
 		reserve(round, unit.step);
--- a/sched/ledger.h
+++ b/sched/ledger.h
@@ -51,6 +51,7 @@
 	int64_t seen_ms;   /* handed in */
 	int64_t ended_ms;  /* found ended */
 	int64_t forget_ms; /* last asked to forget it */
+	bool covered;      /* urgent and within its tenant's guarantee */
 	GList link;        /* in the list of open jobs, or of ended ones */
 };
 
--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -404,6 +404,7 @@
 	    .worker_beat_ms = BEAT_MS,
 	    .lease_ms = BED_LEASE_MS,
 	    .keep_ended_ms = BED_KEEP_MS,
+	    .reclaim_ms = BED_RECLAIM_MS,
 	};
 	worker_orders_t orders = {.start = send_start,
 	    .stop = send_stop,
@@ -566,17 +567,28 @@
 {
 	fleet_queue_t queues[] = {
 	    queue_of("urgent", 0), queue_of("batch", 1), queue_of("prompt", 1)};
+	fleet_tenant_t tenants[] = {
+	    {.name = (char *)"hall", .guaranteed_accelerators = 16},
+	};
 	command_t command = {.kind = COMMAND_FLEET_CONFIG};
 
 	queues[2].target_latency_ms = 200;
-	command.command_t_u.fleet_config = (fleet_config_t){
-	    .number = 1, .queues = {G_N_ELEMENTS(queues), queues}};
+	command.command_t_u.fleet_config = (fleet_config_t){.number = 1,
+	    .queues = {G_N_ELEMENTS(queues), queues},
+	    .tenants = {G_N_ELEMENTS(tenants), tenants}};
 	propose(bed, &command);
 }
 
 void
 bed_submit(bed_t *bed, const char *id, const char *queue, int tasks,
     int accelerators, bool gang)
+{
+	bed_submit_for(bed, "", id, queue, tasks, accelerators, gang);
+}
+
+void
+bed_submit_for(bed_t *bed, const char *tenant, const char *id,
+    const char *queue, int tasks, int accelerators, bool gang)
 {
 	step_spec_t step = {
 	    .count = tasks,
@@ -592,7 +604,7 @@
 	command.command_t_u.batch_submit = (batch_submit_t){
 	    .id = (char *)id,
 	    .queue = (char *)queue,
-	    .tenant = (char *)"",
+	    .tenant = (char *)tenant,
 	    .submitted_ms = clock_real_ms(),
 	    .spec = {.payload = {4, (char *)"spec"}, .steps = {1, &step}},
 	};
--- a/tests/unit/fleet_bed.h
+++ b/tests/unit/fleet_bed.h
@@ -16,6 +16,7 @@
 #define BED_WORKERS 8
 #define BED_LEASE_MS 400
 #define BED_KEEP_MS 3000
+#define BED_RECLAIM_MS 1000
 
 /* A task on a worker. */
 typedef struct {
@@ -64,6 +65,9 @@
  * "prompt" (1, late 0.7 s after it was handed in). */
 void bed_submit(bed_t *bed, const char *id, const char *queue, int tasks,
     int accelerators, bool gang);
+/* The same of a tenant: "hall" is guaranteed 16 accelerators, others none. */
+void bed_submit_for(bed_t *bed, const char *tenant, const char *id,
+    const char *queue, int tasks, int accelerators, bool gang);
 void bed_cancel(bed_t *bed, const char *id);
 void bed_announce(bed_t *bed, size_t worker);
 void bed_restart_worker(bed_t *bed, size_t worker);
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -320,6 +320,35 @@
 }
 END_TEST
 
+static bool
+half_runs(void *ctx)
+{
+	return bed_running(ctx, OTHER) == 2;
+}
+
+/*
+ * Load pattern: urgent jobs of one tenant fill the fleet when another one calls
+ * in what it was guaranteed.  Guards against a guarantee that waits for them,
+ * and against covered work that is stopped for other urgent work.
+ */
+START_TEST(guarantee_is_reclaimed)
+{
+	bed_t bed;
+
+	bed_open(&bed, 4, 8);
+	bed_submit_for(&bed, "desk", JOB, "urgent", 4, 8, true);
+	WAIT(&bed, four_run);
+	bed_submit_for(&bed, "hall", OTHER, "urgent", 2, 8, true);
+	WAIT(&bed, half_runs);
+	ck_assert_int_eq(bed_running(&bed, JOB), 0);
+	bed_submit_for(&bed, "hall", THIRD, "urgent", 3, 8, true);
+	bed_run_for(&bed, 300);
+	ck_assert_int_eq(bed_running(&bed, OTHER), 2);
+	ck_assert(!bed.two_runs);
+	bed_close(&bed);
+}
+END_TEST
+
 static bool
 others_fill(void *ctx)
 {
@@ -442,6 +471,7 @@
 	tcase_add_test(tcase, attempts_end);
 	tcase_add_test(tcase, cancel_stops);
 	tcase_add_test(tcase, urgent_displaces);
+	tcase_add_test(tcase, guarantee_is_reclaimed);
 	tcase_add_test(tcase, keeps_headroom);
 	tcase_add_test(tcase, late_after_on_time);
 	tcase_add_test(tcase, ended_jobs_are_forgotten);
--- /dev/null
+++ b/tests/unit/test_guarantee.c
@@ -0,0 +1,75 @@
+#include <glib.h>
+
+#include "sched/guarantee.h"
+#include "tests/unit/runner.h"
+
+static fleet_tenant_t tenants[] = {
+    {.name = (char *)"hall", .guaranteed_accelerators = 16},
+    {.name = (char *)"desk", .guaranteed_accelerators = 8},
+};
+
+/*
+ * Load pattern: a burst of one tenant's urgent jobs.  Guards against a tenant
+ * that gets more than its guarantee before others get theirs, and against a job
+ * that is not covered although the tenant's earlier ones leave enough.
+ */
+START_TEST(burst_of_one_tenant)
+{
+	guarantee_job_t jobs[] = {
+	    {.tenant = "hall", .accelerators = 8},
+	    {.tenant = "hall", .accelerators = 12},
+	    {.tenant = "hall", .accelerators = 8},
+	    {.tenant = "hall", .accelerators = 1},
+	    {.tenant = "desk", .accelerators = 8},
+	    {.tenant = "other", .accelerators = 1},
+	};
+	const bool covered[] = {true, false, true, false, true, false};
+
+	guarantee_mark(
+	    jobs, G_N_ELEMENTS(jobs), tenants, G_N_ELEMENTS(tenants));
+	for (size_t i = 0; i < G_N_ELEMENTS(jobs); i++)
+		ck_assert_int_eq(jobs[i].covered, covered[i]);
+}
+END_TEST
+
+/* Guards against a covered job that loses its cover when others arrive. */
+START_TEST(cover_stays)
+{
+	guarantee_job_t jobs[] = {
+	    {.tenant = "hall", .accelerators = 16},
+	    {.tenant = "hall", .accelerators = 1},
+	};
+
+	for (size_t count = 1; count <= G_N_ELEMENTS(jobs); count++) {
+		guarantee_mark(jobs, count, tenants, G_N_ELEMENTS(tenants));
+		ck_assert(jobs[0].covered);
+	}
+	ck_assert(!jobs[1].covered);
+}
+END_TEST
+
+/* Guards against a demand that counts steps which run one after another. */
+START_TEST(largest_step_counts)
+{
+	step_spec_t steps[] = {
+	    {.count = 2, .shape = {1000, 1000, 4}},
+	    {.count = 3, .shape = {1000, 1000, 1}},
+	};
+	batch_spec_t spec = {.steps = {2, steps}};
+
+	ck_assert_int_eq(guarantee_demand(&spec), 8);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("guarantee");
+	TCase *tcase = tcase_create("guarantee");
+
+	tcase_add_test(tcase, burst_of_one_tenant);
+	tcase_add_test(tcase, cover_stays);
+	tcase_add_test(tcase, largest_step_counts);
+	suite_add_tcase(suite, tcase);
+	return unit_run(suite, CK_NOFORK);
+}
