--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -477,9 +477,10 @@
 	}
 	run = run_create(round->fleet, unit, unit->run + 1, places);
 	fleet_event_start(round->fleet, run);
-	evlog("place", "{s:s,s:i,s:i,s:i,s:i,s:i,s:s,s:i,s:i,s:I,s:I}", "job",
-	    run->job, "occurrence", unit->occurrence, "step", unit->step,
-	    "unit", unit->first, "run", (int)run->number, "members",
+	evlog("place", "{s:s,s:s,s:b,s:i,s:i,s:i,s:i,s:i,s:s,s:i,s:i,s:I,s:I}",
+	    "job", run->job, "queue", unit->job->submit.queue, "covered",
+	    (int)unit->job->covered, "occurrence", unit->occurrence, "step",
+	    unit->step, "unit", unit->first, "run", (int)run->number, "members",
 	    unit->members, "worker", places[0].worker, "racks", racks,
 	    "penalty", penalty, "waited_ms",
 	    (json_int_t)(round->now_ms - unit->job->seen_ms), "slack_ms",
