--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -15,6 +15,8 @@
 #define POLL_WAIT_SHARED_MS 500
 #define POLL_WAIT_LEASE_PERCENT 40
 #define POLL_ANSWER_MS 1000
+/* So that a worker which was cut off is found before its lease ends. */
+#define POLL_ANSWER_UNREACHABLE_MS 300
 /* Longest wait for the commit of ends before the next poll. */
 #define POLL_HOLD_MS 40
 /* A worker that lists ends answers at once; these are not settled yet. */
@@ -350,6 +352,8 @@
 			order.wait_ms = poll_wait_ms(worker);
 		target.timeout_ms += order.wait_ms;
 	}
+	if (!worker->reachable)
+		target.timeout_ms = POLL_ANSWER_UNREACHABLE_MS;
 	worker->needs_poll = false;
 	worker->asked_end = order.acknowledged;
 	worker->polling = true;
--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -254,6 +254,8 @@
 	if (worker == NULL || worker->silent || order->lost) {
 		if (clock_mono_ms() < order->until_ms)
 			return false;
+		if (worker != NULL && order->kind == ORDER_POLL)
+			worker->unanswered_polls++;
 		answer(order, ORDER_NO_ANSWER);
 		return true;
 	}
@@ -362,7 +364,12 @@
 {
 	order_t *order =
 	    add_order(ctx, ORDER_POLL, target, NULL, done, done_ctx);
+	bed_worker_t *worker;
 
+	worker = find_worker(order->bed, order->worker);
+	if (worker != NULL && worker->unanswered_polls > 0)
+		worker->patience_ms =
+		    MAX(worker->patience_ms, target->timeout_ms);
 	order->lease_end_ms = poll->lease_end_ms;
 	order->acknowledged = poll->acknowledged;
 	if (poll->wait_ms == 0)
--- a/tests/unit/fleet_bed.h
+++ b/tests/unit/fleet_bed.h
@@ -38,6 +38,8 @@
 	int starts;
 	int stops;
 	int misdirected; /* starts for an incarnation that has ended */
+	int unanswered_polls;
+	int64_t patience_ms; /* of the polls after one without an answer */
 } bed_worker_t;
 
 typedef struct {
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -132,6 +132,32 @@
 }
 END_TEST
 
+/*
+ * Load pattern: workers are cut off for nearly as long as their lease lasts.
+ * Guards against a healed cut that is noticed too late to renew the lease,
+ * because a call from the time of the cut is still waited for.
+ */
+START_TEST(cut_is_retried_soon)
+{
+	bed_t bed;
+	int cut;
+
+	bed_open(&bed, 2, 8);
+	bed_submit(&bed, JOB, "batch", 1, 8, false);
+	WAIT(&bed, one_runs);
+	cut = bed.workers[0].tasks->len > 0 ? 0 : 1;
+	bed.workers[cut].silent = true;
+	while (bed.workers[cut].unanswered_polls < 2)
+		bed_run_for(&bed, 5);
+	ck_assert_int_gt(bed.workers[cut].patience_ms, 0);
+	ck_assert_int_le(bed.workers[cut].patience_ms, 300);
+	bed.workers[cut].silent = false;
+	bed_end_tasks(&bed, JOB, RUN_DONE);
+	WAIT(&bed, is_completed);
+	bed_close(&bed);
+}
+END_TEST
+
 /*
  * Guards against a start after an end "done" was seen: a worker that was cut
  * off ends its task, the task is started elsewhere, and the end is listed when
@@ -462,6 +488,7 @@
 	tcase_add_test(tcase, gang_waits_for_room);
 	tcase_add_test(tcase, answer_lost);
 	tcase_add_test(tcase, cut_worker);
+	tcase_add_test(tcase, cut_is_retried_soon);
 	tcase_add_test(tcase, done_behind_cut);
 	tcase_add_test(tcase, worker_gone);
 	tcase_add_test(tcase, stale_poll);
