sched: keep work from workers that fail all they start

Cause: on a full fleet a worker that fails everything at once is the only one with room.

Change: sched/suspicion (pure) counts jobs whose first failure was on a worker. After two it gets nothing for 1 s, doubling to 8 s, then one single task as a trial. A job does not come back within 2 s to a worker on which it has failed. Where half of the workers seem to fail, the jobs are to blame and nothing is barred. "Not healthy" answers count at once, instead of a penalty for 3 s.

--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -25,6 +25,8 @@
 #define VIEW_COMPLETE_MS 5000
 /* Evidence against a worker, in the planner's unit. */
 #define PENALTY_SUSPECT 10
+/* Where more than one in so many is a suspect, the jobs are to blame. */
+#define MOST_SUSPECTS_DIVISOR 2
 /* Urgent work is stopped only where nothing else would do. */
 #define URGENT_LOSS_FACTOR 100
 /*
@@ -235,12 +237,55 @@
 	}
 }
 
+/* Keeps work from workers that fail it, unless too many of them seem to. */
+static void
+apply_suspicion(round_t *round)
+{
+	size_t suspects = 0;
+
+	for (size_t i = 0; i < round->count; i++)
+		suspects += suspicion_level(&round->views[i]->suspicion,
+				round->now_ms) != SUSPICION_NONE;
+	for (size_t i = 0; i < round->count && suspects > 0; i++) {
+		const worker_t *view = round->views[i];
+		plan_worker_t *worker = &round->workers[i];
+		suspicion_level_t level =
+		    suspicion_level(&view->suspicion, round->now_ms);
+
+		worker->penalty = level != SUSPICION_NONE ? PENALTY_SUSPECT : 0;
+		if (level == SUSPICION_NONE ||
+		    suspects * MOST_SUSPECTS_DIVISOR > round->count)
+			continue;
+		worker->on_trial = true;
+		if (level == SUSPICION_QUARANTINE || view->members->len > 0)
+			worker->usable = false;
+	}
+}
+
+/* Sums up what is free, and what of it is kept for urgent work. */
+static void
+count_room(round_t *round)
+{
+	int capacity = 0;
+
+	for (size_t i = 0; i < round->count; i++) {
+		const plan_worker_t *worker = &round->workers[i];
+
+		if (!worker->usable)
+			continue;
+		capacity += worker->worker->capacity.accelerators;
+		round->free += MAX(worker->free.accelerators, 0);
+		round->releasing += worker->releasing.accelerators;
+	}
+	round->headroom =
+	    headroom_wanted(&round->fleet->headroom, capacity, round->now_ms);
+}
+
 static void
 round_begin(round_t *round, fleet_t *fleet, int64_t now_ms)
 {
 	GHashTableIter iter;
 	gpointer value;
-	int capacity = 0;
 
 	*round = (round_t){.fleet = fleet, .now_ms = now_ms};
 	round->count = g_hash_table_size(fleet->workers);
@@ -257,16 +302,10 @@
 		worker->worker = &view->info;
 		worker->free = view->info.capacity;
 		worker->usable = worker_is_usable(view, now_ms);
-		worker->penalty =
-		    view->suspect_until_ms > now_ms ? PENALTY_SUSPECT : 0;
 		count_members(view, worker);
-		if (!worker->usable)
-			continue;
-		capacity += view->info.capacity.accelerators;
-		round->free += MAX(worker->free.accelerators, 0);
-		round->releasing += worker->releasing.accelerators;
 	}
-	round->headroom = headroom_wanted(&fleet->headroom, capacity, now_ms);
+	apply_suspicion(round);
+	count_room(round);
 }
 
 static void
@@ -294,12 +333,23 @@
 		   !is_covered(run));
 }
 
+/* Bars workers on which the unit's job has just failed. */
+static void
+bar_workers(round_t *round, const waiting_t *item)
+{
+	for (size_t i = 0; i < round->count; i++)
+		round->workers[i].barred =
+		    suspicion_bars(&round->views[i]->suspicion,
+			item->unit->job->submit.id, round->now_ms);
+}
+
 /* Counts tasks of the same step, where only some may share a worker. */
 static void
 prepare_for(round_t *round, const waiting_t *item)
 {
 	const step_spec_t *step = ledger_step(item->unit);
 
+	bar_workers(round, item);
 	if (step->max_per_worker <= 0)
 		return;
 	for (size_t i = 0; i < round->count; i++) {
@@ -432,9 +482,13 @@
 static void
 reserve(round_t *round, const step_spec_t *step)
 {
-	for (size_t i = 0; i < round->count; i++)
-		plan_take(&round->workers[i].free, &step->shape,
-		    round->workers[i].chosen);
+	for (size_t i = 0; i < round->count; i++) {
+		plan_worker_t *worker = &round->workers[i];
+
+		plan_take(&worker->free, &step->shape, worker->chosen);
+		if (worker->on_trial && worker->chosen > 0)
+			worker->usable = false;
+	}
 }
 
 /* Number of racks among the chosen workers, and their worst penalty. */
--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -23,23 +23,22 @@
 #define POLL_UNSETTLED_MS 200
 #define POLL_RETRY_MS 150
 #define POLL_RETRY_UNREACHABLE_MS 500
-/* Ends failed in a row after which a worker is avoided for a while. */
-#define SUSPECT_FAILURES 2
-#define SUSPECT_MS 8000
 
+/* Takes the end of a run as evidence about its worker. */
 static void
-note_evidence(worker_t *worker, run_how_t how, int64_t now_ms)
+note_evidence(worker_t *worker, const run_t *run, run_how_t how, int64_t now_ms)
 {
+	suspicion_t *suspicion = &worker->suspicion;
+	bool again = run->unit != NULL && run->unit->failures > 0;
+
 	if (how == RUN_DONE)
-		worker->failures = 0;
-	if (how != RUN_FAILED)
-		return;
-	worker->failures++;
-	if (worker->failures < SUSPECT_FAILURES)
-		return;
-	worker->suspect_until_ms = now_ms + SUSPECT_MS;
-	evlog("worker_suspect", "{s:s,s:i}", "worker", worker->info.id,
-	    "failures", worker->failures);
+		suspicion_succeeded(suspicion, run->started_ms);
+	if (how == RUN_FAILED &&
+	    suspicion_failed(suspicion, run->job, again, now_ms))
+		evlog("worker_suspect", "{s:s,s:i,s:I,s:s}", "worker",
+		    worker->info.id, "jobs", suspicion->jobs, "quarantine_ms",
+		    (json_int_t)(suspicion->until_ms - now_ms), "job",
+		    run->job);
 }
 
 static bool
@@ -175,11 +174,12 @@
 		worker->seen_end = end->number;
 		member = find_member(worker, &end->task, end->run);
 		keep_end(worker, end, member);
-		note_evidence(worker, end->how, now_ms);
-		if (member != NULL)
-			member_ended(member, end->how, end->checkpoint);
-		else
+		if (member == NULL) {
 			take_late_end(worker, end);
+			continue;
+		}
+		note_evidence(worker, member->run, end->how, now_ms);
+		member_ended(member, end->how, end->checkpoint);
 	}
 }
 
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -5,6 +5,7 @@
 #include "sched/headroom.h"
 #include "sched/ledger.h"
 #include "sched/plan.h"
+#include "sched/suspicion.h"
 #include "sched/tickets.h"
 #include "sched/worker_clock.h"
 
@@ -44,8 +45,7 @@
 	uint64_t told_end;  /* of the last poll that was answered */
 	GQueue kept;        /* kept_end_t, by number */
 	GPtrArray *members; /* member_t that have not ended here */
-	int failures;       /* ends failed in a row */
-	int64_t suspect_until_ms;
+	suspicion_t suspicion;
 	size_t plan_index; /* among the workers of the planning round */
 	bool expelled; /* its incarnation has ended; retired in the next turn */
 	bool gone;
--- a/sched/fleet_workers.c
+++ b/sched/fleet_workers.c
@@ -7,7 +7,6 @@
 #include "sched/fleet_private.h"
 
 #define MISSED_BEATS 3
-#define UNHEALTHY_MS 3000
 
 /* ---- table ---- */
 
@@ -130,7 +129,7 @@
 	}
 	worker_clock_note(&worker->clock, answer->clock_ms, now_ms);
 	if (answer->outcome == ORDER_UNHEALTHY)
-		worker->suspect_until_ms = now_ms + UNHEALTHY_MS;
+		suspicion_unhealthy(&worker->suspicion, now_ms);
 	if (answer->outcome == ORDER_OTHER_INCARNATION)
 		worker->needs_poll = true;
 }
@@ -172,7 +171,7 @@
 	worker->acked_end = 0;
 	worker->told_end = 0;
 	worker->clock = (worker_clock_t){0};
-	worker->failures = 0;
+	worker->suspicion = (suspicion_t){0};
 	worker->needs_poll = true;
 	g_queue_clear_full(&worker->kept, kept_end_free);
 }
--- a/sched/plan.c
+++ b/sched/plan.c
@@ -70,6 +70,8 @@
 bool
 plan_may_hold(const plan_worker_t *worker, const plan_unit_t *unit)
 {
+	if (worker->barred || (worker->on_trial && unit->members > 1))
+		return false;
 	return worker->usable &&
 	       strcmp(worker->worker->service, unit->service) == 0 &&
 	       has_label(worker->worker, unit->step->label);
--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -150,6 +150,8 @@
 	task->run = order->run;
 	g_ptr_array_add(worker->tasks, task);
 	worker->starts++;
+	if (worker->fails)
+		end_task(worker, worker->tasks->len - 1, RUN_FAILED);
 	return ORDER_OK;
 }
 
--- a/tests/unit/fleet_bed.h
+++ b/tests/unit/fleet_bed.h
@@ -35,6 +35,7 @@
 	bool silent;            /* orders neither arrive nor are answered */
 	bool other_incarnation; /* another incarnation answers at its address */
 	bool swallows;          /* starts arrive, their answers are lost */
+	bool fails;             /* what starts fails at once */
 	int starts;
 	int stops;
 	int misdirected; /* starts for an incarnation that has ended */
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -308,6 +308,47 @@
 }
 END_TEST
 
+/*
+ * Load pattern: the fleet is full, and the only worker with room fails all that
+ * it starts.  Guards against a worker that uses up the attempts of every job
+ * that waits, and against one that stays unused after it has recovered.
+ */
+START_TEST(failing_worker_with_room)
+{
+	enum { JOBS = 6 };
+	bed_worker_t *failing = NULL;
+	char id[17];
+	bed_t bed;
+
+	bed_open(&bed, 3, 8);
+	bed_submit(&bed, JOB, "batch", 2, 8, true);
+	while (bed_running(&bed, JOB) < 2)
+		bed_run_for(&bed, 5);
+	for (int i = 0; i < 3; i++) {
+		if (bed.workers[i].tasks->len == 0)
+			failing = &bed.workers[i];
+	}
+	failing->fails = true;
+	for (int i = 0; i < JOBS; i++) {
+		g_snprintf(id, sizeof(id), "%016x", i + 1);
+		bed_submit(&bed, id, "batch", 1, 8, false);
+	}
+	bed_run_for(&bed, 500);
+	ck_assert_int_le(failing->starts, 2);
+	for (int i = 0; i < JOBS; i++) {
+		g_snprintf(id, sizeof(id), "%016x", i + 1);
+		ck_assert_int_ne(bed_state(&bed, id), BATCH_STATE_FAILED);
+	}
+	failing->fails = false;
+	while (failing->tasks->len == 0)
+		bed_run_for(&bed, 5);
+	bed_end_tasks(&bed, NULL, RUN_DONE);
+	bed_run_for(&bed, 50);
+	ck_assert_int_eq(bed_running(&bed, NULL), 3);
+	bed_close(&bed);
+}
+END_TEST
+
 /* Guards against tasks of a cancelled job that go on. */
 START_TEST(cancel_stops)
 {
@@ -496,6 +537,7 @@
 	tcase_add_test(tcase, successor_adopts);
 	tcase_add_test(tcase, successor_reads_ends);
 	tcase_add_test(tcase, attempts_end);
+	tcase_add_test(tcase, failing_worker_with_room);
 	tcase_add_test(tcase, cancel_stops);
 	tcase_add_test(tcase, urgent_displaces);
 	tcase_add_test(tcase, guarantee_is_reclaimed);
