sched: place a gang in one rack or one failure domain where it fits

Change: plan_unit looks for a gang's room in one rack, then in one failure domain, then anywhere; one function chooses the group for all three.

Test: test_plan gang_in_one_domain, failing before.

--- a/sched/plan.c
+++ b/sched/plan.c
@@ -12,13 +12,13 @@
 	int leftover; /* accelerators, then cores, that stay free */
 } candidate_t;
 
-/* Racks are compared by the number of members they hold and what they waste. */
+/* Groups are compared by the members that they hold and what they waste. */
 typedef struct {
 	const char *name;
 	int places;
 	int penalty;
 	bool near_data;
-} rack_t;
+} group_t;
 
 static int
 quotient(int room, int need)
@@ -157,81 +157,121 @@
 	return found;
 }
 
-/* Puts members on the candidates of a rack, NULL for any, in their order. */
-static bool
-fill(GArray *candidates, const char *rack, int members)
+/* How workers are grouped: a rack, a failure domain, or all of them. */
+typedef enum {
+	GROUP_RACK,
+	GROUP_DOMAIN,
+	GROUP_ALL,
+} group_kind_t;
+
+static const char *
+group_of(const candidate_t *candidate, group_kind_t kind)
+{
+	const fleet_worker_t *worker = candidate->worker->worker;
+
+	switch (kind) {
+	case GROUP_RACK:
+		return worker->rack;
+	case GROUP_DOMAIN:
+		return worker->domain;
+	case GROUP_ALL:
+		break;
+	}
+	return "";
+}
+
+/* Puts members on the candidates of a group, in their order. */
+static void
+fill(GArray *candidates, group_kind_t kind, const char *group, int members)
 {
 	for (guint i = 0; i < candidates->len && members > 0; i++) {
 		candidate_t *candidate =
 		    &g_array_index(candidates, candidate_t, i);
 
-		if (rack != NULL &&
-		    strcmp(candidate->worker->worker->rack, rack) != 0)
+		if (strcmp(group_of(candidate, kind), group) != 0)
 			continue;
 		candidate->worker->chosen = MIN(candidate->places, members);
 		members -= candidate->worker->chosen;
 	}
-	return members == 0;
 }
 
-static rack_t *
-rack_of(GArray *racks, const char *name)
+static group_t *
+find_group(GArray *groups, const char *name)
 {
-	rack_t added = {.name = name};
+	group_t added = {.name = name};
 
-	for (guint i = 0; i < racks->len; i++) {
-		rack_t *rack = &g_array_index(racks, rack_t, i);
+	for (guint i = 0; i < groups->len; i++) {
+		group_t *group = &g_array_index(groups, group_t, i);
 
-		if (strcmp(rack->name, name) == 0)
-			return rack;
+		if (strcmp(group->name, name) == 0)
+			return group;
 	}
-	g_array_append_val(racks, added);
-	return &g_array_index(racks, rack_t, racks->len - 1);
+	g_array_append_val(groups, added);
+	return &g_array_index(groups, group_t, groups->len - 1);
 }
 
 static bool
-is_better_rack(const rack_t *rack, const rack_t *than)
+is_better_group(const group_t *group, const group_t *than)
 {
 	if (than == NULL)
 		return true;
-	if (rack->near_data != than->near_data)
-		return rack->near_data;
-	if (rack->penalty != than->penalty)
-		return rack->penalty < than->penalty;
-	return rack->places < than->places;
+	if (group->near_data != than->near_data)
+		return group->near_data;
+	if (group->penalty != than->penalty)
+		return group->penalty < than->penalty;
+	return group->places < than->places;
 }
 
-/* Returns the rack that holds all members and wastes the least, or NULL. */
+/* Returns the group that holds all members and wastes the least, or NULL. */
 static const char *
-choose_rack(GArray *candidates, int members)
+choose_group(GArray *candidates, group_kind_t kind, int members)
 {
-	GArray *racks = g_array_new(FALSE, FALSE, sizeof(rack_t));
-	const rack_t *best = NULL;
+	GArray *groups = g_array_new(FALSE, FALSE, sizeof(group_t));
+	const group_t *best = NULL;
 	const char *name = NULL;
 
 	for (guint i = 0; i < candidates->len; i++) {
 		const candidate_t *candidate =
 		    &g_array_index(candidates, candidate_t, i);
-		rack_t *rack = rack_of(racks, candidate->worker->worker->rack);
+		group_t *group = find_group(groups, group_of(candidate, kind));
 
 		/* Candidates are sorted, so the worst one needed counts. */
-		if (rack->places < members)
-			rack->penalty = candidate->worker->penalty;
-		rack->places += candidate->places;
-		rack->near_data = candidate->near_data;
+		if (group->places < members)
+			group->penalty = candidate->worker->penalty;
+		group->places += candidate->places;
+		group->near_data = candidate->near_data;
 	}
-	for (guint i = 0; i < racks->len; i++) {
-		const rack_t *rack = &g_array_index(racks, rack_t, i);
+	for (guint i = 0; i < groups->len; i++) {
+		const group_t *group = &g_array_index(groups, group_t, i);
 
-		if (rack->places >= members && is_better_rack(rack, best))
-			best = rack;
+		if (group->places >= members && is_better_group(group, best))
+			best = group;
 	}
 	if (best != NULL)
 		name = best->name;
-	g_array_unref(racks);
+	g_array_unref(groups);
 	return name;
 }
 
+/*
+ * The smallest kind of group within which the unit is looked for first.  A gang
+ * ends with any of its members, so it keeps to as few failure domains as it
+ * can.
+ */
+static group_kind_t
+first_group(const plan_unit_t *unit)
+{
+	return unit->members > 1 ? GROUP_RACK : GROUP_ALL;
+}
+
+static group_kind_t
+last_group(const plan_unit_t *unit)
+{
+	bool one_rack = unit->step->same_rack && unit->members > 1;
+
+	return one_rack && !unit->may_spread ? GROUP_RACK : GROUP_ALL;
+}
+
 /*
  * Chooses workers for all members of a unit and leaves the number of members in
  * each worker's chosen.  False when they do not fit; chosen is 0 then.
@@ -241,19 +281,19 @@
     plan_room_t kind)
 {
 	GArray *candidates = find_candidates(workers, count, unit, kind);
-	bool one_rack = unit->step->same_rack && unit->members > 1;
-	const char *rack = NULL;
-	bool placed;
-
-	if (one_rack)
-		rack = choose_rack(candidates, unit->members);
-	placed = one_rack && rack == NULL && !unit->may_spread
-		     ? false
-		     : fill(candidates, rack, unit->members);
+	group_kind_t last = last_group(unit);
+	group_kind_t group;
+	const char *name = NULL;
+
+	for (group = first_group(unit); group <= last; group++) {
+		name = choose_group(candidates, group, unit->members);
+		if (name != NULL)
+			break;
+	}
+	if (name != NULL)
+		fill(candidates, group, name, unit->members);
 	g_array_unref(candidates);
-	for (size_t i = 0; !placed && i < count; i++)
-		workers[i].chosen = 0;
-	return placed;
+	return name != NULL;
 }
 
 /* Whether the unit would fit if nothing else ran. */
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -7,11 +7,12 @@
 
 #define WORKERS 8
 #define PER_RACK 4
+#define PER_DOMAIN 4
 #define ACCELERATORS 8
 
 typedef struct {
 	fleet_worker_t info[WORKERS];
-	char names[WORKERS][2][8];
+	char names[WORKERS][3][8];
 	plan_worker_t workers[WORKERS];
 	step_spec_t step;
 	plan_unit_t unit;
@@ -25,9 +26,11 @@
 	for (int i = 0; i < WORKERS; i++) {
 		g_snprintf(bed->names[i][0], 8, "w%d", i);
 		g_snprintf(bed->names[i][1], 8, "r%d", i / PER_RACK);
+		g_snprintf(bed->names[i][2], 8, "d%d", i / PER_DOMAIN);
 		bed->info[i] = (fleet_worker_t){
 		    .id = bed->names[i][0],
 		    .rack = bed->names[i][1],
+		    .domain = bed->names[i][2],
 		    .service = (char *)"svc",
 		    .capacity = {64000, 64000, ACCELERATORS},
 		};
@@ -78,6 +81,31 @@
 }
 END_TEST
 
+/*
+ * Load pattern: a failure domain is cut off while gangs run.  Guards against a
+ * gang that reaches into a second domain, or rack, although one holds it: each
+ * member that is lost ends all of it.
+ */
+START_TEST(gang_in_one_domain)
+{
+	bed_t bed;
+
+	bed_open(&bed, 4, 8);
+	bed.step.same_rack = false;
+	bed.workers[0].free.accelerators = 0;
+	bed.workers[1].free.accelerators = 0;
+	ck_assert(plan_unit(bed.workers, WORKERS, &bed.unit, PLAN_FREE));
+	ck_assert_int_eq(chosen_in(&bed, 0), 0);
+	for (int i = 0; i < WORKERS; i++)
+		g_snprintf(bed.names[i][1], 8, "r%d", i / 2);
+	ck_assert(plan_unit(bed.workers, WORKERS, &bed.unit, PLAN_FREE));
+	ck_assert_int_eq(chosen_in(&bed, 0), 0);
+	bed.workers[7].free.accelerators = 0;
+	ck_assert(plan_unit(bed.workers, WORKERS, &bed.unit, PLAN_FREE));
+	ck_assert_int_eq(chosen_in(&bed, 0) + chosen_in(&bed, 1), 4);
+}
+END_TEST
+
 /* Guards against small tasks that break up whole workers. */
 START_TEST(small_tasks_pack)
 {
@@ -192,6 +220,7 @@
 	TCase *tcase = tcase_create("plan");
 
 	tcase_add_test(tcase, gang_in_one_rack);
+	tcase_add_test(tcase, gang_in_one_domain);
 	tcase_add_test(tcase, small_tasks_pack);
 	tcase_add_test(tcase, constraints);
 	tcase_add_test(tcase, never_fits);
