sched: keep the headroom for urgent work in whole racks

The room kept for urgent work is a number of accelerators, and batch work left it scattered over all racks, while most urgent gangs want one rack: each stopped runs although enough was free.

Change: sched/reserve (pure) keeps the emptiest racks that together hold the headroom; batch work stays out of them. The sums are kept by rack within a planning round, so a unit costs a sort of the racks.

--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -7,6 +7,7 @@
 #include "sched/displace.h"
 #include "sched/fleet_private.h"
 #include "sched/guarantee.h"
+#include "sched/reserve.h"
 #include "sched/urgency.h"
 
 /*
@@ -54,6 +55,7 @@
 	int free;      /* accelerators on usable workers, at most */
 	int releasing; /* the same of runs that are being stopped */
 	int headroom;  /* of the free ones, kept for urgent work */
+	reserve_t *reserve;
 } round_t;
 
 /* ---- what waits ---- */
@@ -306,11 +308,13 @@
 	}
 	apply_suspicion(round);
 	count_room(round);
+	round->reserve = reserve_create(round->workers, round->count);
 }
 
 static void
 round_end(round_t *round)
 {
+	reserve_destroy(round->reserve);
 	g_free(round->workers);
 	g_free(round->views);
 }
@@ -333,14 +337,31 @@
 		   !is_covered(run));
 }
 
-/* Bars workers on which the unit's job has just failed. */
+static int
+accelerators_of_unit(const waiting_t *item)
+{
+	return item->unit->members *
+	       ledger_step(item->unit)->shape.accelerators;
+}
+
+/*
+ * Bars workers on which the unit's job has just failed, and racks that are kept
+ * for urgent work.
+ */
 static void
 bar_workers(round_t *round, const waiting_t *item)
 {
+	const char *job = item->unit->job->submit.id;
+	bool urgent = item->priority == 0;
+
+	if (!urgent)
+		reserve_choose(round->reserve, round->headroom,
+		    accelerators_of_unit(item));
 	for (size_t i = 0; i < round->count; i++)
 		round->workers[i].barred =
-		    suspicion_bars(&round->views[i]->suspicion,
-			item->unit->job->submit.id, round->now_ms);
+		    suspicion_bars(
+			&round->views[i]->suspicion, job, round->now_ms) ||
+		    (!urgent && reserve_keeps(round->reserve, i));
 }
 
 /* Counts tasks of the same step, where only some may share a worker. */
@@ -486,6 +507,8 @@
 		plan_worker_t *worker = &round->workers[i];
 
 		plan_take(&worker->free, &step->shape, worker->chosen);
+		reserve_take(round->reserve, i,
+		    worker->chosen * step->shape.accelerators);
 		if (worker->on_trial && worker->chosen > 0)
 			worker->usable = false;
 	}
@@ -574,13 +597,6 @@
 	return false;
 }
 
-static int
-accelerators_of_unit(const waiting_t *item)
-{
-	return item->unit->members *
-	       ledger_step(item->unit)->shape.accelerators;
-}
-
 /* Whether enough stays free for urgent work that is about to arrive. */
 static bool
 leaves_headroom(const round_t *round, const waiting_t *item)
--- a/sched/plan.h
+++ b/sched/plan.h
@@ -16,7 +16,7 @@
 	resources_t free;      /* may be negative where room is reserved */
 	resources_t releasing; /* held by runs that are being stopped */
 	bool usable;
-	bool barred;     /* the unit's job has just failed there */
+	bool barred;     /* for this unit, whatever its room */
 	bool on_trial;   /* takes one single task, see suspicion.h */
 	bool has_ticket; /* for the unit, where it needs one */
 	int penalty;     /* lower is better; evidence of slowness or faults */
--- /dev/null
+++ b/sched/reserve.c
@@ -0,0 +1,112 @@
+#include "sched/reserve.h"
+
+#include <glib.h>
+#include <string.h>
+
+typedef struct {
+	const char *name;
+	int free; /* accelerators */
+	bool kept;
+} rack_t;
+
+struct reserve_t {
+	GArray *racks;      /* rack_t */
+	GPtrArray *by_free; /* rack_t, sorted by reserve_choose */
+	int *rack_of;       /* by worker, -1 when it is not usable */
+};
+
+static int
+rack_index(GArray *racks, const char *name)
+{
+	rack_t added = {.name = name};
+
+	for (guint i = 0; i < racks->len; i++) {
+		if (strcmp(g_array_index(racks, rack_t, i).name, name) == 0)
+			return (int)i;
+	}
+	g_array_append_val(racks, added);
+	return (int)racks->len - 1;
+}
+
+reserve_t *
+reserve_create(const plan_worker_t *workers, size_t count)
+{
+	reserve_t *reserve = g_new0(reserve_t, 1);
+
+	reserve->racks = g_array_new(FALSE, FALSE, sizeof(rack_t));
+	reserve->rack_of = g_new0(int, count);
+	for (size_t i = 0; i < count; i++) {
+		reserve->rack_of[i] = -1;
+		if (!workers[i].usable)
+			continue;
+		reserve->rack_of[i] =
+		    rack_index(reserve->racks, workers[i].worker->rack);
+		reserve_take(reserve, i, -MAX(workers[i].free.accelerators, 0));
+	}
+	reserve->by_free = g_ptr_array_new();
+	for (guint i = 0; i < reserve->racks->len; i++)
+		g_ptr_array_add(reserve->by_free,
+		    &g_array_index(reserve->racks, rack_t, i));
+	return reserve;
+}
+
+void
+reserve_destroy(reserve_t *reserve)
+{
+	g_ptr_array_unref(reserve->by_free);
+	g_array_unref(reserve->racks);
+	g_free(reserve->rack_of);
+	g_free(reserve);
+}
+
+static rack_t *
+rack_of(const reserve_t *reserve, size_t worker)
+{
+	int rack = reserve->rack_of[worker];
+
+	return rack < 0 ? NULL : &g_array_index(reserve->racks, rack_t, rack);
+}
+
+void
+reserve_take(reserve_t *reserve, size_t worker, int accelerators)
+{
+	rack_t *rack = rack_of(reserve, worker);
+
+	if (rack != NULL)
+		rack->free -= accelerators;
+}
+
+/* The emptiest first; by name among equals, so that the choice stays. */
+static gint
+compare_racks(gconstpointer a, gconstpointer b)
+{
+	const rack_t *first = *(const rack_t *const *)a;
+	const rack_t *second = *(const rack_t *const *)b;
+
+	if (first->free != second->free)
+		return second->free - first->free;
+	return strcmp(first->name, second->name);
+}
+
+void
+reserve_choose(reserve_t *reserve, int headroom, int accelerators)
+{
+	int kept = 0;
+
+	g_ptr_array_sort(reserve->by_free, compare_racks);
+	for (guint i = 0; i < reserve->by_free->len; i++) {
+		rack_t *rack = g_ptr_array_index(reserve->by_free, i);
+
+		rack->kept = kept < headroom &&
+			     kept + rack->free - accelerators < headroom;
+		kept += rack->free;
+	}
+}
+
+bool
+reserve_keeps(const reserve_t *reserve, size_t worker)
+{
+	const rack_t *rack = rack_of(reserve, worker);
+
+	return rack != NULL && rack->kept;
+}
