sched: split fleet_plan.c by what it decides

What waits and in which order (fleet_waiting.c), the room of a round (fleet_round.c), what may be stopped (fleet_displace.c) and the placing (fleet_plan.c) are files of their own now; fleet_round.h has the two types that they share. No change of behaviour.

--- /dev/null
+++ b/sched/fleet_displace.c
@@ -0,0 +1,132 @@
+#include "common/clock.h"
+#include "sched/displace.h"
+#include "sched/fleet_round.h"
+
+/* Which runs may be stopped for a unit, and what that costs. */
+
+#define PERMILLE 1000
+/* Urgent work is stopped only where nothing else would do. */
+#define URGENT_LOSS_FACTOR 100
+
+static bool
+is_covered(const run_t *run)
+{
+	return run->unit != NULL && run->unit->job->covered;
+}
+
+/* Covered work may displace whatever is not covered itself, if it has to. */
+static bool
+may_displace(const run_t *run, const waiting_t *item, int64_t now_ms)
+{
+	if (!run->committed || run->stopping || run->any_done ||
+	    run->step->long_running)
+		return false;
+	return run->priority > item->priority ||
+	       (item->covered && now_ms >= item->reclaim_ms &&
+		   !is_covered(run));
+}
+
+/* Work that would be lost: core-milliseconds not covered by a checkpoint. */
+static int64_t
+loss_of(const run_t *run, int64_t now_ms)
+{
+	int64_t ran_ms = now_ms - run->started_ms;
+	int64_t cores = MAX(run->shape.cpu_milli / PERMILLE +
+				8 * (int64_t)run->shape.accelerators,
+	    1);
+
+	if (run->step->checkpoints)
+		ran_ms = MIN(ran_ms, CLOCK_MS_PER_S);
+	if (run->priority == 0)
+		cores *= URGENT_LOSS_FACTOR;
+	return ran_ms * cores * run->member_count;
+}
+
+/* What may be stopped for a unit, as displace_choose takes it. */
+typedef struct {
+	GArray *members;  /* displaceable_t */
+	GArray *runs;     /* displaceable_run_t */
+	GPtrArray *views; /* run_t of the same index */
+} displaceable_set_t;
+
+static void
+add_displaceable(displaceable_set_t *set, run_t *run, int64_t now_ms)
+{
+	displaceable_run_t entry = {.loss = loss_of(run, now_ms)};
+
+	g_ptr_array_add(set->views, run);
+	g_array_append_val(set->runs, entry);
+	for (int i = 0; i < run->member_count; i++) {
+		const worker_t *worker = run->members[i].worker;
+		displaceable_t member = {
+		    .run = set->views->len - 1, .shape = run->shape};
+
+		/* One that has left is not part of the round. */
+		if (worker == NULL || worker->gone)
+			continue;
+		member.worker = worker->plan_index;
+		g_array_append_val(set->members, member);
+	}
+}
+
+static void
+collect_displaceable(
+    round_t *round, const waiting_t *item, displaceable_set_t *set)
+{
+	const GPtrArray *runs = round->fleet->runs;
+
+	for (guint i = 0; i < runs->len; i++) {
+		run_t *run = g_ptr_array_index(runs, i);
+
+		if (may_displace(run, item, round->now_ms))
+			add_displaceable(set, run, round->now_ms);
+	}
+}
+
+static void
+release(round_t *round, const displaceable_t *member)
+{
+	plan_give(&round->workers[member->worker].releasing, &member->shape, 1);
+	round->releasing += member->shape.accelerators;
+}
+
+static void
+stop_chosen(round_t *round, const displaceable_set_t *set)
+{
+	for (guint r = 0; r < set->views->len; r++) {
+		if (!g_array_index(set->runs, displaceable_run_t, r).stop)
+			continue;
+		counter_add(round->fleet->preempted, 1);
+		run_stop(g_ptr_array_index(set->views, r), "preempted");
+	}
+	for (guint m = 0; m < set->members->len; m++) {
+		const displaceable_t *member =
+		    &g_array_index(set->members, displaceable_t, m);
+
+		if (g_array_index(set->runs, displaceable_run_t, member->run)
+			.stop)
+			release(round, member);
+	}
+}
+
+bool
+round_displace(round_t *round, const waiting_t *item, const plan_unit_t *unit)
+{
+	displaceable_set_t set = {
+	    .members = g_array_new(FALSE, FALSE, sizeof(displaceable_t)),
+	    .runs = g_array_new(FALSE, FALSE, sizeof(displaceable_run_t)),
+	    .views = g_ptr_array_new(),
+	};
+	bool chosen;
+
+	collect_displaceable(round, item, &set);
+	chosen = displace_choose(round->workers, round->count, unit,
+	    (const displaceable_t *)(void *)set.members->data, set.members->len,
+	    (displaceable_run_t *)(void *)set.runs->data, set.runs->len);
+	if (chosen)
+		stop_chosen(round, &set);
+	g_array_unref(set.members);
+	g_array_unref(set.runs);
+	g_ptr_array_unref(set.views);
+	return chosen;
+}
--- /dev/null
+++ b/sched/fleet_round.c
@@ -0,0 +1,164 @@
+#include <string.h>
+
+#include "sched/fleet_round.h"
+
+/* The room that there is in one round of planning, and what is kept of it. */
+
+/* Evidence against a worker, in the planner's unit. */
+#define PENALTY_SUSPECT 10
+/* Where more than one in so many is a suspect, the jobs are to blame. */
+#define MOST_SUSPECTS_DIVISOR 2
+
+static void
+count_members(const worker_t *view, plan_worker_t *worker)
+{
+	for (guint i = 0; i < view->members->len; i++) {
+		const member_t *member = g_ptr_array_index(view->members, i);
+		const run_t *run = member->run;
+
+		plan_take(&worker->free, &run->shape, 1);
+		if (run->stopping || run->any_done)
+			plan_give(&worker->releasing, &run->shape, 1);
+	}
+}
+
+/* Keeps work from workers that fail it, unless too many of them seem to. */
+static void
+apply_suspicion(round_t *round)
+{
+	size_t suspects = 0;
+
+	for (size_t i = 0; i < round->count; i++)
+		suspects += suspicion_level(&round->views[i]->suspicion,
+				round->now_ms) != SUSPICION_NONE;
+	for (size_t i = 0; i < round->count && suspects > 0; i++) {
+		const worker_t *view = round->views[i];
+		plan_worker_t *worker = &round->workers[i];
+		suspicion_level_t level =
+		    suspicion_level(&view->suspicion, round->now_ms);
+
+		worker->penalty = level != SUSPICION_NONE ? PENALTY_SUSPECT : 0;
+		if (level == SUSPICION_NONE ||
+		    suspects * MOST_SUSPECTS_DIVISOR > round->count)
+			continue;
+		worker->on_trial = true;
+		if (level == SUSPICION_QUARANTINE || view->members->len > 0)
+			worker->usable = false;
+	}
+}
+
+/* Sums up what is free, and what of it is kept for urgent work. */
+static void
+count_room(round_t *round)
+{
+	int capacity = 0;
+
+	for (size_t i = 0; i < round->count; i++) {
+		const plan_worker_t *worker = &round->workers[i];
+
+		if (!worker->usable)
+			continue;
+		capacity += worker->worker->capacity.accelerators;
+		round->free += MAX(worker->free.accelerators, 0);
+		round->releasing += worker->releasing.accelerators;
+	}
+	round->headroom =
+	    headroom_wanted(&round->fleet->headroom, capacity, round->now_ms);
+}
+
+void
+round_begin(round_t *round, fleet_t *fleet, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	*round = (round_t){.fleet = fleet, .now_ms = now_ms};
+	round->count = g_hash_table_size(fleet->workers);
+	round->workers = g_new0(plan_worker_t, round->count);
+	round->views = g_new0(worker_t *, round->count);
+	round->count = 0;
+	g_hash_table_iter_init(&iter, fleet->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		worker_t *view = value;
+		plan_worker_t *worker = &round->workers[round->count];
+
+		view->plan_index = round->count;
+		round->views[round->count++] = view;
+		worker->worker = &view->info;
+		worker->free = view->info.capacity;
+		worker->usable = worker_is_usable(view, now_ms);
+		count_members(view, worker);
+	}
+	apply_suspicion(round);
+	count_room(round);
+	round->reserve = reserve_create(round->workers, round->count);
+}
+
+void
+round_end(round_t *round)
+{
+	reserve_destroy(round->reserve);
+	g_free(round->workers);
+	g_free(round->views);
+}
+
+/*
+ * Bars workers on which the unit's job has just failed, and racks that are kept
+ * for urgent work.
+ */
+static void
+bar_workers(round_t *round, const waiting_t *item)
+{
+	const char *job = item->unit->job->submit.id;
+	bool urgent = item->priority == 0;
+
+	if (!urgent)
+		reserve_choose(round->reserve, round->headroom,
+		    waiting_accelerators(item));
+	for (size_t i = 0; i < round->count; i++)
+		round->workers[i].barred =
+		    suspicion_bars(
+			&round->views[i]->suspicion, job, round->now_ms) ||
+		    (!urgent && reserve_keeps(round->reserve, i));
+}
+
+/* Counts tasks of the same step, where only some may share a worker. */
+void
+round_prepare(round_t *round, const waiting_t *item)
+{
+	const step_spec_t *step = ledger_step(item->unit);
+
+	bar_workers(round, item);
+	if (step->max_per_worker <= 0)
+		return;
+	for (size_t i = 0; i < round->count; i++) {
+		const GPtrArray *members = round->views[i]->members;
+
+		round->workers[i].same_step = 0;
+		for (guint m = 0; m < members->len; m++) {
+			const member_t *member = g_ptr_array_index(members, m);
+			const run_t *run = member->run;
+
+			if (run->step == step &&
+			    run->name.occurrence == item->unit->occurrence)
+				round->workers[i].same_step++;
+		}
+	}
+}
+
+/* Keeps the chosen room from units that come later in this round. */
+void
+round_take(round_t *round, const step_spec_t *step)
+{
+	for (size_t i = 0; i < round->count; i++) {
+		plan_worker_t *worker = &round->workers[i];
+
+		plan_take(&worker->free, &step->shape, worker->chosen);
+		reserve_take(round->reserve, i,
+		    worker->chosen * step->shape.accelerators);
+		if (worker->on_trial && worker->chosen > 0)
+			worker->usable = false;
+	}
+}
+
+/* Number of racks among the chosen workers, and their worst penalty. */
--- /dev/null
+++ b/sched/fleet_waiting.c
@@ -0,0 +1,195 @@
+#include <string.h>
+
+#include "common/clock.h"
+#include "sched/fleet_round.h"
+#include "sched/guarantee.h"
+
+/*
+ * Load at its worst: demand above the room, gangs among many small tasks.  The
+ * units that wait are placed by priority, those that their tenant's guarantee
+ * covers before others, those that can still be on time before those that are
+ * late, then by the latest time at which they can start and meet the objective
+ * of their queue.
+ */
+
+#define PERMILLE 1000
+#define PERCENT 100
+/* A clock that was set must not make a job older than that. */
+#define MAX_AGE_MS 60000
+/*
+ * Share of the bound for guarantees during which a covered unit waits for its
+ * rack, and for other urgent work to end: most of that is short.
+ */
+#define RECLAIM_PATIENCE_PERCENT 40
+
+/*
+ * Time that may pass before the start of a step, beyond its own work.  A step
+ * may not use up what the job has left for others.
+ */
+static int64_t
+slack_ms(const fleet_queue_t *queue, const step_spec_t *step)
+{
+	return queue->target_latency_ms +
+	       (int64_t)step->estimate_ms *
+		   MAX(queue->stretch_milli - PERMILLE, 0) / PERMILLE;
+}
+
+static bool
+is_due(const fleet_t *fleet, const ledger_unit_t *unit)
+{
+	int64_t due_ms = ledger_unit_due_ms(unit);
+
+	return due_ms == 0 || clock_real_ms() >= due_ms;
+}
+
+/* Accelerators that the first step of the job takes. */
+static int
+accelerators_of(const ledger_job_t *job)
+{
+	const step_spec_t *step = &job->submit.spec.steps.steps_val[0];
+
+	return step->count * step->shape.accelerators;
+}
+
+/*
+ * Steady time since when the unit's result is waited for.  An earlier leader
+ * may have seen the job first, so the time of day tells.
+ */
+static int64_t
+waiting_since_ms(const ledger_unit_t *unit, int64_t now_ms)
+{
+	int64_t due_ms = ledger_unit_due_ms(unit);
+	int64_t age_ms;
+
+	if (due_ms == 0)
+		return unit->job->seen_ms;
+	age_ms = clock_real_ms() - due_ms;
+	return now_ms - CLAMP(age_ms, 0, MAX_AGE_MS);
+}
+
+/* Notes when the job was handed in, and its demand. */
+static void
+first_seen(fleet_t *fleet, ledger_job_t *job, int priority, int64_t now_ms)
+{
+	int64_t age_ms = clock_real_ms() - job->submit.submitted_ms;
+
+	job->seen_ms = now_ms - CLAMP(age_ms, 0, MAX_AGE_MS);
+	if (priority == 0)
+		headroom_note(&fleet->headroom, accelerators_of(job), now_ms);
+}
+
+static void
+collect_job(fleet_t *fleet, ledger_job_t *job, int64_t now_ms, GArray *waiting)
+{
+	const fleet_queue_t *queue =
+	    ledger_queue(fleet_ledger(fleet), job->submit.queue);
+	int64_t *chains;
+	int64_t work_ms;
+
+	if (queue == NULL)
+		return;
+	if (job->seen_ms == 0)
+		first_seen(fleet, job, queue->priority, now_ms);
+	chains = g_newa(int64_t, job->submit.spec.steps.steps_len);
+	work_ms = urgency_chains(&job->submit.spec, chains);
+	for (size_t i = 0; i < job->unit_count; i++) {
+		ledger_unit_t *unit = &job->units[i];
+		waiting_t item = {.unit = unit, .priority = queue->priority};
+		urgency_times_t times;
+		int64_t since_ms;
+
+		if (unit->state != UNIT_WAITING || unit->live != NULL ||
+		    !is_due(fleet, unit) || !ledger_unit_is_free(unit))
+			continue;
+		since_ms = waiting_since_ms(unit, now_ms);
+		times =
+		    urgency_times(queue, work_ms, chains[unit->step], since_ms);
+		item.urgency = urgency_at(&times, now_ms);
+		item.latest_start_ms =
+		    since_ms + slack_ms(queue, ledger_step(unit));
+		/* Past the bound it has no claim before others any more. */
+		item.covered = job->covered &&
+			       now_ms <= since_ms + fleet->bounds.reclaim_ms;
+		item.reclaim_ms = since_ms + fleet->bounds.reclaim_ms *
+						 RECLAIM_PATIENCE_PERCENT /
+						 PERCENT;
+		item.may_spread_ms =
+		    item.covered ? MIN(item.latest_start_ms, item.reclaim_ms)
+				 : item.latest_start_ms;
+		g_array_append_val(waiting, item);
+	}
+}
+
+/* Finds out which urgent jobs the guarantees of their tenants cover. */
+static void
+cover_jobs(fleet_t *fleet)
+{
+	const ledger_t *ledger = fleet_ledger(fleet);
+	const fleet_config_t *config = ledger_config(ledger);
+	GQueue *open = ledger_open_jobs(fleet_ledger(fleet));
+	guarantee_job_t *entries = g_new0(guarantee_job_t, open->length);
+	ledger_job_t **jobs = g_new0(ledger_job_t *, open->length);
+	size_t count = 0;
+
+	for (GList *at = open->head; at != NULL; at = at->next) {
+		ledger_job_t *job = at->data;
+		const fleet_queue_t *queue =
+		    ledger_queue(ledger, job->submit.queue);
+
+		job->covered = false;
+		if (queue == NULL || queue->priority != 0)
+			continue;
+		entries[count].tenant = job->submit.tenant;
+		entries[count].accelerators =
+		    guarantee_demand(&job->submit.spec);
+		jobs[count++] = job;
+	}
+	guarantee_mark(entries, count, config->tenants.tenants_val,
+	    config->tenants.tenants_len);
+	for (size_t i = 0; i < count; i++)
+		jobs[i]->covered = entries[i].covered;
+	g_free(entries);
+	g_free(jobs);
+}
+
+static gint
+compare_waiting(gconstpointer a, gconstpointer b)
+{
+	const waiting_t *first = a;
+	const waiting_t *second = b;
+
+	if (first->priority != second->priority)
+		return first->priority - second->priority;
+	if (first->covered != second->covered)
+		return first->covered ? -1 : 1;
+	if (first->urgency != second->urgency)
+		return first->urgency < second->urgency ? -1 : 1;
+	if (first->latest_start_ms != second->latest_start_ms)
+		return first->latest_start_ms < second->latest_start_ms ? -1
+									: 1;
+	if (first->unit->job != second->unit->job)
+		return strcmp(
+		    first->unit->job->submit.id, second->unit->job->submit.id);
+	return first->unit < second->unit ? -1 : 1;
+}
+
+GArray *
+waiting_collect(fleet_t *fleet, int64_t now_ms)
+{
+	GArray *waiting = g_array_new(FALSE, FALSE, sizeof(waiting_t));
+	GQueue *open = ledger_open_jobs(fleet_ledger(fleet));
+
+	cover_jobs(fleet);
+	for (GList *at = open->head; at != NULL; at = at->next)
+		collect_job(fleet, at->data, now_ms, waiting);
+	g_array_sort(waiting, compare_waiting);
+	return waiting;
+}
+
+/* Accelerators that the unit takes. */
+int
+waiting_accelerators(const waiting_t *item)
+{
+	return item->unit->members *
+	       ledger_step(item->unit)->shape.accelerators;
+}
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -328,6 +328,7 @@
 		if (bed.workers[i].tasks->len == 0)
 			failing = &bed.workers[i];
 	}
+	ck_assert(failing != NULL);
 	failing->fails = true;
 	for (int i = 0; i < JOBS; i++) {
 		g_snprintf(id, sizeof(id), "%016x", i + 1);
