sched: histograms of the wait for the first start, of commits and of orders

The lines that the event log leaves out are a counter now; the function that returned them had no caller.

Test: test_fleet waits_are_measured.

--- a/common/evlog.c
+++ b/common/evlog.c
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include "common/clock.h"
+#include "common/counters.h"
 
 #define MAX_KINDS 64
 #define LINES_PER_S 200 /* of one kind */
@@ -29,7 +30,7 @@
 	bool is_open;
 	kind_t kinds[MAX_KINDS];
 	size_t kind_count;
-	int64_t dropped;
+	counter_t *dropped;
 } state;
 
 /* Starts the log; nothing is written before. */
@@ -41,15 +42,11 @@
 	g_strlcpy(state.instance, instance, sizeof(state.instance));
 	if (flags >= 0)
 		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+	state.dropped = counter_get("evlog_dropped_total",
+	    "lines left out, for want of budget or room");
 	state.is_open = true;
 }
 
-int64_t
-evlog_dropped(void)
-{
-	return state.dropped;
-}
-
 static kind_t *
 kind_of(const char *name)
 {
@@ -76,7 +73,7 @@
 	}
 	if (kind->lines >= LINES_PER_S) {
 		kind->left_out++;
-		state.dropped++;
+		counter_add(state.dropped, 1);
 		return false;
 	}
 	kind->lines++;
@@ -95,7 +92,7 @@
 	len = strlen(text);
 	text[len] = '\n';
 	if (write(STDOUT_FILENO, text, len + 1) < 0)
-		state.dropped++;
+		counter_add(state.dropped, 1);
 	free(text);
 }
 
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -362,6 +362,15 @@
 	fleet->announced = g_ptr_array_new_with_free_func(g_free);
 	g_queue_init(&fleet->calls);
 	fleet->tickets = tickets_create();
+	fleet->first_start[false] =
+	    histogram_get("fleet_first_start_seconds{urgent=\"no\"}",
+		"from the hand-in to the first start of a unit");
+	fleet->first_start[true] =
+	    histogram_get("fleet_first_start_seconds{urgent=\"yes\"}", "");
+	fleet->order_took = histogram_get(
+	    "fleet_order_seconds", "until a worker answered a start or a stop");
+	fleet->commit_took = histogram_get(
+	    "fleet_commit_seconds", "until a job or a cancel was committed");
 	fleet->starts = counter_get("fleet_starts_total", "starts sent");
 	fleet->stops = counter_get("fleet_stops_total", "stops sent");
 	fleet->polls = counter_get("fleet_polls_total", "polls of workers");
--- a/sched/fleet_calls.c
+++ b/sched/fleet_calls.c
@@ -78,6 +78,9 @@
 	} else {
 		refuse(call->request, call->success, "");
 	}
+	if (err->code == 0)
+		histogram_record(
+		    call->fleet->commit_took, took_ms * CLOCK_US_PER_MS);
 	evlog("commit", "{s:s,s:i,s:i,s:I}", "job", call->job, "verb",
 	    (int)call->success, "code", err->code, "took_ms",
 	    (json_int_t)took_ms);
--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -1,6 +1,7 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "common/clock.h"
 #include "common/evlog.h"
 #include "sched/fleet_round.h"
 
@@ -46,6 +47,9 @@
 			    .worker = (char *)round->workers[i].worker->id,
 			    .born = round->workers[i].worker->born};
 	}
+	if (unit->run == 0)
+		histogram_record(round->fleet->first_start[item->priority == 0],
+		    (round->now_ms - item->since_ms) * CLOCK_US_PER_MS);
 	run = run_create(round->fleet, unit, unit->run + 1, places);
 	fleet_event_start(round->fleet, run);
 	evlog("place", "{s:s,s:s,s:b,s:i,s:i,s:i,s:i,s:i,s:s,s:i,s:i,s:I,s:I}",
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -129,6 +129,10 @@
 	ev_timer tick;
 	ev_timer soon; /* plans and proposes what has come together */
 	GQueue calls;  /* calls of callers that wait for a commit */
+	/* Until the first start of a unit, by whether it is urgent. */
+	histogram_t *first_start[2];
+	histogram_t *order_took; /* starts and stops that were answered */
+	histogram_t *commit_took;
 	counter_t *starts;
 	counter_t *stops;
 	counter_t *polls;
@@ -184,7 +188,8 @@
 	worker_t *worker;
 	int member;
 	int percent; /* of a pace order */
-	GList link;  /* among the orders of the fleet */
+	int64_t sent_us;
+	GList link; /* among the orders of the fleet */
 } member_order_t;
 
 /* fleet_runs.c */
--- a/sched/fleet_round.h
+++ b/sched/fleet_round.h
@@ -12,6 +12,7 @@
 	ledger_unit_t *unit;
 	int priority;
 	urgency_t urgency;
+	int64_t since_ms; /* handed in, or due */
 	int64_t latest_start_ms;
 	bool covered;          /* by the guarantee of its tenant */
 	int64_t reclaim_ms;    /* from then on at the cost of urgent work */
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -1,6 +1,7 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "common/clock.h"
 #include "common/evlog.h"
 #include "sched/fleet_private.h"
 #include "sched/pace.h"
@@ -285,6 +286,7 @@
 	order->run = member->run;
 	order->worker = member->worker;
 	order->member = (int)(member - member->run->members);
+	order->sent_us = clock_mono_us();
 	order->run->orders++;
 	order->worker->orders++;
 	order->link.data = order;
@@ -299,6 +301,9 @@
 	member_t *member = &order->run->members[order->member];
 
 	member->calling = false;
+	if (answer->outcome != ORDER_NO_ANSWER)
+		histogram_record(order->run->fleet->order_took,
+		    clock_mono_us() - order->sent_us);
 	if (!order->worker->gone)
 		worker_note_answer(order->worker, answer);
 	if (order->run->over || order->worker->gone ||
--- a/sched/fleet_waiting.c
+++ b/sched/fleet_waiting.c
@@ -105,6 +105,7 @@
 		times =
 		    urgency_times(queue, work_ms, chains[unit->step], since_ms);
 		item.urgency = urgency_at(&times, now_ms);
+		item.since_ms = since_ms;
 		item.latest_start_ms =
 		    since_ms + slack_ms(queue, ledger_step(unit));
 		/* Past the bound it has no claim before others any more. */
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "common/clock.h"
+#include "common/counters.h"
 #include "tests/unit/fleet_bed.h"
 #include "tests/unit/runner.h"
 
@@ -70,6 +71,34 @@
 }
 END_TEST
 
+static int64_t
+recorded(const char *name)
+{
+	return histogram_count(histogram_get(name, ""));
+}
+
+/* Guards against waits that on-call engineers cannot see in the metrics. */
+START_TEST(waits_are_measured)
+{
+	bed_t bed;
+
+	bed_open(&bed, 4, 8);
+	bed_submit(&bed, JOB, "batch", 4, 8, true);
+	WAIT(&bed, four_run);
+	bed_submit(&bed, OTHER, "urgent", 4, 8, true);
+	WAIT(&bed, other_runs);
+	bed_end_tasks(&bed, OTHER, RUN_DONE);
+	WAIT(&bed, four_run);
+	/* The second start of the first job is not a first start. */
+	ck_assert_int_eq(
+	    recorded("fleet_first_start_seconds{urgent=\"no\"}"), 1);
+	ck_assert_int_eq(
+	    recorded("fleet_first_start_seconds{urgent=\"yes\"}"), 1);
+	ck_assert_int_ge(recorded("fleet_order_seconds"), 12);
+	bed_close(&bed);
+}
+END_TEST
+
 /* Guards against a gang of which only a part fits and is started. */
 START_TEST(gang_waits_for_room)
 {
@@ -527,6 +556,7 @@
 
 	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
 	tcase_add_test(tcase, gang_completes);
+	tcase_add_test(tcase, waits_are_measured);
 	tcase_add_test(tcase, gang_waits_for_room);
 	tcase_add_test(tcase, answer_lost);
 	tcase_add_test(tcase, cut_worker);
