sched: lasting and pinned tasks may use kept racks; a trial ends with time

Found by reading the change. A task that lasts was kept out for urgent work that may come, although it has to run at all times; a task that needs a label or its data's rack could wait as long as that rack was the emptiest; and a worker on trial takes a single task only, so where all jobs are gangs it stayed unused.

Change: tasks that last leave no headroom, pinned ones are not kept out of racks, and a trial ends after 5 s.

Tests: test_fleet lasting_task_needs_no_headroom and test_suspicion trial_ends, both failing before.

--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -10,6 +10,7 @@
 /* A view of the workers is complete this long after a takeover. */
 #define VIEW_COMPLETE_MS 5000
 
+/* Number of racks among the chosen workers, and their worst penalty. */
 static int
 count_racks(const round_t *round, int *penalty)
 {
@@ -99,7 +100,7 @@
 static bool
 leaves_headroom(const round_t *round, const waiting_t *item)
 {
-	return item->priority == 0 ||
+	return !waiting_yields(item) ||
 	       round->free - waiting_accelerators(item) >= round->headroom;
 }
 
--- a/sched/fleet_round.c
+++ b/sched/fleet_round.c
@@ -102,6 +102,16 @@
 	g_free(round->views);
 }
 
+/* Whether the unit can run elsewhere as well as in the racks that are kept. */
+static bool
+avoids_reserve(const waiting_t *item)
+{
+	const step_spec_t *step = ledger_step(item->unit);
+
+	return waiting_yields(item) && step->label[0] == '\0' &&
+	       step->data_rack[0] == '\0';
+}
+
 /*
  * Bars workers on which the unit's job has just failed, and racks that are kept
  * for urgent work.
@@ -110,16 +120,16 @@
 bar_workers(round_t *round, const waiting_t *item)
 {
 	const char *job = item->unit->job->submit.id;
-	bool urgent = item->priority == 0;
+	bool avoids = avoids_reserve(item);
 
-	if (!urgent)
+	if (avoids)
 		reserve_choose(round->reserve, round->headroom,
 		    waiting_accelerators(item));
 	for (size_t i = 0; i < round->count; i++)
 		round->workers[i].barred =
 		    suspicion_bars(
 			&round->views[i]->suspicion, job, round->now_ms) ||
-		    (!urgent && reserve_keeps(round->reserve, i));
+		    (avoids && reserve_keeps(round->reserve, i));
 }
 
 /* Counts tasks of the same step, where only some may share a worker. */
@@ -160,5 +170,3 @@
 			worker->usable = false;
 	}
 }
-
-/* Number of racks among the chosen workers, and their worst penalty. */
--- a/sched/fleet_round.h
+++ b/sched/fleet_round.h
@@ -35,6 +35,8 @@
 /* Returns what waits, in the order in which it is to be placed. */
 GArray *waiting_collect(fleet_t *fleet, int64_t now_ms);
 int waiting_accelerators(const waiting_t *item);
+/* Whether the unit leaves room for urgent work that is about to arrive. */
+bool waiting_yields(const waiting_t *item);
 
 /* fleet_round.c */
 void round_begin(round_t *round, fleet_t *fleet, int64_t now_ms);
--- a/sched/fleet_waiting.c
+++ b/sched/fleet_waiting.c
@@ -194,3 +194,9 @@
 	return item->unit->members *
 	       ledger_step(item->unit)->shape.accelerators;
 }
+
+bool
+waiting_yields(const waiting_t *item)
+{
+	return item->priority != 0 && !ledger_step(item->unit)->long_running;
+}
--- a/sched/suspicion.c
+++ b/sched/suspicion.c
@@ -9,6 +9,8 @@
 #define BAR_MS 2000
 #define QUARANTINE_FIRST_MS 1000
 #define QUARANTINE_LONGEST_MS 8000
+/* A trial needs a single task; where none waits, it ends with time. */
+#define TRIAL_LONGEST_MS 5000
 
 static void
 quarantine(suspicion_t *suspicion, int64_t now_ms)
@@ -28,7 +30,6 @@
     suspicion_t *suspicion, const char *job, bool again, int64_t now_ms)
 {
 	suspicion_level_t level = suspicion_level(suspicion, now_ms);
-
 	bool same = strcmp(suspicion->last_job, job) == 0;
 
 	suspicion->failed_ms = now_ms;
@@ -43,8 +44,7 @@
 	return true;
 }
 
-/* What began before the last failure does not show that the worker recovered.
- */
+/* A run from before the last failure does not show that the worker is well. */
 void
 suspicion_succeeded(suspicion_t *suspicion, int64_t started_ms)
 {
@@ -73,7 +73,8 @@
 suspicion_level_t
 suspicion_level(const suspicion_t *suspicion, int64_t now_ms)
 {
-	if (suspicion->until_ms == 0)
+	if (suspicion->until_ms == 0 ||
+	    now_ms >= suspicion->until_ms + TRIAL_LONGEST_MS)
 		return SUSPICION_NONE;
 	return now_ms < suspicion->until_ms ? SUSPICION_QUARANTINE
 					    : SUSPICION_TRIAL;
--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -595,21 +595,17 @@
 	bed_submit_for(bed, "", id, queue, tasks, accelerators, gang);
 }
 
-void
-bed_submit_for(bed_t *bed, const char *tenant, const char *id,
-    const char *queue, int tasks, int accelerators, bool gang)
+static void
+submit_step(bed_t *bed, const char *tenant, const char *id, const char *queue,
+    const step_spec_t *given)
 {
-	step_spec_t step = {
-	    .count = tasks,
-	    .shape = {1000, 1000, accelerators},
-	    .estimate_ms = 1000,
-	    .gang = gang,
-	    .label = (char *)"",
-	    .data_rack = (char *)"",
-	    .image = (char *)"",
-	};
+	step_spec_t step = *given;
 	command_t command = {.kind = COMMAND_BATCH_SUBMIT};
 
+	step.estimate_ms = 1000;
+	step.label = (char *)"";
+	step.data_rack = (char *)"";
+	step.image = (char *)"";
 	command.command_t_u.batch_submit = (batch_submit_t){
 	    .id = (char *)id,
 	    .queue = (char *)queue,
@@ -620,6 +616,26 @@
 	propose(bed, &command);
 }
 
+void
+bed_submit_for(bed_t *bed, const char *tenant, const char *id,
+    const char *queue, int tasks, int accelerators, bool gang)
+{
+	step_spec_t step = {
+	    .count = tasks, .shape = {1000, 1000, accelerators}, .gang = gang};
+
+	submit_step(bed, tenant, id, queue, &step);
+}
+
+void
+bed_submit_lasting(bed_t *bed, const char *id, int accelerators)
+{
+	step_spec_t step = {.count = 1,
+	    .shape = {1000, 1000, accelerators},
+	    .long_running = true};
+
+	submit_step(bed, "", id, "batch", &step);
+}
+
 void
 bed_cancel(bed_t *bed, const char *id)
 {
--- a/tests/unit/fleet_bed.h
+++ b/tests/unit/fleet_bed.h
@@ -71,6 +71,8 @@
 /* The same of a tenant: "hall" is guaranteed 16 accelerators, others none. */
 void bed_submit_for(bed_t *bed, const char *tenant, const char *id,
     const char *queue, int tasks, int accelerators, bool gang);
+/* A task that lasts, in the queue "batch". */
+void bed_submit_lasting(bed_t *bed, const char *id, int accelerators);
 void bed_cancel(bed_t *bed, const char *id);
 void bed_announce(bed_t *bed, size_t worker);
 void bed_restart_worker(bed_t *bed, size_t worker);
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -475,6 +475,35 @@
 }
 END_TEST
 
+static bool
+third_lasts(void *ctx)
+{
+	return bed_running(ctx, THIRD) == 1;
+}
+
+/*
+ * Load pattern: as above, and a task that lasts needs a place.  Guards against
+ * one that is kept out for urgent work which may come.
+ */
+START_TEST(lasting_task_needs_no_headroom)
+{
+	bed_t bed;
+
+	bed_open(&bed, 4, 8);
+	bed_submit(&bed, JOB, "urgent", 1, 8, false);
+	WAIT(&bed, one_runs);
+	bed_end_tasks(&bed, JOB, RUN_DONE);
+	WAIT(&bed, is_completed);
+	bed_submit(&bed, OTHER, "batch", 32, 1, false);
+	bed_run_for(&bed, 100);
+	ck_assert_int_lt(bed_running(&bed, OTHER), 32);
+	bed_submit_lasting(&bed, THIRD, 1);
+	bed_run_for(&bed, 100);
+	ck_assert(third_lasts(&bed));
+	bed_close(&bed);
+}
+END_TEST
+
 static bool
 none_is_known(void *ctx)
 {
@@ -573,6 +602,7 @@
 	tcase_add_test(tcase, urgent_displaces);
 	tcase_add_test(tcase, guarantee_is_reclaimed);
 	tcase_add_test(tcase, keeps_headroom);
+	tcase_add_test(tcase, lasting_task_needs_no_headroom);
 	tcase_add_test(tcase, late_after_on_time);
 	tcase_add_test(tcase, ended_jobs_are_forgotten);
 	tcase_add_loop_test(tcase, stops_while_committing, 0, 6);
--- a/tests/unit/test_suspicion.c
+++ b/tests/unit/test_suspicion.c
@@ -51,6 +51,20 @@
 }
 END_TEST
 
+/* Guards against a worker that stays unused where no single task waits, as a
+ * gang is no trial. */
+START_TEST(trial_ends)
+{
+	suspicion_t suspicion = {0};
+
+	suspicion_failed(&suspicion, "a", false, 1000);
+	suspicion_failed(&suspicion, "b", false, 1100);
+	ck_assert_int_eq(suspicion_level(&suspicion, 7099), SUSPICION_TRIAL);
+	ck_assert_int_eq(suspicion_level(&suspicion, 7100), SUSPICION_NONE);
+	ck_assert(suspicion_failed(&suspicion, "c", false, 7200));
+}
+END_TEST
+
 /* Guards against a job that never comes back to the only worker it fits on. */
 START_TEST(bar_ends)
 {
@@ -71,6 +85,7 @@
 	tcase_add_test(tcase, failing_worker);
 	tcase_add_test(tcase, failing_jobs);
 	tcase_add_test(tcase, older_work_ends);
+	tcase_add_test(tcase, trial_ends);
 	tcase_add_test(tcase, bar_ends);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_NOFORK);
