sched, tests: mend what a second reading of the change found

- The sums of room by rack were made for each submitted job that is checked for ever fitting, which never uses them; they are made for planning only.
- Doc comments of the new modules stand above the functions in the source, as elsewhere, and not in the headers.
- The stand-in caller kept a flag that follows from the number of sendings.
- Two tests of the fleet had the same set-up; a function makes it now.

--- a/policy/admission.c
+++ b/policy/admission.c
@@ -80,6 +80,7 @@
 			 MAX(slots, 1));
 }
 
+/* The time beyond the mean that a prediction of needed_ms allows for. */
 double
 admission_allowance_ms(
     const admission_t *admission, lane_t lane, double needed_ms, int64_t now_ms)
--- a/policy/admission.h
+++ b/policy/admission.h
@@ -34,7 +34,6 @@
     int64_t waited_ms, int64_t now_ms);
 int64_t admission_wait_ms(
     const admission_t *admission, lane_t lane, int ahead, int slots);
-/* The time beyond the mean that a prediction of needed_ms allows for. */
 double admission_allowance_ms(const admission_t *admission, lane_t lane,
     double needed_ms, int64_t now_ms);
 bool admission_fits(
--- a/sched/fleet_displace.c
+++ b/sched/fleet_displace.c
@@ -109,6 +109,7 @@
 	}
 }
 
+/* Stops other runs so that the unit can start; false if it cannot. */
 bool
 round_displace(round_t *round, const waiting_t *item, const plan_unit_t *unit)
 {
--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -198,6 +198,7 @@
 
 	if (waiting->len > 0 && g_hash_table_size(fleet->workers) > 0) {
 		round_begin(&round, fleet, now_ms);
+		round_begin_placing(&round);
 		for (guint i = 0; i < waiting->len; i++) {
 			const waiting_t *item =
 			    &g_array_index(waiting, waiting_t, i);
--- a/sched/fleet_round.c
+++ b/sched/fleet_round.c
@@ -66,6 +66,7 @@
 	    headroom_wanted(&round->fleet->headroom, capacity, round->now_ms);
 }
 
+/* Takes stock of the workers; round_end frees what it holds. */
 void
 round_begin(round_t *round, fleet_t *fleet, int64_t now_ms)
 {
@@ -91,6 +92,12 @@
 	}
 	apply_suspicion(round);
 	count_room(round);
+}
+
+/* Sums up the room by rack; needed before units are prepared. */
+void
+round_begin_placing(round_t *round)
+{
 	round->reserve = reserve_create(round->workers, round->count);
 }
 
@@ -132,7 +139,10 @@
 		    (avoids && reserve_keeps(round->reserve, i));
 }
 
-/* Counts tasks of the same step, where only some may share a worker. */
+/*
+ * Sets what of the workers depends on the unit: which are barred, and how many
+ * tasks of its step run there, where only some may share a worker.
+ */
 void
 round_prepare(round_t *round, const waiting_t *item)
 {
--- a/sched/fleet_round.h
+++ b/sched/fleet_round.h
@@ -32,21 +32,17 @@
 } round_t;
 
 /* fleet_waiting.c */
-/* Returns what waits, in the order in which it is to be placed. */
 GArray *waiting_collect(fleet_t *fleet, int64_t now_ms);
 int waiting_accelerators(const waiting_t *item);
-/* Whether the unit leaves room for urgent work that is about to arrive. */
 bool waiting_yields(const waiting_t *item);
 
 /* fleet_round.c */
 void round_begin(round_t *round, fleet_t *fleet, int64_t now_ms);
+void round_begin_placing(round_t *round);
 void round_end(round_t *round);
-/* Sets what of the workers depends on the unit. */
 void round_prepare(round_t *round, const waiting_t *item);
-/* Keeps the chosen room from units that come later in this round. */
 void round_take(round_t *round, const step_spec_t *step);
 
 /* fleet_displace.c */
-/* Stops other runs so that the unit can start; false if it cannot. */
 bool round_displace(
     round_t *round, const waiting_t *item, const plan_unit_t *unit);
--- a/sched/fleet_waiting.c
+++ b/sched/fleet_waiting.c
@@ -174,6 +174,7 @@
 	return first->unit < second->unit ? -1 : 1;
 }
 
+/* Returns what waits, in the order in which it is to be placed. */
 GArray *
 waiting_collect(fleet_t *fleet, int64_t now_ms)
 {
@@ -195,6 +196,7 @@
 	       ledger_step(item->unit)->shape.accelerators;
 }
 
+/* Whether the unit leaves room for urgent work that is about to arrive. */
 bool
 waiting_yields(const waiting_t *item)
 {
--- a/sched/reserve.c
+++ b/sched/reserve.c
@@ -28,6 +28,7 @@
 	return (int)racks->len - 1;
 }
 
+/* Sums up what is free by rack; the workers must outlive it. */
 reserve_t *
 reserve_create(const plan_worker_t *workers, size_t count)
 {
@@ -53,6 +54,8 @@
 void
 reserve_destroy(reserve_t *reserve)
 {
+	if (reserve == NULL)
+		return;
 	g_ptr_array_unref(reserve->by_free);
 	g_array_unref(reserve->racks);
 	g_free(reserve->rack_of);
@@ -67,6 +70,7 @@
 	return rack < 0 ? NULL : &g_array_index(reserve->racks, rack_t, rack);
 }
 
+/* Counts accelerators on a worker as taken. */
 void
 reserve_take(reserve_t *reserve, size_t worker, int accelerators)
 {
@@ -88,6 +92,10 @@
 	return strcmp(first->name, second->name);
 }
 
+/*
+ * Keeps the emptiest racks that together have headroom accelerators free.  The
+ * last of them is left open if a unit of that many accelerators fits beside.
+ */
 void
 reserve_choose(reserve_t *reserve, int headroom, int accelerators)
 {
@@ -103,6 +111,7 @@
 	}
 }
 
+/* Whether the worker's rack is kept. */
 bool
 reserve_keeps(const reserve_t *reserve, size_t worker)
 {
--- a/sched/reserve.h
+++ b/sched/reserve.h
@@ -12,15 +12,8 @@
  */
 typedef struct reserve_t reserve_t;
 
-/* Sums up what is free by rack; the workers must outlive it. */
 reserve_t *reserve_create(const plan_worker_t *workers, size_t count);
 void reserve_destroy(reserve_t *reserve);
-/* Counts accelerators on a worker as taken. */
 void reserve_take(reserve_t *reserve, size_t worker, int accelerators);
-/*
- * Keeps the emptiest racks that together have headroom accelerators free.  The
- * last of them is left open if a unit of that many accelerators fits beside.
- */
 void reserve_choose(reserve_t *reserve, int headroom, int accelerators);
-/* Whether the worker's rack is kept. */
 bool reserve_keeps(const reserve_t *reserve, size_t worker);
--- a/sched/suspicion.c
+++ b/sched/suspicion.c
@@ -22,8 +22,10 @@
 }
 
 /*
- * Counts each job once while nothing else has failed or succeeded in between:
- * the tasks of one job often fail together.
+ * Notes a run that failed; again tells that it had failed elsewhere before, so
+ * that the job may be to blame.  Counts each job once while nothing else has
+ * failed or succeeded in between, as the tasks of one job often fail together.
+ * True when the worker is put into quarantine.
  */
 bool
 suspicion_failed(
@@ -44,7 +46,10 @@
 	return true;
 }
 
-/* A run from before the last failure does not show that the worker is well. */
+/*
+ * Notes a run that was done.  One from before the last failure does not show
+ * that the worker is well.
+ */
 void
 suspicion_succeeded(suspicion_t *suspicion, int64_t started_ms)
 {
@@ -56,6 +61,7 @@
 	suspicion->last_job[0] = '\0';
 }
 
+/* Notes that the worker says itself that it is not healthy. */
 void
 suspicion_unhealthy(suspicion_t *suspicion, int64_t now_ms)
 {
@@ -63,6 +69,7 @@
 		quarantine(suspicion, now_ms);
 }
 
+/* Whether this job failed there just now and nothing else ended since. */
 bool
 suspicion_bars(const suspicion_t *suspicion, const char *job, int64_t now_ms)
 {
@@ -70,6 +77,7 @@
 	       now_ms - suspicion->failed_ms < BAR_MS;
 }
 
+/* What the worker may get at now_ms. */
 suspicion_level_t
 suspicion_level(const suspicion_t *suspicion, int64_t now_ms)
 {
--- a/sched/suspicion.h
+++ b/sched/suspicion.h
@@ -27,15 +27,10 @@
 	int64_t until_ms;      /* 0 outside of quarantine and trial */
 } suspicion_t;
 
-/* A run failed.  again: it had failed elsewhere, so that the job may be to
- * blame.  True when the worker is put into quarantine. */
 bool suspicion_failed(
     suspicion_t *suspicion, const char *job, bool again, int64_t now_ms);
-/* A run that began at started_ms was done. */
 void suspicion_succeeded(suspicion_t *suspicion, int64_t started_ms);
-/* The worker says itself that it is not healthy. */
 void suspicion_unhealthy(suspicion_t *suspicion, int64_t now_ms);
-/* Whether this job failed there just now and nothing else ended since. */
 bool suspicion_bars(
     const suspicion_t *suspicion, const char *job, int64_t now_ms);
 suspicion_level_t suspicion_level(const suspicion_t *suspicion, int64_t now_ms);
--- a/tests/standin/caller_main.c
+++ b/tests/standin/caller_main.c
@@ -101,7 +101,6 @@
 	struct curl_slist *headers;
 	int64_t start_us;
 	int sends;
-	bool marked; /* as sent again */
 	guint url_index;
 	bool is_copy; /* one of --duplicate */
 } call_t;
@@ -167,9 +166,6 @@
 static void
 mark_as_resend(call_t *call)
 {
-	if (call->marked)
-		return;
-	call->marked = true;
 	call->headers =
 	    curl_slist_append(call->headers, "X-Chervilhold-Resend: 1");
 }
@@ -184,7 +180,8 @@
 
 	if (call->curl != NULL)
 		curl_easy_cleanup(call->curl);
-	if (call->sends > 0 || call->is_copy)
+	/* A copy is one from its first sending on. */
+	if (call->sends == (call->is_copy ? 0 : 1))
 		mark_as_resend(call);
 	call->curl = curl_easy_init();
 	g_string_truncate(call->answer, 0);
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -452,6 +452,19 @@
 	return bed_running(ctx, OTHER) == 32;
 }
 
+/* An urgent job has come and gone; small batch tasks fill what is left. */
+static void
+fill_beside_headroom(bed_t *bed, int64_t ms)
+{
+	bed_open(bed, 4, 8);
+	bed_submit(bed, JOB, "urgent", 1, 8, false);
+	WAIT(bed, one_runs);
+	bed_end_tasks(bed, JOB, RUN_DONE);
+	WAIT(bed, is_completed);
+	bed_submit(bed, OTHER, "batch", 32, 1, false);
+	bed_run_for(bed, ms);
+}
+
 /*
  * Load pattern: urgent jobs arrive all the time while batch work fills every
  * gap.  Guards against batch work that takes the room of the next arrival, and
@@ -461,13 +474,7 @@
 {
 	bed_t bed;
 
-	bed_open(&bed, 4, 8);
-	bed_submit(&bed, JOB, "urgent", 1, 8, false);
-	WAIT(&bed, one_runs);
-	bed_end_tasks(&bed, JOB, RUN_DONE);
-	WAIT(&bed, is_completed);
-	bed_submit(&bed, OTHER, "batch", 32, 1, false);
-	bed_run_for(&bed, 300);
+	fill_beside_headroom(&bed, 300);
 	ck_assert_int_ge(bed_running(&bed, OTHER), 24);
 	ck_assert_int_lt(bed_running(&bed, OTHER), 32);
 	WAIT(&bed, others_fill);
@@ -489,13 +496,7 @@
 {
 	bed_t bed;
 
-	bed_open(&bed, 4, 8);
-	bed_submit(&bed, JOB, "urgent", 1, 8, false);
-	WAIT(&bed, one_runs);
-	bed_end_tasks(&bed, JOB, RUN_DONE);
-	WAIT(&bed, is_completed);
-	bed_submit(&bed, OTHER, "batch", 32, 1, false);
-	bed_run_for(&bed, 100);
+	fill_beside_headroom(&bed, 100);
 	ck_assert_int_lt(bed_running(&bed, OTHER), 32);
 	bed_submit_lasting(&bed, THIRD, 1);
 	bed_run_for(&bed, 100);
