tests: free the orders that test_fleet drops

The test cleared the queue of orders under way without freeing them. The queue is empty there on an idle machine; under load a poll is in it.

Ruled out: the product; the object has the size of the test bed's order, with the name of a worker. Making the test wait until a poll is under way gives the same leak each time, and none with this change.

Change: bed_drop_orders frees them, also for bed_restart_fleet and bed_close.

--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -500,9 +500,15 @@
 }
 
 void
-bed_restart_fleet(bed_t *bed)
+bed_drop_orders(bed_t *bed)
 {
 	g_queue_clear_full(&bed->orders, free_order);
+}
+
+void
+bed_restart_fleet(bed_t *bed)
+{
+	bed_drop_orders(bed);
 	fleet_destroy(bed->fleet);
 	bed->fleet = NULL;
 	start_fleet(bed);
@@ -514,7 +520,7 @@
 bed_close(bed_t *bed)
 {
 	ev_timer_stop(bed->loop, &bed->turn);
-	g_queue_clear_full(&bed->orders, free_order);
+	bed_drop_orders(bed);
 	fleet_destroy(bed->fleet);
 	bed->fleet = NULL;
 	replica_destroy(bed->replica);
--- a/tests/unit/fleet_bed.h
+++ b/tests/unit/fleet_bed.h
@@ -63,6 +63,8 @@
 void bed_close(bed_t *bed);
 /* A successor in the same process: the view is built anew. */
 void bed_restart_fleet(bed_t *bed);
+/* Orders that are under way neither arrive nor are answered. */
+void bed_drop_orders(bed_t *bed);
 void bed_configure(bed_t *bed);
 /* A job of one step of 1 s; queue is "urgent" (priority 0), "batch" (1) or
  * "prompt" (1, late 0.7 s after it was handed in). */
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -310,7 +310,9 @@
 	bed_open(&bed, 1, 8);
 	bed_submit(&bed, JOB, "batch", 1, 8, false);
 	WAIT(&bed, one_runs);
-	g_queue_clear(&bed.orders);
+	while (bed.orders.length == 0)
+		bed_run_for(&bed, 1);
+	bed_drop_orders(&bed);
 	bed_end_tasks(&bed, JOB, RUN_DONE);
 	bed_restart_fleet(&bed);
 	WAIT(&bed, is_completed);
