--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -13,6 +13,11 @@
 #define TICK_FOLLOWER_S 0.1
 /* Delay that lets simultaneous events share one planning pass and proposal. */
 #define WORK_DELAY_S 0.001
+/*
+ * A planning round is followed by a rest of this multiple of the time that it
+ * took, so that planning leaves the processor to orders and announcements.
+ */
+#define PLAN_REST_FACTOR 9
 /* Ended jobs removed from the ledger per tick; limits the size of a proposal.
  */
 #define FORGET_PER_TICK 16
@@ -37,11 +42,28 @@
 	return machine_ledger(replica_machine(fleet->replica));
 }
 
-/* Schedules a planning pass and a proposal after WORK_DELAY_S. */
+/* Schedules a planning round after WORK_DELAY_S, or when the next one is due.
+ */
+static void
+schedule_plan(fleet_t *fleet)
+{
+	double due_s = (double)(fleet->next_plan_us - clock_mono_us()) /
+		       (CLOCK_US_PER_MS * CLOCK_MS_PER_S);
+
+	if (ev_is_active(&fleet->plan_timer))
+		return;
+	ev_timer_set(&fleet->plan_timer, MAX(due_s, WORK_DELAY_S), 0);
+	ev_timer_start(fleet->loop, &fleet->plan_timer);
+}
+
+/* Schedules a planning round, a proposal and the check of the workers. */
 void
 fleet_schedule_work(fleet_t *fleet)
 {
-	if (!fleet->leading || ev_is_active(&fleet->work_timer))
+	if (!fleet->leading)
+		return;
+	schedule_plan(fleet);
+	if (ev_is_active(&fleet->work_timer))
 		return;
 	ev_timer_set(&fleet->work_timer, WORK_DELAY_S, 0);
 	ev_timer_start(fleet->loop, &fleet->work_timer);
@@ -144,6 +166,8 @@
 	    "reason", why);
 	fleet->leading = false;
 	ev_timer_stop(fleet->loop, &fleet->work_timer);
+	ev_timer_stop(fleet->loop, &fleet->plan_timer);
+	fleet->plan_resume = 0;
 	while (fleet->runs->len > 0)
 		run_drop(g_ptr_array_index(fleet->runs, fleet->runs->len - 1));
 	g_hash_table_iter_init(&iter, fleet->workers);
@@ -215,6 +239,25 @@
 	}
 }
 
+/* Runs a planning round and proposes what it decided. */
+static void
+on_plan_timer(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	fleet_t *fleet = watcher->data;
+	int64_t start_us = clock_mono_us();
+	int64_t end_us;
+
+	check_leadership(fleet, fleet_now_ms());
+	if (!fleet->leading)
+		return;
+	fleet_plan(fleet, fleet_now_ms());
+	fleet_events_propose(fleet);
+	end_us = clock_mono_us();
+	fleet->next_plan_us = end_us + (end_us - start_us) * PLAN_REST_FACTOR;
+	if (fleet->plan_resume > 0)
+		schedule_plan(fleet);
+}
+
 static void
 on_work_timer(struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -226,7 +269,6 @@
 	check_leadership(fleet, now_ms);
 	if (!fleet->leading)
 		return;
-	fleet_plan(fleet, now_ms);
 	fleet_events_propose(fleet);
 	g_hash_table_iter_init(&iter, fleet->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -261,6 +303,8 @@
 	record_ended_jobs(fleet, now_ms);
 	forget_ended_jobs(fleet, now_ms);
 	on_work_timer(loop, &fleet->work_timer, 0);
+	if (fleet->leading)
+		schedule_plan(fleet);
 	fleet_reap_runs(fleet);
 	fleet_reap_workers(fleet);
 }
@@ -393,6 +437,10 @@
 	    "fleet_order_seconds", "until a worker answered a start or a stop");
 	fleet->commit_latency = histogram_get(
 	    "fleet_commit_seconds", "until a job or a cancel was committed");
+	fleet->round_time = histogram_get("fleet_round_seconds",
+	    "time of the event loop for a planning round");
+	fleet->rounds_cut = counter_get("fleet_rounds_cut_total",
+	    "planning rounds that ended with their time budget");
 	fleet->starts = counter_get("fleet_starts_total", "starts sent");
 	fleet->stops = counter_get("fleet_stops_total", "stops sent");
 	fleet->polls = counter_get("fleet_polls_total", "polls of workers");
@@ -411,6 +459,8 @@
 	fleet->tick.data = fleet;
 	ev_timer_init(&fleet->work_timer, on_work_timer, 0, 0);
 	fleet->work_timer.data = fleet;
+	ev_timer_init(&fleet->plan_timer, on_plan_timer, 0, 0);
+	fleet->plan_timer.data = fleet;
 	ev_timer_start(loop, &fleet->tick);
 	return fleet;
 }
--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -13,6 +13,14 @@
  */
 #define WORKERS_KNOWN_MS 5000
 
+/* Needs of a step that could not be placed in this round. */
+typedef struct {
+	plan_unit_t unit;
+} blocked_t;
+
+/* Bounds the comparisons for each step. */
+#define MAX_BLOCKED 64
+
 /*
  * Returns the number of racks among the chosen workers and stores their highest
  * penalty.
@@ -20,40 +28,44 @@
 static int
 summarize_choice(const round_t *round, int *penalty)
 {
+	const pool_t *pool = round->pool;
+	size_t count = pool_choice_size(pool);
 	int racks = 0;
 
 	*penalty = 0;
-	for (size_t i = 0; i < round->count; i++) {
-		const plan_worker_t *plan_worker = &round->plan_workers[i];
-		bool skip = plan_worker->chosen == 0;
-
-		if (plan_worker->chosen > 0)
-			*penalty = MAX(*penalty, plan_worker->penalty);
-		for (size_t j = 0; j < i && !skip; j++)
-			skip = round->plan_workers[j].chosen > 0 &&
-			       strcmp(round->plan_workers[j].worker->rack,
-				   plan_worker->worker->rack) == 0;
-		racks += !skip;
+	for (size_t i = 0; i < count; i++) {
+		size_t worker = pool_choice(pool, i);
+		const char *rack = pool_rack_name(pool, worker);
+		bool seen = false;
+
+		*penalty = MAX(*penalty, round->plan_workers[worker].penalty);
+		/* The pool has one pointer for each rack's name. */
+		for (size_t j = 0; j < i && !seen; j++)
+			seen =
+			    pool_rack_name(pool, pool_choice(pool, j)) == rack;
+		racks += !seen;
 	}
 	return racks;
 }
 
 /* Creates a run on the chosen workers and queues its start for commit. */
 static void
-queue_start(round_t *round, const waiting_unit_t *item)
+queue_start(round_t *round, const waiting_step_t *item, ledger_unit_t *unit)
 {
-	ledger_unit_t *unit = item->unit;
 	unit_place_t *places = g_new0(unit_place_t, unit->members);
 	int penalty;
 	int racks = summarize_choice(round, &penalty);
 	int n = 0;
 	run_t *run;
 
-	for (size_t i = 0; i < round->count; i++) {
-		for (int c = 0; c < round->plan_workers[i].chosen; c++)
-			places[n++] = (unit_place_t){
-			    .worker = (char *)round->plan_workers[i].worker->id,
-			    .born = round->plan_workers[i].worker->born};
+	for (size_t i = 0; i < pool_choice_size(round->pool); i++) {
+		const plan_worker_t *chosen =
+		    pool_worker(round->pool, pool_choice(round->pool, i));
+
+		for (int c = 0; c < chosen->chosen; c++)
+			places[n++] =
+			    (unit_place_t){.worker = (char *)chosen->worker->id,
+				.born = chosen->worker->born};
 	}
 	if (unit->run == 0)
 		histogram_record(
@@ -73,44 +85,9 @@
 	g_free(places);
 }
 
-/* Whether the rack could hold the unit if nothing else ran. */
-static bool
-rack_can_hold(const round_t *round, const plan_unit_t *unit, const char *rack)
-{
-	int fitting = 0;
-
-	for (size_t i = 0; i < round->count; i++) {
-		const plan_worker_t *plan_worker = &round->plan_workers[i];
-
-		if (plan_worker->usable &&
-		    strcmp(plan_worker->worker->rack, rack) == 0)
-			fitting += plan_fit(
-			    &plan_worker->worker->capacity, &unit->step->shape);
-	}
-	return fitting >= unit->members;
-}
-
-/* Whether any rack can satisfy the unit's data or same-rack preference. */
-static bool
-locality_is_possible(const round_t *round, const plan_unit_t *unit)
-{
-	const step_spec_t *step = unit->step;
-
-	if (step->data_rack[0] != '\0')
-		return rack_can_hold(round, unit, step->data_rack);
-	if (!step->same_rack || unit->members == 1)
-		return true;
-	for (size_t i = 0; i < round->count; i++) {
-		if (rack_can_hold(
-			round, unit, round->plan_workers[i].worker->rack))
-			return true;
-	}
-	return false;
-}
-
 /* Whether placing the unit preserves the headroom for urgent work. */
 static bool
-leaves_headroom(const round_t *round, const waiting_unit_t *item)
+leaves_headroom(const round_t *round, const waiting_step_t *item)
 {
 	return !waiting_respects_headroom(item) ||
 	       round->free_accelerators - waiting_accelerators(item) >=
@@ -123,7 +100,7 @@
  */
 static void
 apply_tickets(
-    round_t *round, const waiting_unit_t *item, const plan_unit_t *unit)
+    round_t *round, const waiting_step_t *item, const plan_unit_t *unit)
 {
 	fleet_t *fleet = round->fleet;
 	char *step = fleet_step_name(item->unit->job->submit.id,
@@ -149,7 +126,7 @@
 
 /* Like plan_unit, but first checks the total number of accelerators. */
 static bool
-try_plan(round_t *round, const waiting_unit_t *item, const plan_unit_t *unit,
+try_plan(round_t *round, const waiting_step_t *item, const plan_unit_t *unit,
     plan_available_t room)
 {
 	int limit = round->free_accelerators;
@@ -157,15 +134,25 @@
 	if (room == PLAN_RELEASING)
 		limit += round->releasing_accelerators;
 	return waiting_accelerators(item) <= limit &&
-	       plan_unit(round->plan_workers, round->count, unit, room);
+	       plan_unit(round->pool, unit, room);
 }
 
 /*
- * Starts the unit and returns true, or reserves room for it where possible and
- * returns false.
+ * Whether the unit must avoid racks reserved for urgent work: it respects the
+ * headroom and needs no label or data rack.
  */
 static bool
-place_unit(round_t *round, const waiting_unit_t *item)
+avoids_reserve(const waiting_step_t *item)
+{
+	const step_spec_t *step = ledger_step(item->unit);
+
+	return waiting_respects_headroom(item) && step->label[0] == '\0' &&
+	       step->data_rack[0] == '\0';
+}
+
+/* Returns what the planner has to know of the step's units. */
+static plan_unit_t
+describe_unit(round_t *round, const waiting_step_t *item)
 {
 	const fleet_queue_t *queue = ledger_queue(
 	    fleet_ledger(round->fleet), item->unit->job->submit.queue);
@@ -173,67 +160,166 @@
 	    .service = queue->service,
 	    .step = ledger_step(item->unit),
 	    .members = item->unit->members,
+	    .needs_ticket = queue->needs_ticket,
+	    .avoids_reserved = avoids_reserve(item),
 	};
 
+	unit.may_spread = round->now_ms > item->may_spread_ms ||
+			  !plan_locality_is_possible(round->pool, &unit);
+	return unit;
+}
+
+/*
+ * Starts the unit and returns true, or reserves room for it where possible and
+ * returns false.
+ */
+static bool
+place_unit(round_t *round, const waiting_step_t *item, const plan_unit_t *plan,
+    ledger_unit_t *unit)
+{
 	if (!leaves_headroom(round, item))
 		return false;
-	round_prepare_unit(round, item);
-	if (queue->needs_ticket) {
-		apply_tickets(round, item, &unit);
-		unit.needs_ticket = true;
-	}
-	unit.may_spread = !locality_is_possible(round, &unit) ||
-			  round->now_ms > item->may_spread_ms;
-	if (try_plan(round, item, &unit, PLAN_FREE)) {
-		queue_start(round, item);
-		round_subtract_chosen(round, unit.step);
+	if (plan->avoids_reserved)
+		round_choose_reserve(round, item);
+	if (try_plan(round, item, plan, PLAN_FREE)) {
+		queue_start(round, item, unit);
+		round_subtract_chosen(round, plan->step);
 		round->free_accelerators -= waiting_accelerators(item);
 		return true;
 	}
-	if (try_plan(round, item, &unit, PLAN_RELEASING)) {
-		round_subtract_chosen(round, unit.step);
+	if (try_plan(round, item, plan, PLAN_RELEASING)) {
+		round_subtract_chosen(round, plan->step);
 		return false;
 	}
 	if (item->priority == QUEUE_PRIORITY_URGENT &&
-	    round_preempt(round, item, &unit))
-		round_subtract_chosen(round, unit.step);
+	    !round_is_over_budget(round) && round_preempt(round, item, plan))
+		round_subtract_chosen(round, plan->step);
 	return false;
 }
 
+/* ---- steps that cannot be placed ---- */
+
+static bool
+needs_as_much(const resources_t *shape, const resources_t *other)
+{
+	return shape->cpu_milli >= other->cpu_milli &&
+	       shape->memory_mb >= other->memory_mb &&
+	       shape->accelerators >= other->accelerators;
+}
+
 /*
- * Units of one step have the same needs: if one cannot be placed, neither can
- * the others.
+ * Whether a unit cannot be placed because another one could not: the resources
+ * of a round only shrink.
  */
 static bool
-is_same_step(const waiting_unit_t *a, const waiting_unit_t *b)
+is_blocked_by(const plan_unit_t *unit, const plan_unit_t *other)
+{
+	return unit->members >= other->members &&
+	       needs_as_much(&unit->step->shape, &other->step->shape) &&
+	       unit->may_spread == other->may_spread &&
+	       unit->avoids_reserved == other->avoids_reserved &&
+	       unit->step->same_rack == other->step->same_rack &&
+	       strcmp(unit->service, other->service) == 0 &&
+	       strcmp(unit->step->data_rack, other->step->data_rack) == 0 &&
+	       strcmp(unit->step->label, other->step->label) == 0;
+}
+
+/*
+ * Whether the outcome for a unit says something about others: it depends on its
+ * needs only, and it is not worth a preemption.
+ */
+static bool
+is_comparable(
+    const round_t *round, const waiting_step_t *item, const plan_unit_t *unit)
+{
+	return item->priority != QUEUE_PRIORITY_URGENT && !round->excludes &&
+	       !unit->needs_ticket && unit->step->max_per_worker <= 0;
+}
+
+static bool
+is_blocked(const round_t *round, const plan_unit_t *unit)
+{
+	for (guint i = 0; i < round->blocked->len; i++) {
+		if (is_blocked_by(unit,
+			&g_array_index(round->blocked, blocked_t, i).unit))
+			return true;
+	}
+	return false;
+}
+
+/* ---- rounds ---- */
+
+/* Starts as many waiting units of the step as possible. */
+static void
+place_step(round_t *round, const waiting_step_t *item)
 {
-	return a->unit->job == b->unit->job && a->unit->step == b->unit->step &&
-	       a->unit->occurrence == b->unit->occurrence;
+	plan_unit_t plan = describe_unit(round, item);
+	blocked_t blocked = {.unit = plan};
+	bool comparable;
+
+	round_prepare_step(round, item);
+	comparable = is_comparable(round, item, &plan);
+	if (comparable && is_blocked(round, &plan))
+		return;
+	if (plan.needs_ticket)
+		apply_tickets(round, item, &plan);
+	for (ledger_unit_t *unit = item->unit; unit < item->end; unit++) {
+		if (!waiting_is_waiting(unit))
+			continue;
+		if (!place_unit(round, item, &plan, unit))
+			break;
+		if (round_is_over_budget(round))
+			return;
+	}
+	if (comparable && round->blocked->len < MAX_BLOCKED)
+		g_array_append_val(round->blocked, blocked);
 }
 
-/* Runs one planning round over all waiting units. */
+/*
+ * Tries the steps in their order, from fleet->plan_resume on.  Urgent ones are
+ * always tried.  Where the budget is used up the next round goes on.
+ */
+static void
+place_steps(round_t *round, const GArray *waiting)
+{
+	fleet_t *fleet = round->fleet;
+	guint resume = fleet->plan_resume;
+
+	fleet->plan_resume = 0;
+	for (guint i = 0; i < waiting->len; i++) {
+		const waiting_step_t *item =
+		    &g_array_index(waiting, waiting_step_t, i);
+		bool urgent = item->priority == QUEUE_PRIORITY_URGENT;
+
+		if (!urgent && i < resume)
+			continue;
+		if (!urgent && round_is_over_budget(round)) {
+			fleet->plan_resume = i;
+			counter_add(fleet->rounds_cut, 1);
+			return;
+		}
+		place_step(round, item);
+	}
+}
+
+/* Runs one planning round over all waiting steps. */
 void
 fleet_plan(fleet_t *fleet, int64_t now_ms)
 {
+	int64_t start_us = clock_mono_us();
 	GArray *waiting = waiting_collect(fleet, now_ms);
-	const waiting_unit_t *blocked = NULL;
 	round_t round;
 
 	if (waiting->len > 0 && g_hash_table_size(fleet->workers) > 0) {
 		round_begin(&round, fleet, now_ms);
+		round.start_us = start_us;
 		round_begin_placing(&round);
-		for (guint i = 0; i < waiting->len; i++) {
-			const waiting_unit_t *item =
-			    &g_array_index(waiting, waiting_unit_t, i);
-
-			if (blocked != NULL && is_same_step(item, blocked))
-				continue;
-			if (!place_unit(&round, item))
-				blocked = item;
-		}
+		round.blocked = g_array_new(FALSE, FALSE, sizeof(blocked_t));
+		place_steps(&round, waiting);
 		round_end(&round);
 	}
 	g_array_unref(waiting);
+	histogram_record(fleet->round_time, clock_mono_us() - start_us);
 }
 
 /*
--- a/sched/fleet_preempt.c
+++ b/sched/fleet_preempt.c
@@ -23,7 +23,7 @@
  * never preempted.
  */
 static bool
-may_preempt(const run_t *run, const waiting_unit_t *item, int64_t now_ms)
+may_preempt(const run_t *run, const waiting_step_t *item, int64_t now_ms)
 {
 	if (!run->start_committed || run->stopping || run->any_done ||
 	    run->step->long_running)
@@ -83,7 +83,7 @@
 
 static void
 collect_preemptible(
-    round_t *round, const waiting_unit_t *item, preemptible_set_t *set)
+    round_t *round, const waiting_step_t *item, preemptible_set_t *set)
 {
 	const GPtrArray *runs = round->fleet->runs;
 
@@ -98,8 +98,7 @@
 static void
 add_releasing(round_t *round, const preemptible_member_t *member)
 {
-	plan_add(
-	    &round->plan_workers[member->worker].releasing, &member->shape, 1);
+	pool_add_releasing(round->pool, member->worker, &member->shape);
 	round->releasing_accelerators += member->shape.accelerators;
 }
 
@@ -128,7 +127,7 @@
  */
 bool
 round_preempt(
-    round_t *round, const waiting_unit_t *item, const plan_unit_t *unit)
+    round_t *round, const waiting_step_t *item, const plan_unit_t *unit)
 {
 	preemptible_set_t set = {
 	    .members = g_array_new(FALSE, FALSE, sizeof(preemptible_member_t)),
@@ -138,7 +137,7 @@
 	bool chosen;
 
 	collect_preemptible(round, item, &set);
-	chosen = preempt_choose_runs(round->plan_workers, round->count, unit,
+	chosen = preempt_choose_runs(round->pool, unit,
 	    (const preemptible_member_t *)(void *)set.members->data,
 	    set.members->len, (preemptible_run_t *)(void *)set.runs->data,
 	    set.runs->len);
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -52,6 +52,8 @@
 	uint64_t confirmed_ack;   /* acknowledged by the last answered poll */
 	GQueue pending_ends;      /* pending_end_t, by number */
 	GPtrArray *members;       /* member_t that have not ended here */
+	resources_t held;         /* by members */
+	resources_t releasing;    /* by members of runs that release them */
 	suspicion_t suspicion;
 	size_t plan_index; /* among the workers of the planning round */
 	/* Its incarnation has ended; the next work timer retires it. */
@@ -112,6 +114,7 @@
 	bool end_proposed;
 	bool any_done; /* a member is done, which completes the unit */
 	bool any_failed;
+	bool releasing; /* stopping or done: its resources will be free soon */
 	const char *stop_reason;
 	int priority; /* of the queue; lower is more important */
 	bool needs_ticket;
@@ -141,13 +144,18 @@
 	GPtrArray *proposal_waiters; /* waiters for the next proposal */
 	fleet_proposal_t *proposal;  /* in flight */
 	ev_timer tick;
-	ev_timer work_timer;  /* one-shot: planning and proposal */
+	ev_timer work_timer;  /* one-shot: proposal and checks of workers */
+	ev_timer plan_timer;  /* one-shot: planning round */
+	int64_t next_plan_us; /* no planning round before then */
+	guint plan_resume;    /* see place_steps; 0: the last round was whole */
 	GQueue pending_calls; /* pending_call_t */
 	/* Time to the first start of a unit; the index is whether it is urgent.
 	 */
 	histogram_t *first_start_latency[2];
 	histogram_t *order_latency; /* starts and stops that were answered */
 	histogram_t *commit_latency;
+	histogram_t *round_time; /* of planning rounds */
+	counter_t *rounds_cut;   /* ended by their budget */
 	counter_t *starts;
 	counter_t *stops;
 	counter_t *polls;
--- a/sched/fleet_round.c
+++ b/sched/fleet_round.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "common/clock.h"
 #include "sched/fleet_round.h"
 
 /* Resources available in one planning round, and the part reserved. */
@@ -14,19 +15,11 @@
  * are more, the jobs are at fault.
  */
 #define SUSPECT_LIMIT_DIVISOR 2
-
-static void
-subtract_members(const worker_t *worker, plan_worker_t *plan_worker)
-{
-	for (guint i = 0; i < worker->members->len; i++) {
-		const member_t *member = g_ptr_array_index(worker->members, i);
-		const run_t *run = member->run;
-
-		plan_subtract(&plan_worker->free, &run->shape, 1);
-		if (run->stopping || run->any_done)
-			plan_add(&plan_worker->releasing, &run->shape, 1);
-	}
-}
+/*
+ * A round holds the event loop no longer than this, a tenth of the heartbeat
+ * interval between instances; the next round goes on with the rest.
+ */
+#define ROUND_BUDGET_US 10000
 
 /* Restricts suspect workers, unless too many are suspect. */
 static void
@@ -82,7 +75,8 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	*round = (round_t){.fleet = fleet, .now_ms = now_ms};
+	*round = (round_t){
+	    .fleet = fleet, .now_ms = now_ms, .start_us = clock_mono_us()};
 	round->count = g_hash_table_size(fleet->workers);
 	round->plan_workers = g_new0(plan_worker_t, round->count);
 	round->workers = g_new0(worker_t *, round->count);
@@ -96,89 +90,109 @@
 		round->workers[round->count++] = worker;
 		plan_worker->worker = &worker->info;
 		plan_worker->free = worker->info.capacity;
+		plan_subtract(&plan_worker->free, &worker->held, 1);
+		plan_worker->releasing = worker->releasing;
 		plan_worker->usable = worker_is_usable(worker, now_ms);
-		subtract_members(worker, plan_worker);
 	}
 	apply_suspicion(round);
 	sum_accelerators(round);
 }
 
+static void
+find_suspects(round_t *round)
+{
+	round->suspects = g_array_new(FALSE, FALSE, sizeof(size_t));
+	for (size_t i = 0; i < round->count; i++) {
+		if (round->workers[i]->suspicion.last_job[0] != '\0')
+			g_array_append_val(round->suspects, i);
+	}
+}
+
 /*
- * Creates round->reserve, which placing units needs; call it before
- * round_prepare_unit.
+ * Indexes the workers, which placing units needs; call it before
+ * round_prepare_step.
  */
 void
 round_begin_placing(round_t *round)
 {
-	round->reserve = reserve_create(round->plan_workers, round->count);
+	round->pool = pool_create(round->plan_workers, round->count);
+	round->reserve = reserve_create(round->pool);
+	find_suspects(round);
 }
 
 void
 round_end(round_t *round)
 {
 	reserve_destroy(round->reserve);
+	pool_destroy(round->pool);
+	if (round->suspects != NULL)
+		g_array_unref(round->suspects);
+	if (round->blocked != NULL)
+		g_array_unref(round->blocked);
 	g_free(round->plan_workers);
 	g_free(round->workers);
 }
 
-/*
- * Whether the unit must avoid racks reserved for urgent work: it respects the
- * headroom and needs no label or data rack.
- */
-static bool
-avoids_reserve(const waiting_unit_t *item)
+bool
+round_is_over_budget(const round_t *round)
 {
-	const step_spec_t *step = ledger_step(item->unit);
-
-	return waiting_respects_headroom(item) && step->label[0] == '\0' &&
-	       step->data_rack[0] == '\0';
+	return clock_mono_us() - round->start_us > ROUND_BUDGET_US;
 }
 
-/*
- * Excludes workers on which the unit's job has just failed, and racks reserved
- * for urgent work.
- */
+/* Excludes workers on which the step's job has just failed. */
 static void
-exclude_workers(round_t *round, const waiting_unit_t *item)
+exclude_suspects(round_t *round, const waiting_step_t *item)
 {
 	const char *job = item->unit->job->submit.id;
-	bool avoids = avoids_reserve(item);
 
-	if (avoids)
-		reserve_choose_racks(round->reserve,
-		    round->headroom_accelerators, waiting_accelerators(item));
-	for (size_t i = 0; i < round->count; i++)
-		round->plan_workers[i].excluded =
-		    suspicion_excludes_job(
-			&round->workers[i]->suspicion, job, round->now_ms) ||
-		    (avoids && reserve_is_rack_reserved(round->reserve, i));
+	round->excludes = false;
+	for (guint i = 0; i < round->suspects->len; i++) {
+		size_t worker = g_array_index(round->suspects, size_t, i);
+		bool excluded = suspicion_excludes_job(
+		    &round->workers[worker]->suspicion, job, round->now_ms);
+
+		round->plan_workers[worker].excluded = excluded;
+		round->excludes |= excluded;
+	}
+}
+
+/* Returns how many tasks of the step the worker holds. */
+static int
+count_same_step(const worker_t *worker, const waiting_step_t *item)
+{
+	const step_spec_t *step = ledger_step(item->unit);
+	int count = 0;
+
+	for (guint m = 0; m < worker->members->len; m++) {
+		const member_t *member = g_ptr_array_index(worker->members, m);
+
+		count += member->run->step == step &&
+			 member->run->name.occurrence == item->unit->occurrence;
+	}
+	return count;
 }
 
 /*
- * Updates the per-unit fields of the workers: which are excluded and, if the
+ * Updates what depends on the step: the workers that are excluded and, if the
  * step limits tasks per worker, how many of its tasks run there.
  */
 void
-round_prepare_unit(round_t *round, const waiting_unit_t *item)
+round_prepare_step(round_t *round, const waiting_step_t *item)
 {
-	const step_spec_t *step = ledger_step(item->unit);
-
-	exclude_workers(round, item);
-	if (step->max_per_worker <= 0)
+	exclude_suspects(round, item);
+	if (ledger_step(item->unit)->max_per_worker <= 0)
 		return;
-	for (size_t i = 0; i < round->count; i++) {
-		const GPtrArray *members = round->workers[i]->members;
-
-		round->plan_workers[i].same_step = 0;
-		for (guint m = 0; m < members->len; m++) {
-			const member_t *member = g_ptr_array_index(members, m);
-			const run_t *run = member->run;
+	for (size_t i = 0; i < round->count; i++)
+		round->plan_workers[i].same_step =
+		    count_same_step(round->workers[i], item);
+}
 
-			if (run->step == step &&
-			    run->name.occurrence == item->unit->occurrence)
-				round->plan_workers[i].same_step++;
-		}
-	}
+/* Reserves racks for urgent work beside one unit of the step. */
+void
+round_choose_reserve(round_t *round, const waiting_step_t *item)
+{
+	reserve_choose_racks(round->reserve, round->headroom_accelerators,
+	    waiting_accelerators(item));
 }
 
 /*
@@ -188,14 +202,14 @@
 void
 round_subtract_chosen(round_t *round, const step_spec_t *step)
 {
-	for (size_t i = 0; i < round->count; i++) {
-		plan_worker_t *plan_worker = &round->plan_workers[i];
-
-		plan_subtract(
-		    &plan_worker->free, &step->shape, plan_worker->chosen);
-		reserve_note_allocated(round->reserve, i,
-		    plan_worker->chosen * step->shape.accelerators);
-		if (plan_worker->on_trial && plan_worker->chosen > 0)
-			plan_worker->usable = false;
+	for (size_t i = 0; i < pool_choice_size(round->pool); i++) {
+		size_t worker = pool_choice(round->pool, i);
+		plan_worker_t *plan_worker = &round->plan_workers[worker];
+
+		pool_take(
+		    round->pool, worker, &step->shape, plan_worker->chosen);
+		plan_worker->same_step += plan_worker->chosen;
+		if (plan_worker->on_trial)
+			pool_disable(round->pool, worker);
 	}
 }
--- a/sched/fleet_round.h
+++ b/sched/fleet_round.h
@@ -2,12 +2,14 @@
 
 #include "sched/fleet_private.h"
 #include "sched/plan.h"
+#include "sched/pool.h"
 #include "sched/reserve.h"
 #include "sched/urgency.h"
 
-/* A unit that waits to be started. */
+/* The waiting units of a step.  They have the same needs. */
 typedef struct {
-	ledger_unit_t *unit;
+	ledger_unit_t *unit; /* the first that waits */
+	ledger_unit_t *end;  /* after the last unit of the step */
 	int priority;
 	urgency_t urgency;
 	int64_t since_ms; /* submitted or due */
@@ -15,16 +17,21 @@
 	bool has_precedence; /* guaranteed; reclaim limit not passed */
 	int64_t may_preempt_urgent_ms; /* from then on */
 	int64_t may_spread_ms; /* may leave its preferred rack from then on */
-} waiting_unit_t;
+} waiting_step_t;
 
 /* State of one planning round: the workers and their free resources. */
 typedef struct {
 	fleet_t *fleet;
 	int64_t now_ms;
+	int64_t start_us;
 	plan_worker_t *plan_workers;
 	worker_t **workers; /* in the order of plan_workers */
 	size_t count;
-	int free_accelerators;      /* of usable workers */
+	pool_t *pool;
+	GArray *suspects;      /* size_t, workers on which a job has failed */
+	bool excludes;         /* a suspect worker is excluded for the step */
+	GArray *blocked;       /* blocked_t, see fleet_plan.c */
+	int free_accelerators; /* of usable workers */
 	int releasing_accelerators; /* of runs being stopped */
 	int headroom_accelerators;  /* kept free for urgent work */
 	reserve_t *reserve;
@@ -32,16 +39,20 @@
 
 /* fleet_waiting.c */
 GArray *waiting_collect(fleet_t *fleet, int64_t now_ms);
-int waiting_accelerators(const waiting_unit_t *item);
-bool waiting_respects_headroom(const waiting_unit_t *item);
+/* Whether the unit still waits and no start of it is being committed. */
+bool waiting_is_waiting(const ledger_unit_t *unit);
+int waiting_accelerators(const waiting_step_t *item);
+bool waiting_respects_headroom(const waiting_step_t *item);
 
 /* fleet_round.c */
 void round_begin(round_t *round, fleet_t *fleet, int64_t now_ms);
 void round_begin_placing(round_t *round);
 void round_end(round_t *round);
-void round_prepare_unit(round_t *round, const waiting_unit_t *item);
+void round_prepare_step(round_t *round, const waiting_step_t *item);
+void round_choose_reserve(round_t *round, const waiting_step_t *item);
 void round_subtract_chosen(round_t *round, const step_spec_t *step);
+bool round_is_over_budget(const round_t *round);
 
 /* fleet_preempt.c */
 bool round_preempt(
-    round_t *round, const waiting_unit_t *item, const plan_unit_t *unit);
+    round_t *round, const waiting_step_t *item, const plan_unit_t *unit);
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -5,6 +5,7 @@
 #include "common/evlog.h"
 #include "sched/fleet_private.h"
 #include "sched/pace.h"
+#include "sched/plan.h"
 
 #define START_RETRY_MS 30
 #define STOP_RETRY_MS 200
@@ -59,6 +60,7 @@
 			member->worker->reachable = false;
 		}
 		g_ptr_array_add(member->worker->members, member);
+		plan_add(&member->worker->held, &run->shape, 1);
 	}
 	unit->leader_run = run;
 	g_ptr_array_add(fleet->runs, run);
@@ -98,10 +100,30 @@
 	}
 }
 
+/* The resources of the run count as soon to be free from now on. */
+static void
+run_release(run_t *run)
+{
+	if (run->releasing)
+		return;
+	run->releasing = true;
+	for (int i = 0; i < run->member_count; i++) {
+		worker_t *worker = run->members[i].worker;
+
+		if (worker != NULL)
+			plan_add(&worker->releasing, &run->shape, 1);
+	}
+}
+
 static void
 member_detach(member_t *member)
 {
+	const run_t *run = member->run;
+
 	g_ptr_array_remove_fast(member->worker->members, member);
+	plan_subtract(&member->worker->held, &run->shape, 1);
+	if (run->releasing)
+		plan_subtract(&member->worker->releasing, &run->shape, 1);
 	member->worker = NULL;
 	member->state = MEMBER_ENDED;
 }
@@ -248,6 +270,7 @@
 	 */
 	if (how == RUN_DONE && !run->any_done && !run->step->long_running) {
 		run->any_done = true;
+		run_release(run);
 		if (!run->end_proposed)
 			propose_end(run, UNIT_RESULT_DONE);
 	}
@@ -523,6 +546,7 @@
 		return;
 	run->stopping = true;
 	run->stop_reason = reason;
+	run_release(run);
 	if (!run->start_committed)
 		return;
 	evlog("run_stop", "{s:s,s:i,s:i,s:i,s:s}", "job", run->job, "step",
--- a/sched/fleet_waiting.c
+++ b/sched/fleet_waiting.c
@@ -5,8 +5,8 @@
 #include "sched/guarantee.h"
 
 /*
- * Orders the waiting units: by priority, then units within the
- * guarantee of their tenant, then units that can still meet their objective,
+ * Orders the steps with waiting units: by priority, then those within the
+ * guarantee of their tenant, then those that can still meet their objective,
  * then by latest start time that meets the objective of the queue.
  */
 
@@ -83,49 +83,91 @@
 		    &fleet->headroom, first_step_accelerators(job), now_ms);
 }
 
+bool
+waiting_is_waiting(const ledger_unit_t *unit)
+{
+	return unit->state == UNIT_WAITING && unit->leader_run == NULL;
+}
+
+/* Returns the first waiting unit of a step, or NULL; end is after its last. */
+static ledger_unit_t *
+find_waiting(
+    const ledger_job_t *job, int occurrence, int step, ledger_unit_t **end)
+{
+	size_t count;
+	ledger_unit_t *unit = ledger_step_units(job, occurrence, step, &count);
+
+	for (*end = unit + count; unit < *end; unit++) {
+		if (waiting_is_waiting(unit))
+			return unit;
+	}
+	return NULL;
+}
+
+/* Times of a job that its steps share. */
+typedef struct {
+	const fleet_queue_t *queue;
+	int64_t *remaining_path_ms; /* by step */
+	int64_t critical_path_ms;
+} job_times_t;
+
+static void
+collect_step(fleet_t *fleet, const job_times_t *job_times, ledger_unit_t *unit,
+    ledger_unit_t *end, int64_t now_ms, GArray *waiting)
+{
+	const fleet_queue_t *queue = job_times->queue;
+	const fleet_timing_t *timing = &fleet->timing;
+	int64_t since_ms = waiting_since_ms(unit, now_ms);
+	urgency_times_t times =
+	    urgency_times(queue, job_times->critical_path_ms,
+		job_times->remaining_path_ms[unit->step], since_ms);
+	waiting_step_t item = {
+	    .unit = unit,
+	    .end = end,
+	    .priority = queue->priority,
+	    .urgency = urgency_at(&times, now_ms),
+	    .since_ms = since_ms,
+	    .latest_start_ms = since_ms + max_wait_ms(queue, ledger_step(unit)),
+	    /* After the reclaim limit the unit loses its precedence. */
+	    .has_precedence =
+		unit->job->covered && now_ms <= since_ms + timing->reclaim_ms,
+	    .may_preempt_urgent_ms =
+		since_ms +
+		timing->reclaim_ms * PREEMPT_URGENT_AFTER_PERCENT / PERCENT,
+	};
+
+	item.may_spread_ms =
+	    item.has_precedence
+		? MIN(item.latest_start_ms, item.may_preempt_urgent_ms)
+		: item.latest_start_ms;
+	g_array_append_val(waiting, item);
+}
+
 static void
 collect_job(fleet_t *fleet, ledger_job_t *job, int64_t now_ms, GArray *waiting)
 {
 	const fleet_queue_t *queue =
 	    ledger_queue(fleet_ledger(fleet), job->submit.queue);
-	int64_t *remaining_path_ms;
-	int64_t work_ms;
+	int steps = (int)job->submit.spec.steps.steps_len;
+	job_times_t times = {.queue = queue};
 
-	if (queue == NULL)
+	if (queue == NULL || job->units_waiting == 0)
 		return;
 	if (job->submitted_mono_ms == 0)
 		record_arrival(fleet, job, queue->priority, now_ms);
-	remaining_path_ms = g_newa(int64_t, job->submit.spec.steps.steps_len);
-	work_ms = urgency_critical_paths(&job->submit.spec, remaining_path_ms);
-	for (size_t i = 0; i < job->unit_count; i++) {
-		ledger_unit_t *unit = &job->units[i];
-		waiting_unit_t item = {
-		    .unit = unit, .priority = queue->priority};
-		urgency_times_t times;
-		int64_t since_ms;
-
-		if (unit->state != UNIT_WAITING || unit->leader_run != NULL ||
-		    !is_due(fleet, unit) || !ledger_unit_is_ready(unit))
-			continue;
-		since_ms = waiting_since_ms(unit, now_ms);
-		times = urgency_times(
-		    queue, work_ms, remaining_path_ms[unit->step], since_ms);
-		item.urgency = urgency_at(&times, now_ms);
-		item.since_ms = since_ms;
-		item.latest_start_ms =
-		    since_ms + max_wait_ms(queue, ledger_step(unit));
-		/* After the reclaim limit the unit loses its precedence. */
-		item.has_precedence =
-		    job->covered &&
-		    now_ms <= since_ms + fleet->timing.reclaim_ms;
-		item.may_preempt_urgent_ms =
-		    since_ms + fleet->timing.reclaim_ms *
-				   PREEMPT_URGENT_AFTER_PERCENT / PERCENT;
-		item.may_spread_ms =
-		    item.has_precedence
-			? MIN(item.latest_start_ms, item.may_preempt_urgent_ms)
-			: item.latest_start_ms;
-		g_array_append_val(waiting, item);
+	times.remaining_path_ms = g_newa(int64_t, steps);
+	times.critical_path_ms =
+	    urgency_critical_paths(&job->submit.spec, times.remaining_path_ms);
+	for (int k = 0; k < job->occurrences; k++) {
+		for (int s = 0; s < steps; s++) {
+			ledger_unit_t *end;
+			ledger_unit_t *unit = find_waiting(job, k, s, &end);
+
+			if (unit != NULL && is_due(fleet, unit) &&
+			    ledger_unit_is_ready(unit))
+				collect_step(
+				    fleet, &times, unit, end, now_ms, waiting);
+		}
 	}
 }
 
@@ -164,8 +206,8 @@
 static gint
 compare_waiting(gconstpointer a, gconstpointer b)
 {
-	const waiting_unit_t *first = a;
-	const waiting_unit_t *second = b;
+	const waiting_step_t *first = a;
+	const waiting_step_t *second = b;
 
 	if (first->priority != second->priority)
 		return first->priority - second->priority;
@@ -182,11 +224,11 @@
 	return first->unit < second->unit ? -1 : 1;
 }
 
-/* Returns the waiting units in placement order; the caller frees the array. */
+/* Returns the waiting steps in placement order; the caller frees the array. */
 GArray *
 waiting_collect(fleet_t *fleet, int64_t now_ms)
 {
-	GArray *waiting = g_array_new(FALSE, FALSE, sizeof(waiting_unit_t));
+	GArray *waiting = g_array_new(FALSE, FALSE, sizeof(waiting_step_t));
 	GQueue *open = ledger_open_jobs(fleet_ledger(fleet));
 
 	mark_covered_jobs(fleet);
@@ -196,17 +238,17 @@
 	return waiting;
 }
 
-/* Returns the accelerators that the unit needs. */
+/* Returns the accelerators that one unit of the step needs. */
 int
-waiting_accelerators(const waiting_unit_t *item)
+waiting_accelerators(const waiting_step_t *item)
 {
 	return item->unit->members *
 	       ledger_step(item->unit)->shape.accelerators;
 }
 
-/* Whether the unit must leave the headroom for urgent work free. */
+/* Whether the step must leave the headroom for urgent work free. */
 bool
-waiting_respects_headroom(const waiting_unit_t *item)
+waiting_respects_headroom(const waiting_step_t *item)
 {
 	return item->priority != QUEUE_PRIORITY_URGENT &&
 	       !ledger_step(item->unit)->long_running;
--- a/sched/ledger.c
+++ b/sched/ledger.c
@@ -10,6 +10,17 @@
 
 /* ---- configuration ---- */
 
+/* The first of several queues of one name counts. */
+static void
+index_queues(ledger_t *ledger)
+{
+	for (u_int i = ledger->config.queues.queues_len; i-- > 0;) {
+		fleet_queue_t *queue = &ledger->config.queues.queues_val[i];
+
+		g_hash_table_insert(ledger->queues, queue->name, queue);
+	}
+}
+
 /*
  * Replaces the configuration if the new number is higher.  Otherwise returns 0
  * without a change, so that a client that resends a command gets success again.
@@ -19,9 +30,11 @@
 {
 	if (command->number <= ledger->config.number)
 		return 0;
+	g_hash_table_remove_all(ledger->queues);
 	codec_free((xdrproc_t)xdr_fleet_config_t, &ledger->config);
 	ledger->config = *command;
 	memset(command, 0, sizeof(*command));
+	index_queues(ledger);
 	return 0;
 }
 
@@ -35,14 +48,7 @@
 const fleet_queue_t *
 ledger_queue(const ledger_t *ledger, const char *name)
 {
-	for (u_int i = 0; i < ledger->config.queues.queues_len; i++) {
-		const fleet_queue_t *queue =
-		    &ledger->config.queues.queues_val[i];
-
-		if (strcmp(queue->name, name) == 0)
-			return queue;
-	}
-	return NULL;
+	return g_hash_table_lookup(ledger->queues, name);
 }
 
 /* Returns the queue of host with the longest prefix of path, or NULL. */
@@ -157,12 +163,17 @@
 	ledger_unit_t *unit;
 
 	job->occurrences = occurrence_count(spec);
-	for (u_int s = 0; s < steps; s++)
-		job->unit_count += unit_count_of(&spec->steps.steps_val[s]);
-	job->unit_count *= job->occurrences;
+	job->step_first_unit = g_new(size_t, steps);
+	for (u_int s = 0; s < steps; s++) {
+		job->step_first_unit[s] = job->units_per_occurrence;
+		job->units_per_occurrence +=
+		    unit_count_of(&spec->steps.steps_val[s]);
+	}
+	job->unit_count = job->units_per_occurrence * job->occurrences;
 	job->units = g_new0(ledger_unit_t, job->unit_count);
 	job->step_units_left = g_new0(int, job->occurrences *steps);
 	job->units_left = job->unit_count;
+	job->units_waiting = job->unit_count;
 	unit = job->units;
 	for (int k = 0; k < job->occurrences; k++) {
 		for (u_int s = 0; s < steps; s++) {
@@ -220,6 +231,7 @@
 	}
 	g_free(job->units);
 	g_free(job->step_units_left);
+	g_free(job->step_first_unit);
 	codec_free((xdrproc_t)xdr_batch_submit_t, &job->submit);
 	g_free(job);
 }
@@ -351,14 +363,24 @@
 ledger_unit_of_task(
     const ledger_job_t *job, int occurrence, int step, int index)
 {
-	for (size_t i = 0; i < job->unit_count; i++) {
-		ledger_unit_t *unit = &job->units[i];
+	size_t count;
+	ledger_unit_t *units;
 
-		if (unit->occurrence == occurrence && unit->step == step &&
-		    index >= unit->first && index < unit->first + unit->members)
-			return unit;
-	}
-	return NULL;
+	if (occurrence < 0 || occurrence >= job->occurrences || step < 0 ||
+	    step >= (int)job->submit.spec.steps.steps_len || index < 0 ||
+	    index >= job->submit.spec.steps.steps_val[step].count)
+		return NULL;
+	units = ledger_step_units(job, occurrence, step, &count);
+	return count == 1 ? units : &units[index];
+}
+
+ledger_unit_t *
+ledger_step_units(
+    const ledger_job_t *job, int occurrence, int step, size_t *count)
+{
+	*count = unit_count_of(&job->submit.spec.steps.steps_val[step]);
+	return &job->units[occurrence * job->units_per_occurrence +
+			   job->step_first_unit[step]];
 }
 
 bool
@@ -398,6 +420,7 @@
 	    ledger_job_has_ended(unit->job))
 		return;
 	unit->state = UNIT_PLACED;
+	unit->job->units_waiting--;
 	unit->run = start->run;
 	if (unit->run == 1)
 		unit->job->units_started++;
@@ -443,6 +466,8 @@
 		return;
 	had_ended = ledger_job_has_ended(unit->job);
 	clear_places(unit);
+	if (unit->state == UNIT_PLACED)
+		unit->job->units_waiting++;
 	unit->state = UNIT_WAITING;
 	if (end->checkpoint[0] != '\0') {
 		g_free(unit->checkpoint);
@@ -452,9 +477,11 @@
 		unit->failures++;
 	if (end->result == UNIT_RESULT_DONE) {
 		unit->state = UNIT_DONE;
+		unit->job->units_waiting--;
 		count_done(unit);
 	} else if (end->final) {
 		unit->state = UNIT_FAILED;
+		unit->job->units_waiting--;
 		unit->job->failed = true;
 	}
 	ledger_move_if_ended(ledger, unit->job, had_ended);
@@ -546,6 +573,7 @@
 {
 	ledger_t *ledger = g_new0(ledger_t, 1);
 
+	ledger->queues = g_hash_table_new(g_str_hash, g_str_equal);
 	ledger->jobs = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, (GDestroyNotify)ledger_job_free);
 	ledger->workers =
@@ -563,6 +591,7 @@
 		return;
 	g_hash_table_unref(ledger->jobs);
 	g_hash_table_unref(ledger->workers);
+	g_hash_table_unref(ledger->queues);
 	codec_free((xdrproc_t)xdr_fleet_config_t, &ledger->config);
 	g_free(ledger);
 }
--- a/sched/ledger.h
+++ b/sched/ledger.h
@@ -46,6 +46,9 @@
 	size_t unit_count;
 	size_t units_left; /* not done */
 	size_t units_started;
+	size_t units_waiting;        /* in UNIT_WAITING */
+	size_t units_per_occurrence; /* of all steps */
+	size_t *step_first_unit;     /* by step, within an occurrence */
 	int *step_units_left; /* units not done, by occurrence and step */
 	/* Kept by the leader only; monotonic times, 0: not yet. */
 	int64_t submitted_mono_ms;   /* submitted */
@@ -88,6 +91,9 @@
 bool ledger_job_has_ended(const ledger_job_t *job);
 int ledger_pending_count(const ledger_t *ledger, const char *queue);
 const step_spec_t *ledger_step(const ledger_unit_t *unit);
+/* Returns the first unit of a step; the others of the step follow it. */
+ledger_unit_t *ledger_step_units(
+    const ledger_job_t *job, int occurrence, int step, size_t *count);
 /* Whether the steps that the unit depends on are done. */
 bool ledger_unit_is_ready(const ledger_unit_t *unit);
 /* Unix time in milliseconds before which the unit must not start, or 0. */
--- a/sched/ledger_private.h
+++ b/sched/ledger_private.h
@@ -5,6 +5,7 @@
 /* Private to sched/ledger*.c. */
 struct ledger_t {
 	fleet_config_t config;
+	GHashTable *queues;  /* name -> fleet_queue_t of config */
 	GHashTable *jobs;    /* id -> ledger_job_t */
 	GHashTable *workers; /* id -> fleet_worker_t */
 	GQueue open;
--- a/sched/ledger_snapshot.c
+++ b/sched/ledger_snapshot.c
@@ -137,6 +137,7 @@
 		if (!restore_unit(unit, &record->units.units_val[i]))
 			return false;
 		job->units_started += unit->run > 0;
+		job->units_waiting -= unit->state != UNIT_WAITING;
 		if (unit->state == UNIT_DONE) {
 			job->units_left--;
 			job->step_units_left[unit->occurrence * steps +
--- a/sched/preempt.c
+++ b/sched/preempt.c
@@ -1,15 +1,15 @@
 #include "sched/preempt.h"
 
-#include <glib.h>
 #include <string.h>
 
+#include "sched/pool_private.h"
+
 /*
  * Loss in core-milliseconds that is added on a suspect worker, so that its runs
  * are preempted last: the unit would probably fail there too.
  */
 #define SUSPECT_WORKER_LOSS 1000000000
 #define ANY_RACK (-1)
-#define NO_RACK (-2)
 
 /* Member indexes grouped by key, stored in one array. */
 typedef struct {
@@ -19,8 +19,7 @@
 
 /* The inputs of one search and indexes over them. */
 typedef struct {
-	plan_worker_t *workers;
-	size_t count;
+	pool_t *pool;
 	const plan_unit_t *unit;
 	const preemptible_member_t *members;
 	size_t member_count;
@@ -28,11 +27,15 @@
 	size_t run_count;
 	member_index_t by_worker;
 	member_index_t by_run;
-	int *racks; /* rack number, by worker */
-	int rack_count;
 	bool *is_eligible; /* by worker; ignores rack constraints */
 } search_t;
 
+/* Workers that a solution may use: some consecutive ones of pool_t.by_rack. */
+typedef struct {
+	size_t first;
+	size_t count;
+} range_t;
+
 /* Runs to preempt on one worker so that at least one more member fits. */
 typedef struct {
 	bool is_computed; /* cleared when resources of the worker are freed */
@@ -40,9 +43,10 @@
 	GArray *runs;     /* size_t */
 } victims_t;
 
-/* A partial solution. */
+/* A partial solution; its arrays are reused for the next range of workers. */
 typedef struct {
 	bool *preempted;        /* runs to preempt */
+	GArray *runs;           /* size_t, the same as a list */
 	resources_t *available; /* by worker; once the runs have stopped */
 	victims_t *victims;     /* by worker */
 	int64_t loss;
@@ -60,7 +64,7 @@
 static member_index_t
 index_members(const search_t *search, bool by_run)
 {
-	size_t keys = by_run ? search->run_count : search->count;
+	size_t keys = by_run ? search->run_count : search->pool->count;
 	member_index_t index = {
 	    .first = g_new0(size_t, keys + 1),
 	    .members = g_new0(size_t, search->member_count),
@@ -85,35 +89,14 @@
 	g_free(index->members);
 }
 
-static void
-number_racks(search_t *search)
-{
-	GHashTable *numbers = g_hash_table_new(g_str_hash, g_str_equal);
-
-	search->racks = g_new0(int, search->count);
-	for (size_t i = 0; i < search->count; i++) {
-		char *name = search->workers[i].worker->rack;
-		gpointer number;
-
-		if (!g_hash_table_lookup_extended(
-			numbers, name, NULL, &number)) {
-			number = GINT_TO_POINTER(search->rack_count++);
-			g_hash_table_insert(numbers, name, number);
-		}
-		search->racks[i] = GPOINTER_TO_INT(number);
-	}
-	g_hash_table_unref(numbers);
-}
-
 static void
 search_prepare(search_t *search)
 {
 	search->by_worker = index_members(search, false);
 	search->by_run = index_members(search, true);
-	number_racks(search);
-	search->is_eligible = g_new0(bool, search->count);
-	for (size_t i = 0; i < search->count; i++) {
-		const plan_worker_t *worker = &search->workers[i];
+	search->is_eligible = g_new0(bool, search->pool->count);
+	for (size_t i = 0; i < search->pool->count; i++) {
+		const plan_worker_t *worker = &search->pool->workers[i];
 
 		search->is_eligible[i] =
 		    plan_is_eligible(worker, search->unit) &&
@@ -126,19 +109,17 @@
 {
 	index_free(&search->by_worker);
 	index_free(&search->by_run);
-	g_free(search->racks);
 	g_free(search->is_eligible);
 }
 
-/* Returns the number of a rack, or NO_RACK if no worker is in it. */
-static int
-rack_number(const search_t *search, const char *name)
+/* Returns the workers of a rack, or all of them with ANY_RACK. */
+static range_t
+range_of(const search_t *search, int rack)
 {
-	for (size_t i = 0; i < search->count; i++) {
-		if (strcmp(search->workers[i].worker->rack, name) == 0)
-			return search->racks[i];
-	}
-	return NO_RACK;
+	if (rack == ANY_RACK)
+		return (range_t){0, search->pool->count};
+	return (range_t){
+	    search->pool->racks[rack].first, search->pool->racks[rack].count};
 }
 
 /* ---- one worker ---- */
@@ -151,22 +132,24 @@
 members_that_fit(
     const search_t *search, const resources_t *available, size_t worker)
 {
-	const step_spec_t *step = search->unit->step;
-	int fitting = plan_fit(available, &step->shape);
-
-	if (step->max_per_worker > 0)
-		fitting =
-		    MIN(fitting, MAX(step->max_per_worker -
-					 search->workers[worker].same_step,
-				     0));
-	return MIN(fitting, search->unit->members);
+	if (!search->is_eligible[worker])
+		return 0;
+	return plan_members_that_fit(
+	    &search->pool->workers[worker], search->unit, available);
 }
 
-static bool
-is_allowed(const search_t *search, size_t i, int rack)
+/* Returns what is available if every preemptible run is preempted. */
+static resources_t
+available_at_most(const search_t *search, size_t worker)
 {
-	return search->is_eligible[i] &&
-	       (rack == ANY_RACK || search->racks[i] == rack);
+	const member_index_t *index = &search->by_worker;
+	resources_t available =
+	    pool_available(search->pool, worker, PLAN_RELEASING);
+
+	for (size_t m = index->first[worker]; m < index->first[worker + 1]; m++)
+		plan_add(
+		    &available, &search->members[index->members[m]].shape, 1);
+	return available;
 }
 
 static bool
@@ -233,7 +216,7 @@
 
 	victims->is_computed = true;
 	victims->loss =
-	    search->workers[worker].penalty > 0 ? SUSPECT_WORKER_LOSS : 0;
+	    search->pool->workers[worker].penalty > 0 ? SUSPECT_WORKER_LOSS : 0;
 	if (victims->runs == NULL)
 		victims->runs = g_array_new(FALSE, FALSE, sizeof(size_t));
 	g_array_set_size(victims->runs, 0);
@@ -253,20 +236,78 @@
 
 /* ---- solutions ---- */
 
+static solution_t
+solution_create(const search_t *search)
+{
+	return (solution_t){
+	    .preempted = g_new0(bool, search->run_count),
+	    .runs = g_array_new(FALSE, FALSE, sizeof(size_t)),
+	    .available = g_new0(resources_t, search->pool->count),
+	    .victims = g_new0(victims_t, search->pool->count),
+	};
+}
+
+static void
+solution_clear(const search_t *search, solution_t *solution)
+{
+	for (size_t i = 0; i < search->pool->count; i++) {
+		if (solution->victims[i].runs != NULL)
+			g_array_unref(solution->victims[i].runs);
+	}
+	g_array_unref(solution->runs);
+	g_free(solution->victims);
+	g_free(solution->preempted);
+	g_free(solution->available);
+}
+
+/* Empties the solution; it may then use the workers of the range. */
+static void
+solution_reset(const search_t *search, solution_t *solution, range_t range)
+{
+	for (guint i = 0; i < solution->runs->len; i++)
+		solution->preempted[g_array_index(solution->runs, size_t, i)] =
+		    false;
+	g_array_set_size(solution->runs, 0);
+	solution->loss = 0;
+	for (size_t i = range.first; i < range.first + range.count; i++) {
+		size_t worker = search->pool->by_rack[i];
+
+		solution->available[worker] =
+		    pool_available(search->pool, worker, PLAN_RELEASING);
+		solution->victims[worker].is_computed = false;
+	}
+}
+
 static int
 count_fitting_members(
-    const search_t *search, const solution_t *solution, int rack)
+    const search_t *search, const solution_t *solution, range_t range)
 {
 	int fitting = 0;
 
-	for (size_t i = 0; i < search->count; i++) {
-		if (is_allowed(search, i, rack))
-			fitting += members_that_fit(
-			    search, &solution->available[i], i);
+	for (size_t i = range.first; i < range.first + range.count; i++) {
+		size_t worker = search->pool->by_rack[i];
+
+		fitting += members_that_fit(
+		    search, &solution->available[worker], worker);
 	}
 	return fitting;
 }
 
+/* Whether the unit fits into the range if every run there is preempted. */
+static bool
+can_be_solved(const search_t *search, range_t range)
+{
+	int fitting = 0;
+
+	for (size_t i = range.first; i < range.first + range.count; i++) {
+		size_t worker = search->pool->by_rack[i];
+		resources_t available = available_at_most(search, worker);
+
+		fitting += members_that_fit(search, &available, worker);
+	}
+	return fitting >= search->unit->members;
+}
+
 /*
  * Adds a run to the solution and invalidates the victims of all workers it ran
  * on.
@@ -277,6 +318,7 @@
 	const member_index_t *index = &search->by_run;
 
 	solution->preempted[run] = true;
+	g_array_append_val(solution->runs, run);
 	solution->loss += search->runs[run].loss;
 	for (size_t m = index->first[run]; m < index->first[run + 1]; m++) {
 		const preemptible_member_t *member =
@@ -289,21 +331,23 @@
 }
 
 /*
- * Adds the victims with the lowest loss among the workers of the rack.
+ * Adds the victims with the lowest loss among the workers of the range.
  * Returns false if no worker has any.
  */
 static bool
-add_cheapest_victims(const search_t *search, solution_t *solution, int rack)
+add_cheapest_victims(
+    const search_t *search, solution_t *solution, range_t range)
 {
 	const victims_t *best = NULL;
 
-	for (size_t i = 0; i < search->count; i++) {
-		victims_t *victims = &solution->victims[i];
+	for (size_t i = range.first; i < range.first + range.count; i++) {
+		size_t worker = search->pool->by_rack[i];
+		victims_t *victims = &solution->victims[worker];
 
-		if (!is_allowed(search, i, rack))
+		if (!search->is_eligible[worker])
 			continue;
 		if (!victims->is_computed)
-			find_victims(search, solution, i);
+			find_victims(search, solution, worker);
 		if (victims->loss != INT64_MAX &&
 		    (best == NULL || victims->loss < best->loss))
 			best = victims;
@@ -315,125 +359,111 @@
 	return true;
 }
 
-static void
-solution_free(const search_t *search, solution_t *solution)
-{
-	for (size_t i = 0; i < search->count; i++) {
-		if (solution->victims[i].runs != NULL)
-			g_array_unref(solution->victims[i].runs);
-	}
-	g_free(solution->victims);
-	g_free(solution->preempted);
-	g_free(solution->available);
-	g_free(solution);
-}
-
 /*
- * Selects runs to preempt in one rack, or in all with ANY_RACK, until the whole
- * unit fits. Returns NULL if it cannot.
+ * Selects runs to preempt on the workers of the range until the whole unit
+ * fits.  Returns false if it cannot, or not with a loss below max_loss.
  */
-static solution_t *
-solve_rack(const search_t *search, int rack)
+static bool
+solve_range(const search_t *search, solution_t *solution, range_t range,
+    int64_t max_loss)
 {
-	solution_t *solution = g_new0(solution_t, 1);
-
-	solution->preempted = g_new0(bool, search->run_count);
-	solution->available = g_new0(resources_t, search->count);
-	solution->victims = g_new0(victims_t, search->count);
-	for (size_t i = 0; i < search->count; i++) {
-		solution->available[i] = search->workers[i].free;
-		plan_add(
-		    &solution->available[i], &search->workers[i].releasing, 1);
-	}
-	while (count_fitting_members(search, solution, rack) <
+	if (!can_be_solved(search, range))
+		return false;
+	solution_reset(search, solution, range);
+	while (count_fitting_members(search, solution, range) <
 	       search->unit->members) {
-		if (add_cheapest_victims(search, solution, rack))
-			continue;
-		solution_free(search, solution);
-		return NULL;
+		if (!add_cheapest_victims(search, solution, range) ||
+		    solution->loss >= max_loss)
+			return false;
 	}
-	return solution;
+	return solution->loss < max_loss;
 }
 
-/* Solves each rack alone and keeps the solution with the lowest loss. */
-static solution_t *
-solve_cheapest_rack(const search_t *search, int *rack)
+/* Returns the rack in which preemption loses least, or ANY_RACK if none can
+ * hold the unit. */
+static int
+find_cheapest_rack(const search_t *search, solution_t *solution)
 {
-	solution_t *best = NULL;
-
-	for (int number = 0; number < search->rack_count; number++) {
-		solution_t *solution = solve_rack(search, number);
+	int64_t least = INT64_MAX;
+	int best = ANY_RACK;
 
-		if (solution == NULL)
+	for (size_t r = 0; r < search->pool->rack_count; r++) {
+		if (!solve_range(
+			search, solution, range_of(search, (int)r), least))
 			continue;
-		if (best != NULL && best->loss <= solution->loss) {
-			solution_free(search, solution);
-			continue;
-		}
-		if (best != NULL)
-			solution_free(search, best);
-		best = solution;
-		*rack = number;
+		least = solution->loss;
+		best = (int)r;
 	}
 	return best;
 }
 
 static void
-assign_members(const search_t *search, const solution_t *solution, int rack)
+assign_members(
+    const search_t *search, const solution_t *solution, range_t range)
 {
 	int left = search->unit->members;
 
-	for (size_t i = 0; i < search->count; i++) {
-		search->workers[i].chosen = 0;
-		if (left == 0 || !is_allowed(search, i, rack))
+	pool_clear_choice(search->pool);
+	for (size_t i = range.first; i < range.first + range.count && left > 0;
+	     i++) {
+		size_t worker = search->pool->by_rack[i];
+		int fitting = members_that_fit(
+		    search, &solution->available[worker], worker);
+
+		if (fitting == 0)
 			continue;
-		search->workers[i].chosen = MIN(
-		    left, members_that_fit(search, &solution->available[i], i));
-		left -= search->workers[i].chosen;
+		pool_choose(search->pool, worker, MIN(left, fitting));
+		left -= MIN(left, fitting);
 	}
 }
 
-static solution_t *
-solve(const search_t *search, int *rack)
+/* Stores in range where the unit may be placed; false if nowhere. */
+static bool
+choose_range(const search_t *search, solution_t *solution, range_t *range)
 {
 	const plan_unit_t *unit = search->unit;
 	const char *data_rack = unit->step->data_rack;
-
-	*rack = ANY_RACK;
-	if (unit->may_spread)
-		return solve_rack(search, *rack);
-	if (data_rack[0] != '\0') {
-		*rack = rack_number(search, data_rack);
-		return solve_rack(search, *rack);
+	int rack = ANY_RACK;
+
+	if (!unit->may_spread && data_rack[0] != '\0') {
+		rack = pool_rack_number(search->pool, data_rack);
+		if (rack == POOL_NONE)
+			return false;
+	} else if (!unit->may_spread && unit->step->same_rack &&
+		   unit->members > 1) {
+		rack = find_cheapest_rack(search, solution);
+		if (rack == ANY_RACK)
+			return false;
 	}
-	if (unit->step->same_rack && unit->members > 1)
-		return solve_cheapest_rack(search, rack);
-	return solve_rack(search, *rack);
+	*range = range_of(search, rack);
+	return true;
 }
 
 bool
-preempt_choose_runs(plan_worker_t *workers, size_t count,
-    const plan_unit_t *unit, const preemptible_member_t *members,
-    size_t member_count, preemptible_run_t *runs, size_t run_count)
+preempt_choose_runs(pool_t *pool, const plan_unit_t *unit,
+    const preemptible_member_t *members, size_t member_count,
+    preemptible_run_t *runs, size_t run_count)
 {
-	search_t search = {.workers = workers,
-	    .count = count,
+	search_t search = {.pool = pool,
 	    .unit = unit,
 	    .members = members,
 	    .member_count = member_count,
 	    .runs = runs,
 	    .run_count = run_count};
-	int rack;
-	solution_t *solution;
+	solution_t solution;
+	range_t range;
+	bool solved;
 
 	search_prepare(&search);
-	solution = solve(&search, &rack);
-	if (solution != NULL) {
-		assign_members(&search, solution, rack);
+	solution = solution_create(&search);
+	solved = choose_range(&search, &solution, &range) &&
+		 solve_range(&search, &solution, range, INT64_MAX);
+	if (solved) {
+		assign_members(&search, &solution, range);
 		for (size_t run = 0; run < run_count; run++)
-			runs[run].preempted = solution->preempted[run];
-		solution_free(&search, solution);
+			runs[run].preempted = solution.preempted[run];
 	}
+	solution_clear(&search, &solution);
 	search_clear(&search);
-	return solution != NULL;
+	return solved;
 }
--- a/sched/preempt.h
+++ b/sched/preempt.h
@@ -27,9 +27,9 @@
 /*
  * Places the unit on free resources, resources being released and resources of
  * preempted runs, under the constraints of plan_unit.  Picks runs greedily by
- * lowest loss.  On success sets `chosen` of each worker and `preempted` of each
- * run; returns false and changes neither if the unit cannot be placed.
+ * lowest loss.  On success sets the pool's choice and `preempted` of each run;
+ * returns false and changes neither if the unit cannot be placed.
  */
-bool preempt_choose_runs(plan_worker_t *workers, size_t count,
-    const plan_unit_t *unit, const preemptible_member_t *members,
-    size_t member_count, preemptible_run_t *runs, size_t run_count);
+bool preempt_choose_runs(pool_t *pool, const plan_unit_t *unit,
+    const preemptible_member_t *members, size_t member_count,
+    preemptible_run_t *runs, size_t run_count);
--- a/sched/reserve.c
+++ b/sched/reserve.c
@@ -1,97 +1,61 @@
 #include "sched/reserve.h"
 
-#include <glib.h>
 #include <string.h>
 
-typedef struct {
-	const char *name;
-	int free; /* accelerators */
-	bool reserved;
-} rack_t;
+#include "sched/pool_private.h"
 
 struct reserve_t {
-	GArray *racks;      /* rack_t */
-	GPtrArray *by_free; /* rack_t, sorted by reserve_choose_racks */
-	int *rack_index;    /* by worker, -1 if it is not usable */
+	pool_t *pool;
+	pool_rack_t **by_free; /* sorted by reserve_choose_racks */
 };
 
-static int
-get_or_add_rack(GArray *racks, const char *name)
-{
-	rack_t added = {.name = name};
-
-	for (guint i = 0; i < racks->len; i++) {
-		if (strcmp(g_array_index(racks, rack_t, i).name, name) == 0)
-			return (int)i;
-	}
-	g_array_append_val(racks, added);
-	return (int)racks->len - 1;
-}
-
-/* Sums up free accelerators by rack.  The workers must outlive the result. */
+/* The pool must outlive the result. */
 reserve_t *
-reserve_create(const plan_worker_t *workers, size_t count)
+reserve_create(pool_t *pool)
 {
 	reserve_t *reserve = g_new0(reserve_t, 1);
 
-	reserve->racks = g_array_new(FALSE, FALSE, sizeof(rack_t));
-	reserve->rack_index = g_new0(int, count);
-	for (size_t i = 0; i < count; i++) {
-		reserve->rack_index[i] = -1;
-		if (!workers[i].usable)
-			continue;
-		reserve->rack_index[i] =
-		    get_or_add_rack(reserve->racks, workers[i].worker->rack);
-		/* A negative allocation adds to the free accelerators. */
-		reserve_note_allocated(
-		    reserve, i, -MAX(workers[i].free.accelerators, 0));
-	}
-	reserve->by_free = g_ptr_array_new();
-	for (guint i = 0; i < reserve->racks->len; i++)
-		g_ptr_array_add(reserve->by_free,
-		    &g_array_index(reserve->racks, rack_t, i));
+	reserve->pool = pool;
+	reserve->by_free = g_new(pool_rack_t *, pool->rack_count);
+	for (size_t r = 0; r < pool->rack_count; r++)
+		reserve->by_free[r] = &pool->racks[r];
 	return reserve;
 }
 
+/* Frees the reserve; NULL is allowed. */
 void
 reserve_destroy(reserve_t *reserve)
 {
 	if (reserve == NULL)
 		return;
-	g_ptr_array_unref(reserve->by_free);
-	g_array_unref(reserve->racks);
-	g_free(reserve->rack_index);
+	g_free(reserve->by_free);
 	g_free(reserve);
 }
 
-static rack_t *
-rack_of(const reserve_t *reserve, size_t worker)
+/* Most free first, then by name, so that the choice is stable. */
+static bool
+is_before(const pool_rack_t *first, const pool_rack_t *second)
 {
-	int rack = reserve->rack_index[worker];
-
-	return rack < 0 ? NULL : &g_array_index(reserve->racks, rack_t, rack);
+	if (first->accelerators[PLAN_FREE] != second->accelerators[PLAN_FREE])
+		return first->accelerators[PLAN_FREE] >
+		       second->accelerators[PLAN_FREE];
+	return strcmp(first->name, second->name) < 0;
 }
 
-/* Subtracts accelerators that were allocated on a worker. */
-void
-reserve_note_allocated(reserve_t *reserve, size_t worker, int accelerators)
+/* Insertion sort: between two units of a round few racks change places. */
+static void
+sort_racks(reserve_t *reserve)
 {
-	rack_t *rack = rack_of(reserve, worker);
+	pool_rack_t **racks = reserve->by_free;
 
-	if (rack != NULL)
-		rack->free -= accelerators;
-}
+	for (size_t i = 1; i < reserve->pool->rack_count; i++) {
+		pool_rack_t *rack = racks[i];
+		size_t to = i;
 
-/* Most free first, then by name, so that the choice is stable. */
-static gint
-compare_racks(gconstpointer a, gconstpointer b)
-{
-	const rack_t *first = *(const rack_t *const *)a;
-	const rack_t *second = *(const rack_t *const *)b;
-
-	if (first->free != second->free)
-		return second->free - first->free;
-	return strcmp(first->name, second->name);
+		for (; to > 0 && is_before(rack, racks[to - 1]); to--)
+			racks[to] = racks[to - 1];
+		racks[to] = rack;
+	}
 }
 
 /*
@@ -104,14 +68,14 @@
 {
 	int reserved = 0;
 
-	g_ptr_array_sort(reserve->by_free, compare_racks);
-	for (guint i = 0; i < reserve->by_free->len; i++) {
-		rack_t *rack = g_ptr_array_index(reserve->by_free, i);
+	sort_racks(reserve);
+	for (size_t i = 0; i < reserve->pool->rack_count; i++) {
+		pool_rack_t *rack = reserve->by_free[i];
+		int free = rack->accelerators[PLAN_FREE];
 
-		rack->reserved =
-		    reserved < headroom &&
-		    reserved + rack->free - unit_accelerators < headroom;
-		reserved += rack->free;
+		rack->reserved = reserved < headroom &&
+				 reserved + free - unit_accelerators < headroom;
+		reserved += free;
 	}
 }
 
@@ -119,7 +83,5 @@
 bool
 reserve_is_rack_reserved(const reserve_t *reserve, size_t worker)
 {
-	const rack_t *rack = rack_of(reserve, worker);
-
-	return rack != NULL && rack->reserved;
+	return reserve->pool->racks[reserve->pool->rack_of[worker]].reserved;
 }
--- a/sched/reserve.h
+++ b/sched/reserve.h
@@ -1,9 +1,6 @@
 #pragma once
 
-#include <stdbool.h>
-#include <stddef.h>
-
-#include "sched/plan.h"
+#include "sched/pool.h"
 
 /*
  * Chooses racks to reserve for urgent work.  Load pattern: urgent gangs need
@@ -13,10 +10,8 @@
  */
 typedef struct reserve_t reserve_t;
 
-reserve_t *reserve_create(const plan_worker_t *workers, size_t count);
+reserve_t *reserve_create(pool_t *pool);
 void reserve_destroy(reserve_t *reserve);
-void reserve_note_allocated(
-    reserve_t *reserve, size_t worker, int accelerators);
 void reserve_choose_racks(
     reserve_t *reserve, int headroom, int unit_accelerators);
 bool reserve_is_rack_reserved(const reserve_t *reserve, size_t worker);
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -53,6 +53,31 @@
 	    .service = "svc", .step = &fixture->step, .members = members};
 }
 
+static bool
+try_plan(fixture_t *fixture)
+{
+	pool_t *pool = pool_create(fixture->workers, WORKERS);
+	bool placed;
+
+	for (int i = 0; i < WORKERS; i++)
+		fixture->workers[i].chosen = 0;
+	placed = plan_unit(pool, &fixture->unit, PLAN_FREE);
+	pool_destroy(pool);
+	return placed;
+}
+
+static bool
+try_preempt(fixture_t *fixture, const preemptible_member_t *members,
+    preemptible_run_t *runs)
+{
+	pool_t *pool = pool_create(fixture->workers, WORKERS);
+	bool chosen = preempt_choose_runs(
+	    pool, &fixture->unit, members, WORKERS, runs, WORKERS);
+
+	pool_destroy(pool);
+	return chosen;
+}
+
 static int
 chosen_in(const fixture_t *fixture, int rack)
 {
@@ -70,16 +95,13 @@
 
 	fixture_open(&fixture, 4, 8);
 	fixture.workers[1].free.accelerators = 0;
-	ck_assert(
-	    plan_unit(fixture.workers, WORKERS, &fixture.unit, PLAN_FREE));
+	ck_assert(try_plan(&fixture));
 	ck_assert_int_eq(chosen_in(&fixture, 0), 0);
 	ck_assert_int_eq(chosen_in(&fixture, 1), 4);
 	fixture.workers[5].free.accelerators = 0;
-	ck_assert(
-	    !plan_unit(fixture.workers, WORKERS, &fixture.unit, PLAN_FREE));
+	ck_assert(!try_plan(&fixture));
 	fixture.unit.may_spread = true;
-	ck_assert(
-	    plan_unit(fixture.workers, WORKERS, &fixture.unit, PLAN_FREE));
+	ck_assert(try_plan(&fixture));
 	ck_assert_int_eq(chosen_in(&fixture, 0) + chosen_in(&fixture, 1), 4);
 }
 END_TEST
@@ -97,18 +119,15 @@
 	fixture.step.same_rack = false;
 	fixture.workers[0].free.accelerators = 0;
 	fixture.workers[1].free.accelerators = 0;
-	ck_assert(
-	    plan_unit(fixture.workers, WORKERS, &fixture.unit, PLAN_FREE));
+	ck_assert(try_plan(&fixture));
 	ck_assert_int_eq(chosen_in(&fixture, 0), 0);
 	/* Racks of two workers: no rack has space, but domain 1 has. */
 	for (int i = 0; i < WORKERS; i++)
 		g_snprintf(fixture.names[i][1], 8, "r%d", i / 2);
-	ck_assert(
-	    plan_unit(fixture.workers, WORKERS, &fixture.unit, PLAN_FREE));
+	ck_assert(try_plan(&fixture));
 	ck_assert_int_eq(chosen_in(&fixture, 0), 0);
 	fixture.workers[7].free.accelerators = 0;
-	ck_assert(
-	    plan_unit(fixture.workers, WORKERS, &fixture.unit, PLAN_FREE));
+	ck_assert(try_plan(&fixture));
 	ck_assert_int_eq(chosen_in(&fixture, 0) + chosen_in(&fixture, 1), 4);
 }
 END_TEST
@@ -120,8 +139,7 @@
 
 	fixture_open(&fixture, 1, 1);
 	fixture.workers[3].free.accelerators = 5;
-	ck_assert(
-	    plan_unit(fixture.workers, WORKERS, &fixture.unit, PLAN_FREE));
+	ck_assert(try_plan(&fixture));
 	ck_assert_int_eq(fixture.workers[3].chosen, 1);
 }
 END_TEST
@@ -135,15 +153,12 @@
 	for (int i = 0; i < WORKERS; i++)
 		fixture.workers[i].usable = i == 2;
 	fixture.step.max_per_worker = 1;
-	ck_assert(
-	    plan_unit(fixture.workers, WORKERS, &fixture.unit, PLAN_FREE));
+	ck_assert(try_plan(&fixture));
 	fixture.workers[2].same_step = 1;
-	ck_assert(
-	    !plan_unit(fixture.workers, WORKERS, &fixture.unit, PLAN_FREE));
+	ck_assert(!try_plan(&fixture));
 	fixture.workers[2].same_step = 0;
 	fixture.step.label = (char *)"b";
-	ck_assert(
-	    !plan_unit(fixture.workers, WORKERS, &fixture.unit, PLAN_FREE));
+	ck_assert(!try_plan(&fixture));
 }
 END_TEST
 
@@ -188,8 +203,7 @@
 
 	fixture_open(&fixture, 3, 8);
 	fill_workers(&fixture, members, runs, loss);
-	ck_assert(preempt_choose_runs(fixture.workers, WORKERS, &fixture.unit,
-	    members, WORKERS, runs, WORKERS));
+	ck_assert(try_preempt(&fixture, members, runs));
 	for (int i = 0; i < WORKERS; i++)
 		ck_assert_int_eq(runs[i].preempted, i >= 4 && i <= 6);
 	ck_assert_int_eq(chosen_in(&fixture, 1), 3);
@@ -210,15 +224,13 @@
 		fixture.workers[i].free.accelerators = 8;
 		members[i].shape.accelerators = 0;
 	}
-	ck_assert(preempt_choose_runs(fixture.workers, WORKERS, &fixture.unit,
-	    members, WORKERS, runs, WORKERS));
+	ck_assert(try_preempt(&fixture, members, runs));
 	for (int i = 0; i < WORKERS; i++)
 		ck_assert_int_eq(runs[i].preempted, i == 3);
 	fixture.step.shape.accelerators = 9;
 	for (int i = 0; i < WORKERS; i++)
 		runs[i].preempted = false;
-	ck_assert(!preempt_choose_runs(fixture.workers, WORKERS, &fixture.unit,
-	    members, WORKERS, runs, WORKERS));
+	ck_assert(!try_preempt(&fixture, members, runs));
 	for (int i = 0; i < WORKERS; i++)
 		ck_assert(!runs[i].preempted);
 }
--- a/tests/unit/test_preempt.c
+++ b/tests/unit/test_preempt.c
@@ -43,6 +43,7 @@
 		fixture->info[i] = (fleet_worker_t){
 		    .id = fixture->ids[i],
 		    .rack = fixture->racks[i],
+		    .domain = (char *)"d",
 		    .service = (char *)"svc",
 		};
 		fixture->workers[i] = (plan_worker_t){
@@ -71,8 +72,12 @@
 static bool
 preempt(fixture_t *fixture)
 {
-	return preempt_choose_runs(fixture->workers, WORKERS, &fixture->unit,
+	pool_t *pool = pool_create(fixture->workers, WORKERS);
+	bool chosen = preempt_choose_runs(pool, &fixture->unit,
 	    fixture->members, MEMBERS, fixture->runs, MEMBERS);
+
+	pool_destroy(pool);
+	return chosen;
 }
 
 static double
--- a/tests/unit/test_reserve.c
+++ b/tests/unit/test_reserve.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "sched/plan.h"
 #include "sched/reserve.h"
 #include "tests/unit/runner.h"
 
@@ -15,6 +16,7 @@
 	char racks[WORKERS][8];
 	fleet_worker_t info[WORKERS];
 	plan_worker_t workers[WORKERS];
+	pool_t *pool;
 	reserve_t *reserve;
 } fixture_t;
 
@@ -36,7 +38,15 @@
 			.free = fixture->info[i].capacity,
 			.usable = true};
 	}
-	fixture->reserve = reserve_create(fixture->workers, WORKERS);
+	fixture->pool = pool_create(fixture->workers, WORKERS);
+	fixture->reserve = reserve_create(fixture->pool);
+}
+
+static void
+fixture_close(fixture_t *fixture)
+{
+	reserve_destroy(fixture->reserve);
+	pool_destroy(fixture->pool);
 }
 
 static bool
@@ -49,23 +59,21 @@
 	    .label = (char *)"",
 	    .data_rack = (char *)"",
 	    .image = (char *)""};
-	plan_unit_t unit = {
-	    .service = "svc", .step = &step, .members = members};
+	plan_unit_t unit = {.service = "svc",
+	    .step = &step,
+	    .members = members,
+	    .avoids_reserved = !urgent};
 
 	/* Urgent work may use the headroom. */
 	reserve_choose_racks(
 	    fixture->reserve, urgent ? 0 : HEADROOM, ACCELERATORS);
-	for (size_t i = 0; i < WORKERS; i++)
-		fixture->workers[i].excluded =
-		    reserve_is_rack_reserved(fixture->reserve, i);
-	if (!plan_unit(fixture->workers, WORKERS, &unit, PLAN_FREE))
+	if (!plan_unit(fixture->pool, &unit, PLAN_FREE))
 		return false;
-	for (size_t i = 0; i < WORKERS; i++) {
-		int taken = fixture->workers[i].chosen * ACCELERATORS;
+	for (size_t i = 0; i < pool_choice_size(fixture->pool); i++) {
+		size_t worker = pool_choice(fixture->pool, i);
 
-		plan_subtract(&fixture->workers[i].free, &step.shape,
-		    fixture->workers[i].chosen);
-		reserve_note_allocated(fixture->reserve, i, taken);
+		pool_take(fixture->pool, worker, &step.shape,
+		    fixture->workers[worker].chosen);
 	}
 	return true;
 }
@@ -85,7 +93,7 @@
 		placed++;
 	ck_assert_int_eq(placed, WORKERS - HEADROOM / ACCELERATORS);
 	ck_assert(place(&fixture, HEADROOM / ACCELERATORS, true));
-	reserve_destroy(fixture.reserve);
+	fixture_close(&fixture);
 }
 END_TEST
 
@@ -98,7 +106,7 @@
 	reserve_choose_racks(fixture.reserve, 0, ACCELERATORS);
 	for (size_t i = 0; i < WORKERS; i++)
 		ck_assert(!reserve_is_rack_reserved(fixture.reserve, i));
-	reserve_destroy(fixture.reserve);
+	fixture_close(&fixture);
 }
 END_TEST
 
@@ -116,7 +124,7 @@
 	for (size_t i = 0; i < WORKERS; i++)
 		ck_assert_int_eq(reserve_is_rack_reserved(fixture.reserve, i),
 		    i % RACKS == 0);
-	reserve_destroy(fixture.reserve);
+	fixture_close(&fixture);
 }
 END_TEST
 
