--- a/entry/client.c
+++ b/entry/client.c
@@ -195,6 +195,19 @@
 	    (long)connections_per_server);
 }
 
+/*
+ * Limits the connections to all servers.  At the limit a call closes the
+ * connection that has been idle longest, or waits for one to end.
+ */
+void
+client_set_total_connections(client_t *client, int connections)
+{
+	curl_multi_setopt(
+	    client->multi, CURLMOPT_MAX_TOTAL_CONNECTIONS, (long)connections);
+	curl_multi_setopt(
+	    client->multi, CURLMOPT_MAXCONNECTS, (long)connections);
+}
+
 static CURL *
 take_handle(client_t *client)
 {
--- a/entry/client.h
+++ b/entry/client.h
@@ -46,6 +46,7 @@
     struct ev_loop *loop, int connections_per_server, size_t max_body_bytes);
 void client_destroy(client_t *client);
 void client_set_connections(client_t *client, int connections_per_server);
+void client_set_total_connections(client_t *client, int connections);
 client_call_t *client_start(client_t *client, const client_request_t *request,
     client_done_t *done, void *ctx);
 /* Ends a call without calling done. */
--- a/rpc/endpoint.c
+++ b/rpc/endpoint.c
@@ -14,7 +14,8 @@
 
 #define LISTEN_BACKLOG 128
 /* Each instance needs one; the rest is for connections not yet given up. */
-#define INCOMING_MAX (4 * SETTINGS_MAX_PEERS)
+/* Entry instances are not among the peers of the settings. */
+#define INCOMING_MAX (8 * SETTINGS_MAX_PEERS)
 
 struct endpoint_t {
 	const settings_t *settings;
--- a/state/replica.c
+++ b/state/replica.c
@@ -336,6 +336,9 @@
 	    "replica_forwarded_total", "proposals sent to a leader elsewhere");
 	replica->snapshots =
 	    counter_get("replica_snapshots_total", "snapshots taken");
+	replica->snapshots_postponed =
+	    counter_get("replica_snapshots_postponed_total",
+		"snapshots that had to wait for descriptors or space");
 	replica->snapshots_received = counter_get(
 	    "replica_snapshots_received_total", "snapshots received");
 	replica->snapshot_time = histogram_get(
--- a/state/replica_private.h
+++ b/state/replica_private.h
@@ -113,6 +113,7 @@
 	counter_t *proposed;
 	counter_t *forwarded;
 	counter_t *snapshots;
+	counter_t *snapshots_postponed;
 	counter_t *snapshots_received;
 	histogram_t *snapshot_time;
 };
--- a/state/replica_storage.c
+++ b/state/replica_storage.c
@@ -160,6 +160,25 @@
 
 /* ---- storage ---- */
 
+/* Lets go of the snapshot being saved. */
+static void
+drop_next_snapshot(replica_t *replica)
+{
+	g_bytes_unref(replica->next_snapshot);
+	replica->next_snapshot = NULL;
+	replica->saving_snapshot = false;
+}
+
+/* The next one is due after another snapshot_entries entries. */
+static void
+snapshot_postponed(replica_t *replica, const storage_event_t *event)
+{
+	log_err(LOG_WARNING, &event->err);
+	counter_add(replica->snapshots_postponed, 1);
+	if (replica->saving_snapshot)
+		drop_next_snapshot(replica);
+}
+
 static void
 snapshot_saved(replica_t *replica, const storage_event_t *event)
 {
@@ -170,9 +189,7 @@
 			    g_bytes_ref(replica->next_snapshot),
 			    replica->next_index, replica->next_term,
 			    &replica->next_members);
-		g_bytes_unref(replica->next_snapshot);
-		replica->next_snapshot = NULL;
-		replica->saving_snapshot = false;
+		drop_next_snapshot(replica);
 	}
 	raft_compacted(replica->raft, event->index, event->term);
 }
@@ -190,6 +207,9 @@
 	case STORAGE_SNAPSHOT_SAVED:
 		snapshot_saved(replica, event);
 		break;
+	case STORAGE_SNAPSHOT_POSTPONED:
+		snapshot_postponed(replica, event);
+		break;
 	case STORAGE_FAILED:
 		log_err(LOG_CRIT, &event->err);
 		replica->storage_code =
--- a/state/storage.c
+++ b/state/storage.c
@@ -1,5 +1,6 @@
 #include "state/storage.h"
 
+#include <errno.h>
 #include <string.h>
 
 #include "common/counters.h"
@@ -123,10 +124,17 @@
 	storage_t *storage = ctx;
 	const request_t *request = message->body;
 	storage_event_t event = {.kind = STORAGE_FAILED};
+	int code;
 
 	if (storage->failed && message->kind != REQUEST_STOP)
 		return;
-	if (execute_request(storage, message->kind, request, &event.err) != 0) {
+	code = execute_request(storage, message->kind, request, &event.err);
+	if (code == -EAGAIN && message->kind == REQUEST_SNAPSHOT) {
+		event.kind = STORAGE_SNAPSHOT_POSTPONED;
+		post_event(storage, &event);
+		return;
+	}
+	if (code != 0) {
 		/*
 		 * A later sync must not report as durable what this request
 		 * failed to write.
@@ -254,7 +262,10 @@
 	post_request(storage, REQUEST_SYNC, request);
 }
 
-/* Saves a snapshot, then posts STORAGE_SNAPSHOT_SAVED. */
+/*
+ * Saves a snapshot, then posts STORAGE_SNAPSHOT_SAVED, or
+ * STORAGE_SNAPSHOT_POSTPONED if a resource is missing for it.
+ */
 void
 storage_save_snapshot(storage_t *storage, uint64_t index, uint64_t term,
     const raft_members_t *members, GBytes *data)
--- a/state/storage.h
+++ b/state/storage.h
@@ -14,7 +14,8 @@
 typedef enum {
 	STORAGE_SYNCED,
 	STORAGE_SNAPSHOT_SAVED,
-	STORAGE_FAILED, /* all later requests are ignored */
+	STORAGE_SNAPSHOT_POSTPONED, /* the log goes on without it */
+	STORAGE_FAILED,             /* all later requests are ignored */
 } storage_event_kind_t;
 
 typedef struct {
@@ -22,7 +23,7 @@
 	uint64_t ticket; /* STORAGE_SYNCED */
 	uint64_t index;  /* STORAGE_SNAPSHOT_SAVED */
 	uint64_t term;
-	err_t err; /* STORAGE_FAILED */
+	err_t err; /* STORAGE_FAILED, STORAGE_SNAPSHOT_POSTPONED */
 } storage_event_t;
 
 typedef void storage_handler_t(void *ctx, const storage_event_t *event);
--- a/state/wal.c
+++ b/state/wal.c
@@ -395,10 +395,21 @@
 	return wal_segments_remove(wal, wal->vote.newest_segment, err);
 }
 
+/* Whether a resource that may be free again later was missing. */
+static bool
+is_shortage(int code)
+{
+	return code == -EMFILE || code == -ENFILE || code == -ENOMEM ||
+	       code == -ENOSPC;
+}
+
 /*
  * Replaces the snapshot, durably before it returns, and removes the entries
  * that it covers.  If the log does not contain the snapshot's last entry, as
  * with a snapshot received from the leader, the whole log is discarded.
+ *
+ * Returns -EAGAIN if descriptors, memory or space are missing for a snapshot
+ * whose entries are in the log: the log is as before and stays usable.
  */
 int
 wal_save_snapshot(wal_t *wal, uint64_t index, uint64_t term,
@@ -425,6 +436,8 @@
 	if (code == 0)
 		code = wal_write_snapshot(
 		    wal, index, term, members, data, len, err);
+	if (in_log && is_shortage(code))
+		return -EAGAIN;
 	if (code == 0) {
 		wal->snapshot_index = index;
 		wal->snapshot_term = term;
--- a/state/wal_file.c
+++ b/state/wal_file.c
@@ -78,8 +78,10 @@
 	if (close(fd) < 0 && code == 0)
 		code = err_set(err, -errno, "close", NULL, "%s/%s: %s",
 		    wal->folder, temporary, strerror(errno));
-	if (code < 0)
+	if (code < 0) {
+		unlinkat(wal->folder_fd, temporary, 0);
 		return code;
+	}
 	if (renameat(wal->folder_fd, temporary, wal->folder_fd, name) < 0)
 		return err_set(err, -errno, "rename", NULL, "%s/%s: %s",
 		    wal->folder, name, strerror(errno));
--- a/tests/unit/test_wal.c
+++ b/tests/unit/test_wal.c
@@ -571,6 +571,42 @@
 }
 END_TEST
 
+static ssize_t
+refused_write(int fd, const void *data, size_t len)
+{
+	errno = EMFILE;
+	return -1;
+}
+
+/*
+ * Load pattern: a leader with connections to thousands of workers takes a
+ * snapshot.  Guards against a log that is given up because no descriptor was
+ * free for the snapshot.
+ */
+START_TEST(snapshot_without_descriptors)
+{
+	wal_t *wal = open_or_fail();
+	raft_members_t members = {0};
+
+	fill(wal, 1, 9, 1);
+	wal_ops.write = refused_write;
+	ck_assert_int_eq(wal_save_snapshot(wal, 5, 1, &members,
+			     (const uint8_t *)"state", 5, &error),
+	    -EAGAIN);
+	wal_ops.write = write;
+	fill(wal, 10, 12, 1);
+	ck_assert_int_eq(wal_save_snapshot(wal, 11, 1, &members,
+			     (const uint8_t *)"state", 5, &error),
+	    0);
+	fill(wal, 13, 14, 1);
+	wal_close(wal);
+	wal = open_or_fail();
+	ck_assert_uint_eq(saved.snapshot_index, 11);
+	expect_entries(12, 14, 1);
+	wal_close(wal);
+}
+END_TEST
+
 /* Guards against ignoring a full disk or losing synced entries to it. */
 START_TEST(full_disk)
 {
@@ -661,6 +697,7 @@
 	tcase_add_test(tcase, snapshot_bounds_log);
 	tcase_add_loop_test(tcase, snapshot_replaces_log, 0, 7);
 	tcase_add_loop_test(tcase, interrupted_compaction, 0, 7);
+	tcase_add_test(tcase, snapshot_without_descriptors);
 	tcase_add_loop_test(tcase, full_disk, 0, 3);
 	tcase_add_test(tcase, failed_sync);
 	tcase_add_loop_test(tcase, full_disk_at_creation, 0, 10);
