Watch the event loop; a paused leader blames nobody and sends no order

Cause: a leader whose process was held up or paused judged workers and peers by the time in which it had not read its sockets, and sent the orders that were due before it noticed that it might not lead any more.

The replica then reads before it judges silence; a poll that ran out during the pause is repeated. Orders are sent under a valid lease only.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -7,6 +7,7 @@
 
 #include "common/chart.h"
 #include "common/log.h"
+#include "common/loop_watch.h"
 #include "common/settings.h"
 #include "daemon/node.h"
 #include "platform/instance.h"
@@ -150,7 +151,9 @@
 	ev_signal_start(loop, &stop);
 	ev_signal_start(loop, &interrupt);
 	ev_signal_start(loop, &reload);
+	loop_watch_start(loop, instance_is_control(instance));
 	ev_run(loop, 0);
+	loop_watch_stop();
 	instance_destroy(instance);
 	curl_global_cleanup();
 	return EXIT_SUCCESS;
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -5,6 +5,7 @@
 
 #include "common/clock.h"
 #include "common/evlog.h"
+#include "common/loop_watch.h"
 #include "rpc/codec.h"
 #include "sched/fleet_private.h"
 
@@ -248,9 +249,11 @@
 	int64_t end_us;
 
 	check_leadership(fleet, fleet_now_ms());
-	if (!fleet->leading)
+	if (!fleet_leads(fleet))
 		return;
+	loop_watch_enter("plan");
 	fleet_plan(fleet, fleet_now_ms());
+	loop_watch_leave();
 	fleet_events_propose(fleet);
 	end_us = clock_mono_us();
 	fleet->next_plan_us = end_us + (end_us - start_us) * PLAN_REST_FACTOR;
@@ -267,9 +270,10 @@
 	gpointer value;
 
 	check_leadership(fleet, now_ms);
-	if (!fleet->leading)
+	if (!fleet_leads(fleet))
 		return;
 	fleet_events_propose(fleet);
+	loop_watch_enter("polls");
 	g_hash_table_iter_init(&iter, fleet->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		worker_t *worker = value;
@@ -281,6 +285,7 @@
 			worker_tick(worker, now_ms);
 		}
 	}
+	loop_watch_leave();
 }
 
 static void
@@ -293,7 +298,8 @@
 	check_leadership(fleet, now_ms);
 	watcher->repeat = fleet->leading ? TICK_LEADER_S : TICK_FOLLOWER_S;
 	ev_timer_again(loop, watcher);
-	if (!fleet->leading)
+	/* Without a lease another instance may lead: send no order. */
+	if (!fleet_leads(fleet))
 		return;
 	/* run_tick may remove runs from fleet->runs, so iterate over a copy. */
 	runs = g_ptr_array_copy(fleet->runs, NULL, NULL);
@@ -303,8 +309,7 @@
 	record_ended_jobs(fleet, now_ms);
 	forget_ended_jobs(fleet, now_ms);
 	on_work_timer(loop, &fleet->work_timer, 0);
-	if (fleet->leading)
-		schedule_plan(fleet);
+	schedule_plan(fleet);
 	fleet_reap_runs(fleet);
 	fleet_reap_workers(fleet);
 }
--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "common/evlog.h"
+#include "common/loop_watch.h"
 #include "sched/fleet_private.h"
 
 /*
@@ -82,6 +83,9 @@
 	fleet_t *fleet = worker->fleet;
 	order_target_t target = {&worker->info, fleet->term, POLL_TIMEOUT_MS};
 
+	/* A later poll lists it again. */
+	if (!fleet_leads(fleet))
+		return;
 	evlog("stray", "{s:s,s:s,s:i}", "worker", worker->info.id, "job",
 	    task->task.job, "run", (int)task->run);
 	worker->orders_in_flight++;
@@ -290,7 +294,11 @@
 		return;
 	switch (answer->outcome) {
 	case ORDER_NO_ANSWER:
-		on_unreachable(worker, now_ms);
+		/* This process was paused: the answer may have come. */
+		if (loop_watch_resumed_ms() >= worker->poll_sent_ms)
+			worker->needs_poll = true;
+		else
+			on_unreachable(worker, now_ms);
 		break;
 	case ORDER_OTHER_INCARNATION:
 		evlog("worker_gone", "{s:s,s:s}", "worker", worker->info.id,
@@ -378,6 +386,7 @@
 	worker->needs_poll = false;
 	worker->sent_ack = order.acknowledged;
 	worker->polling = true;
+	worker->poll_sent_ms = now_ms;
 	worker->poll_sequence = fleet_next_sequence(fleet);
 	worker->orders_in_flight++;
 	counter_add(fleet->polls, 1);
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -44,6 +44,7 @@
 	/* Poll soon and without waiting; run_tick sends no start until then. */
 	bool needs_poll;
 	uint64_t poll_sequence; /* fleet_next_sequence when the poll was sent */
+	int64_t poll_sent_ms;
 	int64_t poll_done_ms;
 	int64_t next_poll_ms;
 	uint64_t last_end_number; /* highest number of a listed end */
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -457,10 +457,15 @@
 	    .task = member_task(member),
 	    .run = run->number,
 	    .checkpoint = run->unit->checkpoint,
-	    .lease_end_ms = worker_grant_lease(member->worker, now_ms),
 	};
 
-	/* The worker's clock is unknown; run_tick tries again. */
+	/*
+	 * Without a lease another instance may lead; run_tick tries again, also
+	 * where the worker's clock is not known yet.
+	 */
+	if (!fleet_leads(fleet))
+		return;
+	order.lease_end_ms = worker_grant_lease(member->worker, now_ms);
 	if (order.lease_end_ms == 0)
 		return;
 	if (run->needs_ticket) {
@@ -509,6 +514,9 @@
 	    &member->worker->info, fleet->term, ORDER_ANSWER_TIMEOUT_MS};
 	task_name_t task = member_task(member);
 
+	/* Without a lease another instance may lead; run_tick tries again. */
+	if (!fleet_leads(fleet))
+		return;
 	member->stop = STOP_SENT;
 	member->order_in_flight = true;
 	counter_add(fleet->stops, 1);
--- a/state/replica.c
+++ b/state/replica.c
@@ -5,6 +5,7 @@
 
 #include "common/clock.h"
 #include "common/log.h"
+#include "common/loop_watch.h"
 #include "rpc/codec.h"
 #include "state/election_seed.h"
 #include "state/replica_private.h"
@@ -14,6 +15,8 @@
 /* Raft ticks several times per heartbeat interval. */
 #define TICKS_PER_HEARTBEAT 10
 #define TICK_MAX_MS 10
+/* Two ticks: at least one turn of the loop reads the sockets before. */
+#define READ_FIRST_MS (2 * TICK_MAX_MS)
 #define MAX_BATCH_ENTRIES 1024
 /*
  * The leader sends a new commit index to its followers within this time, not
@@ -293,6 +296,12 @@
 	replica_t *replica = watcher->data;
 	int64_t now_ms = clock_mono_ms();
 
+	/*
+	 * After a pause of this process the messages of the others may be
+	 * unread: read them before their silence is judged.
+	 */
+	if (now_ms - loop_watch_resumed_ms() < READ_FIRST_MS)
+		return;
 	raft_tick(replica->raft, now_ms);
 	replica_deliver(replica);
 	replica_proposals_tick(replica, now_ms);
