--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,9 @@
 	$(UNIT_SRC),$(wildcard tests/unit/*.c))))
 BENCH_SRC = $(sort $(wildcard bench/bench_*.c))
 BENCHES = $(BENCH_SRC:bench/%.c=$(BUILD)/bench/%)
+# Baselines that the benchmarks compare with.
+BENCH_LIB_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(sort $(filter-out \
+	$(BENCH_SRC),$(wildcard bench/*.c))))
 FUZZ_SRC = $(sort $(wildcard tests/fuzz/fuzz_*.c))
 FUZZERS = $(FUZZ_SRC:tests/fuzz/%.c=$(BUILD)/fuzz/%)
 
@@ -72,7 +75,7 @@
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(ALL_CFLAGS) -o $@ $^ $(shell pkg-config --libs check) $(LIBS)
 
-$(BUILD)/bench/%: $(BUILD)/bench/%.o $(LIB)
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(BENCH_LIB_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 
--- a/sched/plan.c
+++ b/sched/plan.c
@@ -259,12 +259,22 @@
 	return sum;
 }
 
-/* Whether the sums of the rack leave open that the whole unit fits. */
+/* Whether the accelerators of a group leave open that the whole unit fits. */
+static bool
+group_may_hold(const search_t *search, const pool_counts_t *counts)
+{
+	return pool_fit_at_most(search->pool, counts, search->kind,
+		   search->unit->step->shape.accelerators) >=
+	       search->unit->members;
+}
+
 static bool
 may_hold(const search_t *search, const pool_rack_t *rack)
 {
 	return rack->accelerators[search->kind] >=
-	       search->unit->members * search->unit->step->shape.accelerators;
+		   search->unit->members *
+		       search->unit->step->shape.accelerators &&
+	       group_may_hold(search, &rack->counts);
 }
 
 /* Lowest penalty first, then near the data, then least to spare. */
@@ -410,15 +420,30 @@
 	return domain->all < other->all;
 }
 
+static bool
+any_domain_may_hold(const search_t *search)
+{
+	const pool_t *pool = search->pool;
+
+	for (size_t d = 0; d < pool->domain_count; d++) {
+		if (group_may_hold(search, &pool->domains[d]))
+			return true;
+	}
+	return false;
+}
+
 /* Places the unit in the failure domain with the least space that holds it. */
 static bool
 try_domains(const search_t *search)
 {
 	const pool_t *pool = search->pool;
-	fitting_t *sums = g_new0(fitting_t, pool->domain_count);
+	fitting_t *sums;
 	GArray *candidates;
 	int best = POOL_NONE;
 
+	if (!any_domain_may_hold(search))
+		return false;
+	sums = g_new0(fitting_t, pool->domain_count);
 	for (size_t i = 0; i < pool->count; i++)
 		add_fitting(search, i, &sums[pool->domain_of[i]]);
 	for (size_t d = 0; d < pool->domain_count; d++) {
@@ -444,15 +469,16 @@
 try_everywhere(const search_t *search)
 {
 	const pool_t *pool = search->pool;
-	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
+	GArray *candidates;
 	fitting_t sum = {0};
 
+	if (!group_may_hold(search, &pool->total))
+		return false;
 	for (size_t i = 0; i < pool->count; i++)
 		add_fitting(search, i, &sum);
-	if (sum.all < search->unit->members) {
-		g_array_unref(candidates);
+	if (sum.all < search->unit->members)
 		return false;
-	}
+	candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
 	for (size_t i = 0; i < pool->count; i++)
 		add_candidate(search, i, candidates);
 	assign_members(search, candidates);
--- a/sched/pool.c
+++ b/sched/pool.c
@@ -131,6 +131,30 @@
 	return MAX(pool_available(pool, worker, kind).accelerators, 0);
 }
 
+static void
+count_worker(pool_t *pool, size_t worker, int kind, int change)
+{
+	int list = pool->lists[kind].list[worker];
+
+	pool->racks[pool->rack_of[worker]].counts.listed[kind][list] += change;
+	pool->domains[pool->domain_of[worker]].listed[kind][list] += change;
+	pool->total.listed[kind][list] += change;
+}
+
+int
+pool_fit_at_most(const pool_t *pool, const pool_counts_t *counts,
+    plan_available_t kind, int accelerators)
+{
+	int fitting = 0;
+
+	/* The last list does not tell the number of accelerators. */
+	if (accelerators <= 0 || counts->listed[kind][POOL_MAX_LISTED] > 0)
+		return G_MAXINT;
+	for (int list = accelerators; list <= pool->longest_list; list++)
+		fitting += counts->listed[kind][list] * (list / accelerators);
+	return fitting;
+}
+
 /* Removes a usable worker from the sums and lists. */
 static void
 index_remove(pool_t *pool, size_t worker)
@@ -140,6 +164,7 @@
 	for (int kind = 0; kind < PLAN_AVAILABLE_KINDS; kind++) {
 		rack->accelerators[kind] -= available_accelerators(
 		    pool, worker, (plan_available_t)kind);
+		count_worker(pool, worker, kind, -1);
 		lists_remove(&pool->lists[kind], (int)worker);
 	}
 }
@@ -156,6 +181,9 @@
 
 		rack->accelerators[kind] += accelerators;
 		lists_insert(&pool->lists[kind], (int)worker, accelerators);
+		count_worker(pool, worker, kind, 1);
+		pool->longest_list = MAX(
+		    pool->longest_list, pool->lists[kind].list[worker]);
 	}
 }
 
@@ -265,6 +293,7 @@
 	pool->service_of = g_new(int, count);
 	number_names(pool);
 	pool->racks = g_new0(pool_rack_t, pool->rack_count);
+	pool->domains = g_new0(pool_counts_t, pool->domain_count);
 	group_by_rack(pool);
 	for (int kind = 0; kind < PLAN_AVAILABLE_KINDS; kind++)
 		lists_create(&pool->lists[kind], count);
@@ -290,6 +319,7 @@
 	g_hash_table_unref(pool->service_numbers);
 	g_free(pool->by_rack);
 	g_free(pool->racks);
+	g_free(pool->domains);
 	g_free(pool->rack_of);
 	g_free(pool->domain_of);
 	g_free(pool->service_of);
--- a/sched/pool_private.h
+++ b/sched/pool_private.h
@@ -11,11 +11,17 @@
 #define POOL_LISTS (POOL_MAX_LISTED + 1)
 #define POOL_NONE (-1)
 
+/* Usable workers of a group, by the list that they are in. */
+typedef struct {
+	int listed[PLAN_AVAILABLE_KINDS][POOL_LISTS];
+} pool_counts_t;
+
 typedef struct {
 	const char *name;
-	size_t
-	    first; /* its workers are by_rack[first] to [first + count - 1] */
+	/* Its workers are by_rack[first] to by_rack[first + count - 1]. */
+	size_t first;
 	size_t count;
+	pool_counts_t counts;
 	/* Sum over its usable workers. */
 	int accelerators[PLAN_AVAILABLE_KINDS];
 	bool reserved; /* for urgent work, see reserve.h */
@@ -37,7 +43,10 @@
 	size_t rack_count;
 	int *rack_of;   /* by worker */
 	int *domain_of; /* by worker */
+	pool_counts_t *domains;
 	size_t domain_count;
+	pool_counts_t total;
+	int longest_list; /* the highest list that was ever used */
 	int *service_of; /* by worker */
 	GHashTable *rack_numbers;
 	GHashTable *service_numbers;
@@ -50,4 +59,10 @@
 /* Each returns POOL_NONE if no worker of the pool has that rack or service. */
 int pool_rack_number(const pool_t *pool, const char *name);
 int pool_service_number(const pool_t *pool, const char *name);
+/*
+ * Returns how many tasks with that many accelerators fit at most on the workers
+ * that were counted; other resources may allow fewer.
+ */
+int pool_fit_at_most(const pool_t *pool, const pool_counts_t *counts,
+    plan_available_t kind, int accelerators);
 void pool_choose(pool_t *pool, size_t worker, int members);
