--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -168,7 +168,6 @@
 	fleet->leading = false;
 	ev_timer_stop(fleet->loop, &fleet->work_timer);
 	ev_timer_stop(fleet->loop, &fleet->plan_timer);
-	fleet->plan_resume = 0;
 	while (fleet->runs->len > 0)
 		run_drop(g_ptr_array_index(fleet->runs, fleet->runs->len - 1));
 	g_hash_table_iter_init(&iter, fleet->workers);
@@ -247,17 +246,18 @@
 	fleet_t *fleet = watcher->data;
 	int64_t start_us = clock_mono_us();
 	int64_t end_us;
+	bool whole;
 
 	check_leadership(fleet, fleet_now_ms());
 	if (!fleet_leads(fleet))
 		return;
 	loop_watch_enter("plan");
-	fleet_plan(fleet, fleet_now_ms());
+	whole = fleet_plan(fleet, fleet_now_ms());
 	loop_watch_leave();
 	fleet_events_propose(fleet);
 	end_us = clock_mono_us();
 	fleet->next_plan_us = end_us + (end_us - start_us) * PLAN_REST_FACTOR;
-	if (fleet->plan_resume > 0)
+	if (!whole)
 		schedule_plan(fleet);
 }
 
--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -4,6 +4,7 @@
 #include "common/clock.h"
 #include "common/evlog.h"
 #include "sched/fleet_round.h"
+#include "sched/hold.h"
 
 /* Places waiting units on workers, one planning round at a time. */
 
@@ -20,6 +21,9 @@
 
 /* Bounds the comparisons for each step. */
 #define MAX_BLOCKED 64
+/* Share of the workers that may be kept free for units that wait. */
+#define MAX_HELD_PERCENT 15
+#define PERCENT 100
 
 /*
  * Returns the number of racks among the chosen workers and stores their highest
@@ -169,6 +173,21 @@
 	return unit;
 }
 
+/*
+ * Keeps workers free for a unit of several accelerators, as single ones would
+ * take each of them before enough are free.
+ */
+static void
+hold_for_unit(
+    round_t *round, const waiting_step_t *item, const plan_unit_t *plan)
+{
+	size_t limit = round->count * MAX_HELD_PERCENT / PERCENT;
+
+	if (waiting_accelerators(item) < 2 || round->held >= limit)
+		return;
+	round->held += hold_workers(round->pool, plan, limit - round->held);
+}
+
 /*
  * Starts the unit and returns true, or reserves room for it where possible and
  * returns false.
@@ -183,6 +202,7 @@
 		round_choose_reserve(round, item);
 	if (try_plan(round, item, plan, PLAN_FREE)) {
 		queue_start(round, item, unit);
+		round->started++;
 		round_subtract_chosen(round, plan->step);
 		round->free_accelerators -= waiting_accelerators(item);
 		return true;
@@ -191,8 +211,10 @@
 		round_subtract_chosen(round, plan->step);
 		return false;
 	}
-	if (item->priority == QUEUE_PRIORITY_URGENT &&
-	    !round_is_over_budget(round) && round_preempt(round, item, plan))
+	if (item->priority != QUEUE_PRIORITY_URGENT)
+		hold_for_unit(round, item, plan);
+	else if (!round_is_over_budget(round) &&
+		 round_preempt(round, item, plan))
 		round_subtract_chosen(round, plan->step);
 	return false;
 }
@@ -276,38 +298,32 @@
 }
 
 /*
- * Tries the steps in their order, from fleet->plan_resume on.  Urgent ones are
- * always tried.  Where the budget is used up the next round goes on.
+ * Tries the steps in their order.  A round that has started units ends with its
+ * budget, as the next one begins with what is left; one that could start none
+ * yet goes on, so that every step gets its turn.  Returns whether all were
+ * tried.
  */
-static void
+static bool
 place_steps(round_t *round, const GArray *waiting)
 {
-	fleet_t *fleet = round->fleet;
-	guint resume = fleet->plan_resume;
-
-	fleet->plan_resume = 0;
 	for (guint i = 0; i < waiting->len; i++) {
-		const waiting_step_t *item =
-		    &g_array_index(waiting, waiting_step_t, i);
-		bool urgent = item->priority == QUEUE_PRIORITY_URGENT;
-
-		if (!urgent && i < resume)
-			continue;
-		if (!urgent && round_is_over_budget(round)) {
-			fleet->plan_resume = i;
-			counter_add(fleet->rounds_cut, 1);
-			return;
+		if (round->started > 0 && round_is_over_budget(round)) {
+			counter_add(round->fleet->rounds_cut, 1);
+			return false;
 		}
-		place_step(round, item);
+		place_step(
+		    round, &g_array_index(waiting, waiting_step_t, i));
 	}
+	return true;
 }
 
 /* Runs one planning round over all waiting steps. */
-void
+bool
 fleet_plan(fleet_t *fleet, int64_t now_ms)
 {
 	int64_t start_us = clock_mono_us();
 	GArray *waiting = waiting_collect(fleet, now_ms);
+	bool whole = true;
 	round_t round;
 
 	if (waiting->len > 0 && g_hash_table_size(fleet->workers) > 0) {
@@ -315,11 +331,12 @@
 		round.start_us = start_us;
 		round_begin_placing(&round);
 		round.blocked = g_array_new(FALSE, FALSE, sizeof(blocked_t));
-		place_steps(&round, waiting);
+		whole = place_steps(&round, waiting);
 		round_end(&round);
 	}
 	g_array_unref(waiting);
 	histogram_record(fleet->round_time, clock_mono_us() - start_us);
+	return whole;
 }
 
 /*
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -148,7 +148,6 @@
 	ev_timer work_timer;  /* one-shot: proposal and checks of workers */
 	ev_timer plan_timer;  /* one-shot: planning round */
 	int64_t next_plan_us; /* no planning round before then */
-	guint plan_resume;    /* see place_steps; 0: the last round was whole */
 	GQueue pending_calls; /* pending_call_t */
 	/* Time to the first start of a unit; the index is whether it is urgent.
 	 */
@@ -245,7 +244,8 @@
 task_name_t member_task(const member_t *member);
 
 /* fleet_plan.c */
-void fleet_plan(fleet_t *fleet, int64_t now_ms);
+/* Returns false if the round ended with its budget. */
+bool fleet_plan(fleet_t *fleet, int64_t now_ms);
 bool fleet_can_ever_run(fleet_t *fleet, const char *service,
     const batch_spec_t *spec, const char **reason);
 
