--- a/bench/bench_planning.c
+++ b/bench/bench_planning.c
@@ -99,8 +99,8 @@
 free_some(fleet_view_t *view, int accelerators)
 {
 	while (accelerators > 0) {
-		size_t worker =
-		    (size_t)g_rand_int_range(view->random, 0, (gint32)view->count);
+		size_t worker = (size_t)g_rand_int_range(
+		    view->random, 0, (gint32)view->count);
 		plan_worker_t *plan_worker = &view->workers[worker];
 		resources_t held = plan_worker->worker->capacity;
 
@@ -141,8 +141,7 @@
 		gint64 start = g_get_monotonic_time();
 		bool placed =
 		    scan && i >= 0
-			? scan_plan_unit(
-			      view->workers, count, &unit, PLAN_FREE)
+			? scan_plan_unit(view->workers, count, &unit, PLAN_FREE)
 			: plan_unit(view->pool, &unit, PLAN_FREE);
 		double took_us = (double)(g_get_monotonic_time() - start);
 
--- a/bench/scan_planner.c
+++ b/bench/scan_planner.c
@@ -76,7 +76,8 @@
 			continue;
 		if (unit->needs_ticket && !worker->has_ticket)
 			continue;
-		candidate.fitting = plan_members_that_fit(worker, unit, &available);
+		candidate.fitting =
+		    plan_members_that_fit(worker, unit, &available);
 		candidate.near_data = is_near_data(worker->worker, unit->step);
 		if (candidate.fitting == 0 ||
 		    (!candidate.near_data && !unit->may_spread))
--- a/rpc/message.c
+++ b/rpc/message.c
@@ -27,6 +27,8 @@
     [RPC_SEEN] = {"SEEN", ARGS(seen_args_t), NO_RESULT, .one_way = true},
     [RPC_SHARE] = {"SHARE", ARGS(share_args_t), NO_RESULT, .one_way = true},
     [RPC_BATCH] = {"BATCH", ARGS(batch_call_t), RESULT(batch_reply_t)},
+    [RPC_ANNOUNCE] = {"ANNOUNCE", ARGS(announce_args_t),
+	RESULT(announce_result_t)},
     [RPC_PEERS] = {"PEERS", ARGS(peer_list_t), NO_RESULT, .one_way = true},
 };
 
--- a/rpc/protocol.h
+++ b/rpc/protocol.h
@@ -19,6 +19,7 @@
 #define TEXT_MAX_LEN 4096
 #define BODY_MAX_LEN 4194304
 #define MAX_MEMBERS 64
+#define MAX_ANNOUNCED 512
 #define MAX_BATCH 4096
 #define MAX_STEPS 256
 #define MAX_LABELS 32
@@ -721,6 +722,36 @@
 };
 typedef struct batch_reply_t batch_reply_t;
 
+struct fleet_announcement_t {
+	fleet_worker_t worker;
+	u_quad_t sequence;
+	quad_t clock_ms;
+};
+typedef struct fleet_announcement_t fleet_announcement_t;
+
+struct announce_args_t {
+	struct {
+		u_int announcements_len;
+		fleet_announcement_t *announcements_val;
+	} announcements;
+};
+typedef struct announce_args_t announce_args_t;
+
+enum announce_outcome_t {
+	ANNOUNCE_RECORDED = 0,
+	ANNOUNCE_NOT_LEADER = 1,
+	ANNOUNCE_NOT_CONFIRMED = 2,
+};
+typedef enum announce_outcome_t announce_outcome_t;
+
+struct announce_result_t {
+	struct {
+		u_int outcomes_len;
+		announce_outcome_t *outcomes_val;
+	} outcomes;
+};
+typedef struct announce_result_t announce_result_t;
+
 #define CHERVILHOLD_PROGRAM 0x20cc0001
 #define CHERVILHOLD_V1 1
 
@@ -755,6 +786,9 @@
 #define RPC_PEERS 10
 extern  void * rpc_peers_1(peer_list_t *, CLIENT *);
 extern  void * rpc_peers_1_svc(peer_list_t *, struct svc_req *);
+#define RPC_ANNOUNCE 11
+extern  announce_result_t * rpc_announce_1(announce_args_t *, CLIENT *);
+extern  announce_result_t * rpc_announce_1_svc(announce_args_t *, struct svc_req *);
 extern int chervilhold_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -788,6 +822,9 @@
 #define RPC_PEERS 10
 extern  void * rpc_peers_1();
 extern  void * rpc_peers_1_svc();
+#define RPC_ANNOUNCE 11
+extern  announce_result_t * rpc_announce_1();
+extern  announce_result_t * rpc_announce_1_svc();
 extern int chervilhold_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -860,6 +897,10 @@
 extern  bool_t xdr_batch_state_t (XDR *, batch_state_t*);
 extern  bool_t xdr_batch_call_t (XDR *, batch_call_t*);
 extern  bool_t xdr_batch_reply_t (XDR *, batch_reply_t*);
+extern  bool_t xdr_fleet_announcement_t (XDR *, fleet_announcement_t*);
+extern  bool_t xdr_announce_args_t (XDR *, announce_args_t*);
+extern  bool_t xdr_announce_outcome_t (XDR *, announce_outcome_t*);
+extern  bool_t xdr_announce_result_t (XDR *, announce_result_t*);
 
 #else /* K&R C */
 extern bool_t xdr_name_t ();
@@ -928,6 +969,10 @@
 extern bool_t xdr_batch_state_t ();
 extern bool_t xdr_batch_call_t ();
 extern bool_t xdr_batch_reply_t ();
+extern bool_t xdr_fleet_announcement_t ();
+extern bool_t xdr_announce_args_t ();
+extern bool_t xdr_announce_outcome_t ();
+extern bool_t xdr_announce_result_t ();
 
 #endif /* K&R C */
 
--- a/rpc/protocol.x
+++ b/rpc/protocol.x
@@ -9,6 +9,7 @@
 const TEXT_MAX_LEN = 4096;
 const BODY_MAX_LEN = 4194304;
 const MAX_MEMBERS = 64;
+const MAX_ANNOUNCED = 512;
 const MAX_BATCH = 4096;
 const MAX_STEPS = 256;
 const MAX_LABELS = 32;
@@ -633,6 +634,29 @@
 	text_t reason;
 };
 
+/* What a worker announces about itself. */
+struct fleet_announcement_t {
+	fleet_worker_t worker;
+	unsigned hyper sequence; /* increases within an incarnation */
+	hyper clock_ms;          /* worker's monotonic clock */
+};
+
+/* Announcements that an instance that does not lead passes on. */
+struct announce_args_t {
+	fleet_announcement_t announcements<MAX_ANNOUNCED>;
+};
+
+enum announce_outcome_t {
+	ANNOUNCE_RECORDED = 0,
+	ANNOUNCE_NOT_LEADER = 1,
+	ANNOUNCE_NOT_CONFIRMED = 2
+};
+
+/* In the order of the announcements. */
+struct announce_result_t {
+	announce_outcome_t outcomes<MAX_ANNOUNCED>;
+};
+
 program CHERVILHOLD_PROGRAM {
 	version CHERVILHOLD_V1 {
 		hello_result_t RPC_HELLO(hello_args_t) = 1;
@@ -645,5 +669,6 @@
 		void RPC_SHARE(share_args_t) = 8;
 		batch_reply_t RPC_BATCH(batch_call_t) = 9;
 		void RPC_PEERS(peer_list_t) = 10;
+		announce_result_t RPC_ANNOUNCE(announce_args_t) = 11;
 	} = 1;
 } = 0x20cc0001;
--- a/rpc/protocol_xdr.c
+++ b/rpc/protocol_xdr.c
@@ -1598,3 +1598,49 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_fleet_announcement_t (XDR *xdrs, fleet_announcement_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_fleet_worker_t (xdrs, &objp->worker))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->clock_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_announce_args_t (XDR *xdrs, announce_args_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->announcements.announcements_val, (u_int *) &objp->announcements.announcements_len, MAX_ANNOUNCED,
+		sizeof (fleet_announcement_t), (xdrproc_t) xdr_fleet_announcement_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_announce_outcome_t (XDR *xdrs, announce_outcome_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_announce_result_t (XDR *xdrs, announce_result_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->outcomes.outcomes_val, (u_int *) &objp->outcomes.outcomes_len, MAX_ANNOUNCED,
+		sizeof (announce_outcome_t), (xdrproc_t) xdr_announce_outcome_t))
+		 return FALSE;
+	return TRUE;
+}
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -23,13 +23,6 @@
 	int64_t reclaim_ms;         /* limit for a guaranteed job to start */
 } fleet_timing_t;
 
-/* What a worker announces about itself. */
-typedef struct {
-	fleet_worker_t worker;
-	uint64_t sequence; /* increases within an incarnation */
-	int64_t clock_ms;  /* worker's monotonic clock */
-} announcement_t;
-
 typedef enum {
 	FLEET_OK,
 	FLEET_NOT_LEADER,
@@ -55,7 +48,9 @@
 /* Returns the leader's address; its id is NULL when the leader is unknown. */
 peer_info_t fleet_leader_info(const fleet_t *fleet);
 
-void fleet_announce(fleet_t *fleet, announcement_t *announcement,
+/* Copies a worker, including its strings. */
+void fleet_worker_copy(fleet_worker_t *copy, const fleet_worker_t *worker);
+void fleet_announce(fleet_t *fleet, fleet_announcement_t *announcement,
     fleet_done_t *done, void *ctx);
 void fleet_deregister(
     fleet_t *fleet, const char *worker, fleet_done_t *done, void *ctx);
--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -311,8 +311,7 @@
 			counter_add(round->fleet->rounds_cut, 1);
 			return false;
 		}
-		place_step(
-		    round, &g_array_index(waiting, waiting_step_t, i));
+		place_step(round, &g_array_index(waiting, waiting_step_t, i));
 	}
 	return true;
 }
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -176,7 +176,6 @@
 ledger_t *fleet_ledger(const fleet_t *fleet);
 void fleet_schedule_work(fleet_t *fleet);
 void fleet_step_down(fleet_t *fleet, const char *why);
-void fleet_worker_copy(fleet_worker_t *copy, const fleet_worker_t *worker);
 
 /* fleet_events.c */
 void fleet_event_start(fleet_t *fleet, const run_t *run);
--- a/sched/fleet_round.h
+++ b/sched/fleet_round.h
@@ -31,8 +31,8 @@
 	GArray *suspects;      /* size_t, workers on which a job has failed */
 	bool excludes;         /* a suspect worker is excluded for the step */
 	GArray *blocked;       /* blocked_t, see fleet_plan.c */
-	size_t held;    /* workers kept free for units that wait */
-	size_t started; /* units */
+	size_t held;           /* workers kept free for units that wait */
+	size_t started;        /* units */
 	int free_accelerators; /* of usable workers */
 	int releasing_accelerators; /* of runs being stopped */
 	int headroom_accelerators;  /* kept free for urgent work */
--- a/sched/fleet_workers.c
+++ b/sched/fleet_workers.c
@@ -182,7 +182,7 @@
 }
 
 static bool
-is_stale(const worker_t *worker, const announcement_t *announcement)
+is_stale(const worker_t *worker, const fleet_announcement_t *announcement)
 {
 	if (announcement->worker.born != worker->info.born)
 		return announcement->worker.born < worker->info.born;
@@ -207,8 +207,8 @@
  * committed; a stale announcement changes nothing.
  */
 void
-fleet_announce(
-    fleet_t *fleet, announcement_t *announcement, fleet_done_t *done, void *ctx)
+fleet_announce(fleet_t *fleet, fleet_announcement_t *announcement,
+    fleet_done_t *done, void *ctx)
 {
 	const fleet_worker_t *info = &announcement->worker;
 	int64_t now_ms = fleet_now_ms();
--- a/sched/hold.c
+++ b/sched/hold.c
@@ -28,10 +28,10 @@
 	    (unit->avoids_reserved && pool->racks[pool->rack_of[i]].reserved))
 		return false;
 	found->worker = i;
-	found->fitting = plan_members_that_fit(
-	    worker, unit, &worker->worker->capacity);
-	found->missing = found->fitting -
-			 plan_members_that_fit(worker, unit, &available);
+	found->fitting =
+	    plan_members_that_fit(worker, unit, &worker->worker->capacity);
+	found->missing =
+	    found->fitting - plan_members_that_fit(worker, unit, &available);
 	return found->fitting > 0;
 }
 
@@ -41,9 +41,8 @@
 {
 	const step_spec_t *step = unit->step;
 
-	return !unit->may_spread &&
-	       (step->data_rack[0] != '\0' ||
-		   (step->same_rack && unit->members > 1));
+	return !unit->may_spread && (step->data_rack[0] != '\0' ||
+					(step->same_rack && unit->members > 1));
 }
 
 static int
--- a/sched/pool.c
+++ b/sched/pool.c
@@ -182,8 +182,8 @@
 		rack->accelerators[kind] += accelerators;
 		lists_insert(&pool->lists[kind], (int)worker, accelerators);
 		count_worker(pool, worker, kind, 1);
-		pool->longest_list = MAX(
-		    pool->longest_list, pool->lists[kind].list[worker]);
+		pool->longest_list =
+		    MAX(pool->longest_list, pool->lists[kind].list[worker]);
 	}
 }
 
--- a/sched/pool_private.h
+++ b/sched/pool_private.h
@@ -47,7 +47,7 @@
 	size_t domain_count;
 	pool_counts_t total;
 	int longest_list; /* the highest list that was ever used */
-	int *service_of; /* by worker */
+	int *service_of;  /* by worker */
 	GHashTable *rack_numbers;
 	GHashTable *service_numbers;
 	pool_lists_t lists[PLAN_AVAILABLE_KINDS];
--- a/tests/fuzz/fuzz_wire.c
+++ b/tests/fuzz/fuzz_wire.c
@@ -58,7 +58,7 @@
 static void
 check_announcement(str_t body)
 {
-	announcement_t announcement;
+	fleet_announcement_t announcement;
 
 	if (wire_read_announcement("i-1", body, &announcement) == 0)
 		g_assert_cmpint(announcement.worker.port, >, 0);
--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -458,7 +458,7 @@
 void
 bed_announce(bed_t *bed, size_t worker)
 {
-	announcement_t announcement = {
+	fleet_announcement_t announcement = {
 	    .worker = bed->workers[worker].info,
 	    .sequence = ++bed->sequence,
 	    .clock_ms = worker_now_ms(),
--- a/tests/unit/test_hold.c
+++ b/tests/unit/test_hold.c
@@ -48,9 +48,8 @@
 		    .service = (char *)"svc",
 		    .capacity = {64000, 64000, ACCELERATORS},
 		};
-		fixture->workers[i] =
-		    (plan_worker_t){.worker = &fixture->info[i],
-			.free = {56000, 56000, 0}};
+		fixture->workers[i] = (plan_worker_t){
+		    .worker = &fixture->info[i], .free = {56000, 56000, 0}};
 	}
 }
 
