--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -95,7 +95,21 @@
 {
 	return !waiting_respects_headroom(item) ||
 	       round->free_accelerators - waiting_accelerators(item) >=
-		   round->headroom_accelerators;
+		   round->headroom_accelerators + round->queued_accelerators;
+}
+
+/*
+ * Keeps accelerators for a unit that does not leave the headroom.  Otherwise
+ * smaller units behind it, which do, would use up what becomes free.
+ */
+static void
+queue_for_headroom(round_t *round, const waiting_step_t *item)
+{
+	int limit =
+	    round->capacity_accelerators * MAX_HELD_PERCENT / PERCENT;
+
+	if (round->queued_accelerators + waiting_accelerators(item) <= limit)
+		round->queued_accelerators += waiting_accelerators(item);
 }
 
 /*
@@ -196,8 +210,10 @@
 place_unit(round_t *round, const waiting_step_t *item, const plan_unit_t *plan,
     ledger_unit_t *unit)
 {
-	if (!leaves_headroom(round, item))
+	if (!leaves_headroom(round, item)) {
+		queue_for_headroom(round, item);
 		return false;
+	}
 	if (plan->avoids_reserved)
 		round_choose_reserve(round, item);
 	if (try_plan(round, item, plan, PLAN_FREE)) {
--- a/sched/fleet_round.h
+++ b/sched/fleet_round.h
@@ -35,6 +35,8 @@
 	size_t started;        /* units */
 	int free_accelerators; /* of usable workers */
 	int releasing_accelerators; /* of runs being stopped */
+	int queued_accelerators;    /* kept for units that wait for headroom */
+	int capacity_accelerators;  /* of usable workers */
 	int headroom_accelerators;  /* kept free for urgent work */
 	reserve_t *reserve;
 } round_t;
