--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -22,7 +22,7 @@
 /* Bounds the comparisons for each step. */
 #define MAX_BLOCKED 64
 /* Share of the workers that may be kept free for units that wait. */
-#define MAX_HELD_PERCENT 15
+#define MAX_HELD_PERCENT 40
 #define PERCENT 100
 
 /*
