--- a/common/fd_budget.c
+++ b/common/fd_budget.c
@@ -7,12 +7,12 @@
 /* A peer that was cut off leaves a connection behind until it is noticed. */
 #define MIN_PEERS 64
 #define MAX_PEERS 512
-#define PEERS_DIVISOR 8
+#define PEERS_DIVISOR 12
 /*
- * A worker keeps one connection to this process and this process at most two
- * to the worker.
+ * Workers keep a connection to one of several instances, but the leader keeps
+ * one to each of them that waits for ends, and opens more for orders.
  */
-#define LISTENERS_PERCENT 36
+#define LISTENERS_PERCENT 15
 #define PERCENT 100
 /* Used where the limit is unknown or absent. */
 #define DEFAULT_LIMIT 1024
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -122,8 +122,11 @@
 	fleet->leading_since_ms = now_ms;
 	g_hash_table_iter_init(&iter, ledger_workers(ledger));
 	while (g_hash_table_iter_next(&iter, NULL, &info)) {
-		worker_t *worker = worker_create(fleet, info);
+		worker_t *worker;
 
+		if (((const fleet_worker_t *)info)->gone)
+			continue;
+		worker = worker_create(fleet, info);
 		worker->registered = true;
 		worker->needs_poll = true;
 	}
@@ -175,6 +178,7 @@
 		g_hash_table_iter_steal(&iter);
 		worker_retire(worker);
 	}
+	g_hash_table_remove_all(fleet->departing);
 	detach_runs(ledger_open_jobs(ledger));
 	detach_runs(ledger_ended_jobs(ledger));
 	fleet_events_clear(fleet, FLEET_NO_ANSWER);
@@ -426,6 +430,8 @@
 	fleet->timing = *timing;
 	fleet->orders = *orders;
 	fleet->workers = g_hash_table_new(g_str_hash, g_str_equal);
+	fleet->departing =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fleet->runs = g_ptr_array_new();
 	fleet->retired_runs = g_ptr_array_new();
 	fleet->retired_workers = g_ptr_array_new();
@@ -491,6 +497,7 @@
 	g_ptr_array_unref(fleet->retired_runs);
 	g_ptr_array_unref(fleet->retired_workers);
 	g_hash_table_unref(fleet->workers);
+	g_hash_table_unref(fleet->departing);
 	g_ptr_array_unref(fleet->runs);
 	g_ptr_array_unref(fleet->proposal_waiters);
 	g_free(fleet);
--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -304,8 +304,7 @@
 		evlog("worker_gone", "{s:s,s:s}", "worker", worker->info.id,
 		    "reason", "other_incarnation");
 		worker_lose_members(worker, "other_incarnation");
-		worker->info.gone = TRUE;
-		fleet_event_worker(worker->fleet, &worker->info, NULL, NULL);
+		worker_depart(worker, NULL, NULL);
 		worker->retire_pending = true;
 		break;
 	case ORDER_OK:
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -138,6 +138,7 @@
 	int64_t leading_since_ms;
 	GHashTable *workers; /* id -> worker_t */
 	GPtrArray *retired_workers;
+	GHashTable *departing; /* id -> born, until the departure is committed */
 	GPtrArray *runs; /* run_t that are not retired */
 	GPtrArray *retired_runs;
 	GQueue member_orders;        /* member_order_t in flight */
@@ -203,6 +204,7 @@
 void worker_retire(worker_t *worker);
 void fleet_reap_workers(fleet_t *fleet);
 void worker_reset_incarnation(worker_t *worker);
+void worker_depart(worker_t *worker, fleet_done_t *done, void *ctx);
 void pending_end_free(void *data);
 int64_t worker_grant_lease(worker_t *worker, int64_t now_ms);
 void worker_update_from_answer(worker_t *worker, const order_answer_t *answer);
--- a/sched/fleet_workers.c
+++ b/sched/fleet_workers.c
@@ -7,6 +7,8 @@
 #include "sched/fleet_private.h"
 
 #define MAX_MISSED_ANNOUNCEMENTS 3
+/* Departures that may be waiting for their commit. */
+#define MAX_DEPARTING 1024
 
 /* ---- table ---- */
 
@@ -202,6 +204,34 @@
 	worker->registered = true;
 }
 
+/* Records durably that an incarnation of a worker has ended. */
+void
+worker_depart(worker_t *worker, fleet_done_t *done, void *ctx)
+{
+	fleet_t *fleet = worker->fleet;
+
+	/* The ledger has the ones before by now. */
+	if (g_hash_table_size(fleet->departing) >= MAX_DEPARTING)
+		g_hash_table_remove_all(fleet->departing);
+	g_hash_table_replace(fleet->departing, g_strdup(worker->info.id),
+	    g_memdup2(&worker->info.born, sizeof(worker->info.born)));
+	worker->info.gone = TRUE;
+	fleet_event_worker(fleet, &worker->info, done, ctx);
+}
+
+/* Whether that incarnation, or a later one, is known to have ended. */
+static bool
+has_departed(const fleet_t *fleet, const fleet_worker_t *info)
+{
+	const fleet_worker_t *known =
+	    ledger_worker(fleet_ledger(fleet), info->id);
+	const uint64_t *departing =
+	    g_hash_table_lookup(fleet->departing, info->id);
+
+	return (known != NULL && known->gone && info->born <= known->born) ||
+	       (departing != NULL && info->born <= *departing);
+}
+
 /*
  * Processes an announcement. done is called once the resulting change is
  * committed; a stale announcement changes nothing.
@@ -225,6 +255,12 @@
 		done(ctx, FLEET_OK);
 		return;
 	}
+	if (worker == NULL && has_departed(fleet, info)) {
+		evlog("announcement_late", "{s:s,s:I}", "worker", info->id,
+		    "born", (json_int_t)info->born);
+		done(ctx, FLEET_OK);
+		return;
+	}
 	changed = worker == NULL || !worker->registered ||
 		  has_info_changed(worker, info);
 	if (worker == NULL)
@@ -262,7 +298,6 @@
 	evlog("worker_gone", "{s:s,s:s,s:i}", "worker", id, "reason",
 	    "deregistered", "members", (int)worker->members->len);
 	worker_lose_members(worker, "worker_left");
-	worker->info.gone = TRUE;
-	fleet_event_worker(fleet, &worker->info, done, ctx);
+	worker_depart(worker, done, ctx);
 	worker_retire(worker);
 }
--- a/sched/ledger.c
+++ b/sched/ledger.c
@@ -7,6 +7,9 @@
 #include "sched/ledger_private.h"
 
 #define MAX_TASKS 100000 /* of one job */
+/* Workers that have left and are remembered; a late announcement is seconds
+ * old. */
+#define MAX_DEPARTED 1024
 
 /* ---- configuration ---- */
 
@@ -496,26 +499,50 @@
 	g_free(worker);
 }
 
+/* Drops the departed workers that were born first, beyond MAX_DEPARTED. */
+static void
+limit_departed(ledger_t *ledger)
+{
+	const fleet_worker_t *oldest = NULL;
+	GHashTableIter iter;
+	gpointer value;
+	int departed = 0;
+
+	g_hash_table_iter_init(&iter, ledger->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const fleet_worker_t *worker = value;
+
+		if (!worker->gone)
+			continue;
+		departed++;
+		if (oldest == NULL || worker->born < oldest->born ||
+		    (worker->born == oldest->born &&
+			strcmp(worker->id, oldest->id) < 0))
+			oldest = worker;
+	}
+	if (departed > MAX_DEPARTED)
+		g_hash_table_remove(ledger->workers, oldest->id);
+}
+
 /*
  * Adds or replaces a worker and takes over its contents.  One that is gone is
- * removed, unless another incarnation has registered since.
+ * kept as such, so that a late announcement does not bring it back, unless
+ * another incarnation has registered since.
  */
 void
 ledger_update_worker(ledger_t *ledger, fleet_worker_t *worker)
 {
+	const fleet_worker_t *known = ledger_worker(ledger, worker->id);
 	fleet_worker_t *stored;
 
-	if (worker->gone) {
-		const fleet_worker_t *known = ledger_worker(ledger, worker->id);
-
-		if (known != NULL && known->born == worker->born)
-			g_hash_table_remove(ledger->workers, worker->id);
+	if (worker->gone && known != NULL && known->born > worker->born)
 		return;
-	}
 	stored = g_new0(fleet_worker_t, 1);
 	*stored = *worker;
 	memset(worker, 0, sizeof(*worker));
 	g_hash_table_replace(ledger->workers, stored->id, stored);
+	if (stored->gone)
+		limit_departed(ledger);
 }
 
 /* Removes a job that has ended and has no unit placed on workers. */
@@ -554,6 +581,7 @@
 
 /* ---- workers ---- */
 
+/* Returns the worker with that id, also one that is gone, or NULL. */
 const fleet_worker_t *
 ledger_worker(const ledger_t *ledger, const char *id)
 {
--- a/tests/unit/test_fleet_view.c
+++ b/tests/unit/test_fleet_view.c
@@ -174,6 +174,47 @@
 }
 END_TEST
 
+static void
+on_departed(void *ctx, fleet_outcome_t outcome)
+{
+	*(bool *)ctx = outcome == FLEET_OK;
+}
+
+static bool
+is_set(void *ctx)
+{
+	return *(bool *)ctx;
+}
+
+/*
+ * An announcement of a worker that has left arrives late: at once, and at the
+ * next leader.  Guards against using such a worker again.
+ */
+START_TEST(departed_worker_stays_away)
+{
+	bool departed = false;
+	bed_t bed;
+
+	bed_open(&bed, 1, 8);
+	fleet_deregister(
+	    bed.fleet, bed.workers[0].info.id, on_departed, &departed);
+	bed_announce(&bed, 0);
+	ck_assert(system_wait(bed.loop, is_set, &departed));
+	bed_announce(&bed, 0);
+	ck_assert_uint_eq(g_hash_table_size(bed.fleet->workers), 0);
+	bed_restart_fleet(&bed);
+	bed_run_for(&bed, 300);
+	bed_announce(&bed, 0);
+	ck_assert(bed.fleet->leading);
+	ck_assert_uint_eq(g_hash_table_size(bed.fleet->workers), 0);
+	/* A new incarnation under the same id is another matter. */
+	bed_restart_worker(&bed, 0);
+	ck_assert_uint_eq(g_hash_table_size(bed.fleet->workers), 1);
+	bed_run_for(&bed, 100);
+	bed_close(&bed);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -183,6 +224,7 @@
 	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
 	tcase_add_loop_test(tcase, counts_follow_changes, 0, 6);
 	tcase_add_test(tcase, pause_of_leader_blames_no_worker);
+	tcase_add_test(tcase, departed_worker_stays_away);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_FORK);
 }
