--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -4,7 +4,6 @@
 #include "common/clock.h"
 #include "common/evlog.h"
 #include "sched/fleet_round.h"
-#include "sched/hold.h"
 
 /* Places waiting units on workers, one planning round at a time. */
 
@@ -21,9 +20,6 @@
 
 /* Bounds the comparisons for each step. */
 #define MAX_BLOCKED 64
-/* Share of the workers that may be kept free for units that wait. */
-#define MAX_HELD_PERCENT 40
-#define PERCENT 100
 
 /*
  * Returns the number of racks among the chosen workers and stores their highest
@@ -95,21 +91,7 @@
 {
 	return !waiting_respects_headroom(item) ||
 	       round->free_accelerators - waiting_accelerators(item) >=
-		   round->headroom_accelerators + round->queued_accelerators;
-}
-
-/*
- * Keeps accelerators for a unit that does not leave the headroom.  Otherwise
- * smaller units behind it, which do, would use up what becomes free.
- */
-static void
-queue_for_headroom(round_t *round, const waiting_step_t *item)
-{
-	int limit =
-	    round->capacity_accelerators * MAX_HELD_PERCENT / PERCENT;
-
-	if (round->queued_accelerators + waiting_accelerators(item) <= limit)
-		round->queued_accelerators += waiting_accelerators(item);
+		   round->headroom_accelerators;
 }
 
 /*
@@ -187,21 +169,6 @@
 	return unit;
 }
 
-/*
- * Keeps workers free for a unit of several accelerators, as single ones would
- * take each of them before enough are free.
- */
-static void
-hold_for_unit(
-    round_t *round, const waiting_step_t *item, const plan_unit_t *plan)
-{
-	size_t limit = round->count * MAX_HELD_PERCENT / PERCENT;
-
-	if (waiting_accelerators(item) < 2 || round->held >= limit)
-		return;
-	round->held += hold_workers(round->pool, plan, limit - round->held);
-}
-
 /*
  * Starts the unit and returns true, or reserves room for it where possible and
  * returns false.
@@ -210,10 +177,8 @@
 place_unit(round_t *round, const waiting_step_t *item, const plan_unit_t *plan,
     ledger_unit_t *unit)
 {
-	if (!leaves_headroom(round, item)) {
-		queue_for_headroom(round, item);
+	if (!leaves_headroom(round, item))
 		return false;
-	}
 	if (plan->avoids_reserved)
 		round_choose_reserve(round, item);
 	if (try_plan(round, item, plan, PLAN_FREE)) {
@@ -227,10 +192,8 @@
 		round_subtract_chosen(round, plan->step);
 		return false;
 	}
-	if (item->priority != QUEUE_PRIORITY_URGENT)
-		hold_for_unit(round, item, plan);
-	else if (!round_is_over_budget(round) &&
-		 round_preempt(round, item, plan))
+	if (item->priority == QUEUE_PRIORITY_URGENT &&
+	    !round_is_over_budget(round) && round_preempt(round, item, plan))
 		round_subtract_chosen(round, plan->step);
 	return false;
 }
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -138,7 +138,8 @@
 	int64_t leading_since_ms;
 	GHashTable *workers; /* id -> worker_t */
 	GPtrArray *retired_workers;
-	GHashTable *departing; /* id -> born, until the departure is committed */
+	GHashTable
+	    *departing;  /* id -> born, until the departure is committed */
 	GPtrArray *runs; /* run_t that are not retired */
 	GPtrArray *retired_runs;
 	GQueue member_orders;        /* member_order_t in flight */
--- a/sched/fleet_round.c
+++ b/sched/fleet_round.c
@@ -64,7 +64,6 @@
 		round->releasing_accelerators +=
 		    plan_worker->releasing.accelerators;
 	}
-	round->capacity_accelerators = capacity;
 	round->headroom_accelerators =
 	    headroom_target(&round->fleet->headroom, capacity, round->now_ms);
 }
--- a/sched/fleet_round.h
+++ b/sched/fleet_round.h
@@ -31,12 +31,9 @@
 	GArray *suspects;      /* size_t, workers on which a job has failed */
 	bool excludes;         /* a suspect worker is excluded for the step */
 	GArray *blocked;       /* blocked_t, see fleet_plan.c */
-	size_t held;           /* workers kept free for units that wait */
 	size_t started;        /* units */
 	int free_accelerators; /* of usable workers */
 	int releasing_accelerators; /* of runs being stopped */
-	int queued_accelerators;    /* kept for units that wait for headroom */
-	int capacity_accelerators;  /* of usable workers */
 	int headroom_accelerators;  /* kept free for urgent work */
 	reserve_t *reserve;
 } round_t;
