--- a/tests/standin/platform_worker_main.c
+++ b/tests/standin/platform_worker_main.c
@@ -236,9 +236,11 @@
 	json_int_t fence =
 	    json_integer_value(json_object_get(order, "fencingToken"));
 
-	if (fence < worker->fence)
+	if (fence < worker->fence) {
+		printf("fenced %s\n", worker->id);
+		fflush(stdout);
 		refuse(request, "fence");
-	else if (str_equal(http_path(request), STR_LIT("/api/run-start")))
+	} else if (str_equal(http_path(request), STR_LIT("/api/run-start")))
 		on_start(worker, request, order);
 	else if (str_equal(http_path(request), STR_LIT("/api/run-stop")))
 		on_stop(worker, request, order);
