--- a/sched/announcer.c
+++ b/sched/announcer.c
@@ -176,11 +176,13 @@
 
 /* ---- on the leader ---- */
 
-/* A call whose announcements are being committed. */
+/*
+ * A call whose announcements are being committed, counted by reference: it is
+ * answered when the last of them has an outcome.
+ */
 typedef struct {
 	endpoint_request_t *request;
 	announce_result_t result;
-	size_t left;
 } served_t;
 
 typedef struct {
@@ -189,13 +191,12 @@
 } served_item_t;
 
 static void
-served_finish_one(served_t *served)
+answer_served(gpointer data)
 {
-	if (--served->left > 0)
-		return;
+	served_t *served = data;
+
 	endpoint_answer(served->request, &served->result);
 	g_free(served->result.outcomes.outcomes_val);
-	g_free(served);
 }
 
 static void
@@ -209,7 +210,7 @@
 	else if (outcome == FLEET_NOT_LEADER)
 		answer = ANNOUNCE_NOT_LEADER;
 	item->served->result.outcomes.outcomes_val[item->index] = answer;
-	served_finish_one(item->served);
+	g_rc_box_release_full(item->served, answer_served);
 	g_free(item);
 }
 
@@ -218,19 +219,17 @@
     announcer_t *announcer, announce_args_t *args, endpoint_request_t *request)
 {
 	u_int count = args->announcements.announcements_len;
-	served_t *served = g_new0(served_t, 1);
+	served_t *served = g_rc_box_new0(served_t);
 	bool leads = fleet_leads(announcer->fleet);
 
 	served->request = request;
 	served->result.outcomes.outcomes_len = count;
 	served->result.outcomes.outcomes_val =
 	    g_new0(announce_outcome_t, count + 1);
-	/* One more, so that the call is not answered within the loop. */
-	served->left = count + 1;
 	for (u_int i = 0; i < count; i++) {
 		served_item_t *item = g_new0(served_item_t, 1);
 
-		*item = (served_item_t){served, i};
+		*item = (served_item_t){g_rc_box_acquire(served), i};
 		if (leads)
 			fleet_announce(announcer->fleet,
 			    &args->announcements.announcements_val[i],
@@ -238,7 +237,7 @@
 		else
 			on_announced(item, FLEET_NOT_LEADER);
 	}
-	served_finish_one(served);
+	g_rc_box_release_full(served, answer_served);
 }
 
 /* ---- create and destroy ---- */
--- a/sched/preempt.c
+++ b/sched/preempt.c
@@ -94,7 +94,7 @@
 {
 	search->by_worker = index_members(search, false);
 	search->by_run = index_members(search, true);
-	search->is_eligible = g_new0(bool, search->pool->count);
+	search->is_eligible = g_new0(bool, search->pool->count + 1);
 	for (size_t i = 0; i < search->pool->count; i++) {
 		const plan_worker_t *worker = &search->pool->workers[i];
 
@@ -240,10 +240,10 @@
 solution_create(const search_t *search)
 {
 	return (solution_t){
-	    .preempted = g_new0(bool, search->run_count),
+	    .preempted = g_new0(bool, search->run_count + 1),
 	    .runs = g_array_new(FALSE, FALSE, sizeof(size_t)),
-	    .available = g_new0(resources_t, search->pool->count),
-	    .victims = g_new0(victims_t, search->pool->count),
+	    .available = g_new0(resources_t, search->pool->count + 1),
+	    .victims = g_new0(victims_t, search->pool->count + 1),
 	};
 }
 
