--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -13,12 +13,7 @@
  */
 #define WORKERS_KNOWN_MS 5000
 
-/* Needs of a step that could not be placed in this round. */
-typedef struct {
-	plan_unit_t unit;
-} blocked_t;
-
-/* Bounds the comparisons for each step. */
+/* Bounds the comparisons of a step with round_t.blocked. */
 #define MAX_BLOCKED 64
 
 /*
@@ -241,8 +236,8 @@
 is_blocked(const round_t *round, const plan_unit_t *unit)
 {
 	for (guint i = 0; i < round->blocked->len; i++) {
-		if (is_blocked_by(unit,
-			&g_array_index(round->blocked, blocked_t, i).unit))
+		if (is_blocked_by(
+			unit, &g_array_index(round->blocked, plan_unit_t, i)))
 			return true;
 	}
 	return false;
@@ -255,7 +250,6 @@
 place_step(round_t *round, const waiting_step_t *item)
 {
 	plan_unit_t plan = describe_unit(round, item);
-	blocked_t blocked = {.unit = plan};
 	bool comparable;
 
 	round_prepare_step(round, item);
@@ -273,7 +267,7 @@
 			return;
 	}
 	if (comparable && round->blocked->len < MAX_BLOCKED)
-		g_array_append_val(round->blocked, blocked);
+		g_array_append_val(round->blocked, plan);
 }
 
 /*
@@ -308,7 +302,7 @@
 		round_begin(&round, fleet, now_ms);
 		round.start_us = start_us;
 		round_begin_placing(&round);
-		round.blocked = g_array_new(FALSE, FALSE, sizeof(blocked_t));
+		round.blocked = g_array_new(FALSE, FALSE, sizeof(plan_unit_t));
 		whole = place_steps(&round, waiting);
 		round_end(&round);
 	}
--- a/sched/fleet_round.h
+++ b/sched/fleet_round.h
@@ -30,7 +30,7 @@
 	pool_t *pool;
 	GArray *suspects;      /* size_t, workers on which a job has failed */
 	bool excludes;         /* a suspect worker is excluded for the step */
-	GArray *blocked;       /* blocked_t, see fleet_plan.c */
+	GArray *blocked;       /* plan_unit_t that could not be placed */
 	size_t started;        /* units */
 	int free_accelerators; /* of usable workers */
 	int releasing_accelerators; /* of runs being stopped */
