--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -459,6 +459,14 @@
 	fleet->ends_failed =
 	    counter_get("fleet_ends_total{how=\"failed\"}", "");
 	fleet->ends_lost = counter_get("fleet_ends_total{how=\"lost\"}", "");
+	fleet->starts_unanswered = counter_get("fleet_starts_unanswered_total",
+	    "starts that the worker may still carry out");
+	fleet->strays = counter_get("fleet_strays_total",
+	    "tasks found on a worker without a run of the leader");
+	fleet->overlaps = counter_get("fleet_overlaps_total",
+	    "strays whose unit had another run in progress");
+	fleet->ends_uncounted = counter_get("fleet_ends_uncounted_total",
+	    "successful ends acknowledged without being counted");
 	fleet->refused_no_room =
 	    counter_get("fleet_refused_room_total", "starts without room");
 	fleet->preempted =
--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -76,6 +76,31 @@
 	worker->orders_in_flight--;
 }
 
+/* Logs a stray with what the ledger says of its unit. */
+static void
+log_stray(const worker_t *worker, const running_task_t *stray)
+{
+	static const char *const states[] = {
+	    "waiting", "placed", "done", "failed"};
+	fleet_t *fleet = worker->fleet;
+	const task_name_t *task = &stray->task;
+	const ledger_job_t *job = ledger_job(fleet_ledger(fleet), task->job);
+	const ledger_unit_t *unit = NULL;
+
+	if (job != NULL)
+		unit = ledger_unit_of_task(
+		    job, task->occurrence, task->step, task->index);
+	counter_add(fleet->strays, 1);
+	if (unit != NULL && unit->state == UNIT_PLACED &&
+	    unit->run != stray->run)
+		counter_add(fleet->overlaps, 1);
+	evlog("stray", "{s:s,s:I,s:s,s:i,s:i,s:i,s:s,s:i}", "worker",
+	    worker->info.id, "born", (json_int_t)worker->info.born, "job",
+	    task->job, "step", task->step, "index", task->index, "run",
+	    (int)stray->run, "unit", unit != NULL ? states[unit->state] : "",
+	    "unit_run", unit != NULL ? (int)unit->run : 0);
+}
+
 /* Stops a task that a worker runs without a matching run here. */
 static void
 stop_stray(worker_t *worker, const running_task_t *task)
@@ -86,8 +111,7 @@
 	/* A later poll lists it again. */
 	if (!fleet_leads(fleet))
 		return;
-	evlog("stray", "{s:s,s:s,s:i}", "worker", worker->info.id, "job",
-	    task->task.job, "run", (int)task->run);
+	log_stray(worker, task);
 	worker->orders_in_flight++;
 	fleet->orders.stop(fleet->orders.ctx, &target, &task->task, task->run,
 	    on_stray_stopped, worker);
@@ -151,6 +175,19 @@
 	return worker->ackable_end;
 }
 
+/* Logs an end of an open job that is acknowledged without being counted. */
+static void
+log_uncounted_end(
+    const worker_t *worker, const ended_task_t *end, const ledger_unit_t *unit)
+{
+	counter_add(worker->fleet->ends_uncounted, 1);
+	evlog("end_uncounted", "{s:s,s:I,s:s,s:i,s:i,s:i,s:i}", "worker",
+	    worker->info.id, "born", (json_int_t)worker->info.born, "job",
+	    end->task.job, "step", end->task.step, "index", end->task.index,
+	    "run", (int)end->run, "unit_run",
+	    unit != NULL ? (int)unit->run : 0);
+}
+
 /*
  * Processes the end of a run that is no longer tracked. A completed task counts
  * even if it was treated as lost in the meantime. The end is the last of
@@ -169,8 +206,10 @@
 	unit = ledger_unit_of_task(
 	    job, end->task.occurrence, end->task.step, end->task.index);
 	if (unit == NULL || unit->state == UNIT_DONE || end->run > unit->run ||
-	    ledger_step(unit)->long_running)
+	    ledger_step(unit)->long_running) {
+		log_uncounted_end(worker, end, unit);
 		return;
+	}
 	pending->job = g_strdup(end->task.job);
 	pending->unit = (unit_name_t){
 	    pending->job, unit->occurrence, unit->step, unit->first};
@@ -316,8 +355,8 @@
 		worker->next_poll_ms = now_ms;
 		/* The worker restarted before its announcement arrived. */
 		if (answer->born > worker->info.born) {
+			worker_reset_incarnation(worker, answer->born);
 			worker->info.born = answer->born;
-			worker_reset_incarnation(worker);
 			worker_clock_update(
 			    &worker->clock, answer->clock_ms, now_ms);
 		}
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -89,6 +89,7 @@
 	member_stop_t stop;
 	bool order_in_flight;  /* a start or a stop is in flight */
 	bool start_unanswered; /* a start without an answer may still arrive */
+	int starts_unanswered; /* starts that got no answer so far */
 	/* fleet_next_sequence when a start or stop was last answered */
 	uint64_t answer_sequence;
 	int64_t retry_ms;
@@ -164,6 +165,10 @@
 	counter_t *ends_done;
 	counter_t *ends_failed;
 	counter_t *ends_lost;
+	counter_t *starts_unanswered;
+	counter_t *strays;
+	counter_t *overlaps; /* strays whose unit has another run in progress */
+	counter_t *ends_uncounted;
 	counter_t *refused_no_room;
 	counter_t *preempted;
 	counter_t *submitted;
@@ -204,7 +209,7 @@
 worker_t *worker_create(fleet_t *fleet, const fleet_worker_t *info);
 void worker_retire(worker_t *worker);
 void fleet_reap_workers(fleet_t *fleet);
-void worker_reset_incarnation(worker_t *worker);
+void worker_reset_incarnation(worker_t *worker, uint64_t born);
 void worker_depart(worker_t *worker, fleet_done_t *done, void *ctx);
 void pending_end_free(void *data);
 int64_t worker_grant_lease(worker_t *worker, int64_t now_ms);
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -277,15 +277,33 @@
 	after_member_end(run, names[how]);
 }
 
+/* Logs what the leader knows of a member that it gives up. */
+static void
+log_lost(const member_t *member, const char *why)
+{
+	static const char *const states[] = {
+	    "unsent", "sent", "running", "ended"};
+	const run_t *run = member->run;
+	const worker_t *worker = member->worker;
+
+	evlog("task_lost", "{s:s,s:i,s:i,s:i,s:s,s:s,s:I,s:s,s:i,s:b,s:b,s:I}",
+	    "job", run->job, "step", run->name.step, "index", member->index,
+	    "run", (int)run->number, "worker", worker->info.id, "reason", why,
+	    "born", (json_int_t)worker->info.born, "state",
+	    states[member->state], "starts_unanswered",
+	    member->starts_unanswered, "stop_answered",
+	    (int)(member->stop == STOP_ANSWERED), "reachable",
+	    (int)worker->reachable, "lease_left_ms",
+	    (json_int_t)(worker->lease_expiry_ms - fleet_now_ms()));
+}
+
 /* Handles a member that will not run any more and whose end is unknown. */
 void
 member_lost(member_t *member, const char *why)
 {
 	run_t *run = member->run;
 
-	evlog("task_lost", "{s:s,s:i,s:i,s:i,s:s,s:s}", "job", run->job, "step",
-	    run->name.step, "index", member->index, "run", (int)run->number,
-	    "worker", member->worker->info.id, "reason", why);
+	log_lost(member, why);
 	member_detach(member);
 	after_member_end(run, why);
 }
@@ -388,6 +406,21 @@
 	after_member_end(run, reason);
 }
 
+/* Logs a start that the worker may still carry out. */
+static void
+note_unanswered_start(member_t *member)
+{
+	const run_t *run = member->run;
+	const worker_t *worker = member->worker;
+
+	member->starts_unanswered++;
+	counter_add(run->fleet->starts_unanswered, 1);
+	evlog("start_unanswered", "{s:s,s:i,s:i,s:i,s:s,s:I,s:i}", "job",
+	    run->job, "step", run->name.step, "index", member->index, "run",
+	    (int)run->number, "worker", worker->info.id, "born",
+	    (json_int_t)worker->info.born, "count", member->starts_unanswered);
+}
+
 static void
 on_started(void *ctx, const order_answer_t *answer)
 {
@@ -408,6 +441,7 @@
 		break;
 	case ORDER_NO_ANSWER:
 		member->start_unanswered = true;
+		note_unanswered_start(member);
 		break;
 	case ORDER_STALE_RUN:
 		/*
--- a/sched/fleet_workers.c
+++ b/sched/fleet_workers.c
@@ -166,14 +166,17 @@
 }
 
 /*
- * Resets the state of a worker that restarted under its ID. Its members are
- * kept until a poll shows which tasks run.
+ * Resets the state of a worker that restarted under its ID; born is its new
+ * incarnation. Its members are kept until a poll shows which tasks run.
  */
 void
-worker_reset_incarnation(worker_t *worker)
+worker_reset_incarnation(worker_t *worker, uint64_t born)
 {
-	evlog("worker_restarted", "{s:s,s:i}", "worker", worker->info.id,
-	    "members", (int)worker->members->len);
+	evlog("worker_restarted", "{s:s,s:I,s:I,s:i,s:I,s:i}", "worker",
+	    worker->info.id, "born", (json_int_t)born, "born_before",
+	    (json_int_t)worker->info.born, "members", (int)worker->members->len,
+	    "acknowledged", (json_int_t)worker->ackable_end, "ends_pending",
+	    (int)worker->pending_ends.length);
 	worker->last_end_number = 0;
 	worker->ackable_end = 0;
 	worker->confirmed_ack = 0;
@@ -195,7 +198,7 @@
 update_worker(worker_t *worker, const fleet_worker_t *info)
 {
 	if (info->born != worker->info.born)
-		worker_reset_incarnation(worker);
+		worker_reset_incarnation(worker, info->born);
 	g_hash_table_steal(worker->fleet->workers, worker->info.id);
 	codec_free((xdrproc_t)xdr_fleet_worker_t, &worker->info);
 	fleet_worker_copy(&worker->info, info);
