tests: a delayed start in the next incarnation of a worker runs a task twice

A start gets no answer and is repeated; its worker restarts under its ID; the leader starts the task elsewhere; the new incarnation executes the first copy of the start. Two runs of one task, and of one gang, at the same time.

The bed's workers have a clock for each incarnation, cut leases to the longest allowed and remember stopped runs, as the platform's workers do.

--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -8,7 +8,8 @@
 #include "rpc/codec.h"
 
 #define DELIVERY_INTERVAL_S 0.0001  /* several in a millisecond */
-#define CLOCK_BASE_MS 100000        /* offset of the workers' clocks */
+#define CLOCK_BASE_MS 100000        /* offset of a worker's first clock */
+#define CLOCK_RESTART_MS 10000      /* a clock that starts anew is behind */
 #define ORDER_TIMEOUT_MS 120        /* an order without an answer ends then */
 #define ANNOUNCE_INTERVAL_MS 100000 /* announcements are made by the tests */
 #define DEADLINE_MS 10000
@@ -48,9 +49,17 @@
 /* ---- workers ---- */
 
 static int64_t
-worker_now_ms(void)
+worker_now_ms(const bed_worker_t *worker)
 {
-	return clock_mono_ms() + CLOCK_BASE_MS;
+	return clock_mono_ms() + worker->clock_base_ms;
+}
+
+/* Extends the lease; a longer one than allowed is shortened. */
+static void
+extend_lease(bed_worker_t *worker, int64_t lease_end_ms)
+{
+	worker->lease_end_ms = MAX(worker->lease_end_ms,
+	    MIN(lease_end_ms, worker_now_ms(worker) + BED_LEASE_MS));
 }
 
 static bed_worker_t *
@@ -72,6 +81,14 @@
 	g_free(task);
 }
 
+/* Returns the name of a task as text, to be freed. */
+static char *
+task_text(const task_name_t *task)
+{
+	return g_strdup_printf("%s.%d.%d.%d", task->job, task->occurrence,
+	    task->step, task->index);
+}
+
 static bool
 has_name(const bed_task_t *a, const task_name_t *b)
 {
@@ -100,7 +117,7 @@
 static void
 end_tasks_if_lease_expired(bed_worker_t *worker)
 {
-	if (worker_now_ms() <= worker->lease_end_ms)
+	if (worker_now_ms(worker) <= worker->lease_end_ms)
 		return;
 	while (worker->tasks->len > 0)
 		end_task(worker, 0, RUN_LEASE_EXPIRED);
@@ -121,12 +138,22 @@
 	return false;
 }
 
+static uint32_t
+stopped_run(const bed_worker_t *worker, const task_name_t *task)
+{
+	char *name = task_text(task);
+	gpointer run = g_hash_table_lookup(worker->stopped, name);
+
+	g_free(name);
+	return GPOINTER_TO_UINT(run);
+}
+
 static order_outcome_t
 start_task(bed_worker_t *worker, const order_t *order)
 {
 	bed_task_t *task;
 
-	worker->lease_end_ms = MAX(worker->lease_end_ms, order->lease_end_ms);
+	extend_lease(worker, order->lease_end_ms);
 	for (guint i = 0; i < worker->tasks->len; i++) {
 		task = g_ptr_array_index(worker->tasks, i);
 		if (has_name(task, &order->task) && task->run == order->run)
@@ -141,7 +168,9 @@
 		    end->run >= order->run)
 			return ORDER_STALE_RUN;
 	}
-	if (order->lease_end_ms < worker_now_ms())
+	if (stopped_run(worker, &order->task) >= order->run)
+		return ORDER_STALE_RUN;
+	if (order->lease_end_ms < worker_now_ms(worker))
 		return ORDER_LEASE_EXPIRED;
 	if (runs_elsewhere(order->bed, &order->task))
 		order->bed->duplicate_run = true;
@@ -169,6 +198,10 @@
 			return;
 		}
 	}
+	/* A start of the run that arrives later is refused. */
+	if (stopped_run(worker, &order->task) < order->run)
+		g_hash_table_replace(worker->stopped, task_text(&order->task),
+		    GUINT_TO_POINTER(order->run));
 }
 
 /* Forgets acknowledged ends. */
@@ -201,7 +234,7 @@
 	ended_task_t ended[MAX_LISTED] = {0};
 	order_answer_t answer = {
 	    .outcome = ORDER_OK,
-	    .clock_ms = worker_now_ms(),
+	    .clock_ms = worker_now_ms(worker),
 	    .born = worker->info.born,
 	    .running = running,
 	    .ended = ended,
@@ -240,15 +273,45 @@
 	g_free(order);
 }
 
+/* Answers an order; worker may be NULL if there is no answer. */
 static void
-answer(const order_t *order, order_outcome_t outcome)
+answer(
+    const order_t *order, const bed_worker_t *worker, order_outcome_t outcome)
 {
-	order_answer_t answer = {.outcome = outcome,
-	    .clock_ms = outcome == ORDER_NO_ANSWER ? 0 : worker_now_ms()};
+	order_answer_t answer = {.outcome = outcome};
 
+	if (outcome != ORDER_NO_ANSWER)
+		answer.clock_ms = worker_now_ms(worker);
 	order->done(order->ctx, &answer);
 }
 
+/* Keeps a copy of an order that the worker executes later, unanswered. */
+static void
+delay_order(bed_t *bed, const order_t *order)
+{
+	order_t *copy = g_new0(order_t, 1);
+
+	*copy = *order;
+	copy->worker = g_strdup(order->worker);
+	copy->job = g_strdup(order->job);
+	copy->task.job = copy->job;
+	g_queue_push_tail(&bed->delayed_orders, copy);
+}
+
+void
+bed_deliver_delayed(bed_t *bed)
+{
+	order_t *order;
+
+	while ((order = g_queue_pop_head(&bed->delayed_orders)) != NULL) {
+		bed_worker_t *worker = find_worker(bed, order->worker);
+
+		end_tasks_if_lease_expired(worker);
+		start_task(worker, order);
+		free_order(order);
+	}
+}
+
 /* Executes an order; returns false if its answer is still due. */
 static bool
 deliver_order(bed_t *bed, order_t *order)
@@ -261,18 +324,17 @@
 			return false;
 		if (worker != NULL && order->kind == ORDER_POLL)
 			worker->unanswered_polls++;
-		answer(order, ORDER_NO_ANSWER);
+		answer(order, worker, ORDER_NO_ANSWER);
 		return true;
 	}
 	end_tasks_if_lease_expired(worker);
 	if (worker->answers_as_other_incarnation) {
 		worker->wrong_incarnation_starts += order->kind == ORDER_START;
-		answer(order, ORDER_OTHER_INCARNATION);
+		answer(order, worker, ORDER_OTHER_INCARNATION);
 		return true;
 	}
 	if (order->kind == ORDER_POLL) {
-		worker->lease_end_ms =
-		    MAX(worker->lease_end_ms, order->lease_end_ms);
+		extend_lease(worker, order->lease_end_ms);
 		forget_ends(worker, order->acknowledged);
 		if ((worker->ends->len == 0 || order->snapshot != NULL) &&
 		    clock_mono_ms() < order->until_ms)
@@ -280,6 +342,12 @@
 		answer_poll(worker, order);
 		return true;
 	}
+	if (order->kind == ORDER_START && worker->delayed_starts > 0) {
+		worker->delayed_starts--;
+		delay_order(bed, order);
+		order->lost = true;
+		return false;
+	}
 	if (order->kind == ORDER_START)
 		outcome = start_task(worker, order);
 	else
@@ -288,7 +356,7 @@
 		order->lost = true;
 		return false;
 	}
-	answer(order, outcome);
+	answer(order, worker, outcome);
 	return true;
 }
 
@@ -442,7 +510,10 @@
 	    .rack = g_strdup_printf("r%zu", bed->worker_count / 4),
 	    .capacity = {64000, 64000, accelerators},
 	};
+	worker->clock_base_ms = CLOCK_BASE_MS;
 	worker->next_end = 1;
+	worker->stopped =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	worker->tasks = g_ptr_array_new_with_free_func(free_task);
 	worker->ends = g_array_new(FALSE, TRUE, sizeof(bed_end_t));
 	bed_announce(bed, bed->worker_count++);
@@ -461,7 +532,7 @@
 	fleet_announcement_t announcement = {
 	    .worker = bed->workers[worker].info,
 	    .sequence = ++bed->sequence,
-	    .clock_ms = worker_now_ms(),
+	    .clock_ms = worker_now_ms(&bed->workers[worker]),
 	};
 
 	fleet_announce(bed->fleet, &announcement, on_announced, bed);
@@ -492,6 +563,7 @@
 	ck_assert(bed->replica != NULL);
 	replica_set_applied(bed->replica, on_applied, bed);
 	g_queue_init(&bed->orders);
+	g_queue_init(&bed->delayed_orders);
 	ev_timer_init(&bed->delivery_timer, on_delivery_timer,
 	    DELIVERY_INTERVAL_S, DELIVERY_INTERVAL_S);
 	bed->delivery_timer.data = bed;
@@ -525,6 +597,7 @@
 {
 	ev_timer_stop(bed->loop, &bed->delivery_timer);
 	bed_drop_orders(bed);
+	g_queue_clear_full(&bed->delayed_orders, free_order);
 	fleet_destroy(bed->fleet);
 	bed->fleet = NULL;
 	replica_destroy(bed->replica);
@@ -533,6 +606,7 @@
 		forget_ends(&bed->workers[i], UINT64_MAX);
 		g_array_unref(bed->workers[i].ends);
 		g_ptr_array_unref(bed->workers[i].tasks);
+		g_hash_table_unref(bed->workers[i].stopped);
 		codec_free(
 		    (xdrproc_t)xdr_fleet_worker_t, &bed->workers[i].info);
 	}
@@ -655,17 +729,24 @@
 	propose(bed, &command);
 }
 
-/* The worker crashes and starts again under its id. */
 void
-bed_restart_worker(bed_t *bed, size_t i)
+bed_reset_worker(bed_t *bed, size_t i)
 {
 	bed_worker_t *worker = &bed->workers[i];
 
 	g_ptr_array_set_size(worker->tasks, 0);
 	forget_ends(worker, UINT64_MAX);
+	g_hash_table_remove_all(worker->stopped);
 	worker->next_end = 1;
 	worker->lease_end_ms = 0;
+	worker->clock_base_ms -= CLOCK_RESTART_MS;
 	worker->info.born++;
+}
+
+void
+bed_restart_worker(bed_t *bed, size_t i)
+{
+	bed_reset_worker(bed, i);
 	bed_announce(bed, i);
 }
 
--- a/tests/unit/fleet_bed.h
+++ b/tests/unit/fleet_bed.h
@@ -28,15 +28,19 @@
 
 typedef struct {
 	fleet_worker_t info;
+	int64_t
+	    clock_base_ms;    /* offset of its clock, new in each incarnation */
 	int64_t lease_end_ms; /* on the worker's clock */
 	uint64_t next_end;
-	GPtrArray *tasks; /* bed_task_t */
-	GArray *ends;     /* bed_end_t, not acknowledged */
-	bool unreachable; /* orders neither arrive nor are answered */
+	GHashTable *stopped; /* task -> highest run stopped before its start */
+	GPtrArray *tasks;    /* bed_task_t */
+	GArray *ends;        /* bed_end_t, not acknowledged */
+	bool unreachable;    /* orders neither arrive nor are answered */
 	/* Orders get ORDER_OTHER_INCARNATION. */
 	bool answers_as_other_incarnation;
 	bool drops_start_answers; /* starts are executed, their answers lost */
-	bool fails_tasks;         /* each task fails as soon as it starts */
+	int delayed_starts; /* so many starts wait for bed_deliver_delayed */
+	bool fails_tasks;   /* each task fails as soon as it starts */
 	int starts;
 	int stops;
 	int wrong_incarnation_starts; /* starts for an ended incarnation */
@@ -52,7 +56,8 @@
 	fleet_t *fleet;
 	bed_worker_t workers[BED_MAX_WORKERS];
 	size_t worker_count;
-	GQueue orders; /* order_t in flight */
+	GQueue orders;         /* order_t in flight */
+	GQueue delayed_orders; /* order_t without an answer, not executed */
 	ev_timer delivery_timer;
 	bool stale_polls;       /* a poll shows what ran when it was sent */
 	bool duplicate_run;     /* one task ran twice at the same time */
@@ -83,7 +88,15 @@
 void bed_submit_long_running(bed_t *bed, const char *id, int accelerators);
 void bed_cancel(bed_t *bed, const char *id);
 void bed_announce(bed_t *bed, size_t worker);
+/*
+ * The worker crashes and starts again under its ID; its clock starts anew. It
+ * does not announce itself.
+ */
+void bed_reset_worker(bed_t *bed, size_t worker);
+/* Same, and it announces itself. */
 void bed_restart_worker(bed_t *bed, size_t worker);
+/* The workers execute the delayed starts, each in its present incarnation. */
+void bed_deliver_delayed(bed_t *bed);
 /*
  * Ends every task of the job, or of all jobs when job is NULL, on its worker;
  * the leader learns of it by a poll.
--- /dev/null
+++ b/tests/unit/test_fleet_restarts.c
@@ -0,0 +1,146 @@
+#include <check.h>
+
+#include "common/clock.h"
+#include "tests/unit/fleet_bed.h"
+#include "tests/unit/runner.h"
+
+/*
+ * The fleet and workers that restart under their ID.  An order names the
+ * worker by its ID only, so one that was sent to an earlier incarnation and got
+ * no answer may be executed by a later one, which knows of no run, no stop and
+ * no fencing token.
+ */
+
+#define TEST_TIMEOUT_S 40
+#define JOB "00000000000000a1"
+#define WAIT(bed, condition) ck_assert(system_wait((bed)->loop, condition, bed))
+
+static bool
+job_has_1_task(void *ctx)
+{
+	return bed_running(ctx, JOB) == 1;
+}
+
+static bool
+job_has_2_tasks(void *ctx)
+{
+	return bed_running(ctx, JOB) == 2;
+}
+
+static bool
+is_completed(void *ctx)
+{
+	return bed_state(ctx, JOB) == BATCH_STATE_COMPLETED;
+}
+
+/* Returns the worker with the highest number that runs a task. */
+static size_t
+last_busy_worker(const bed_t *bed)
+{
+	size_t worker = bed->worker_count;
+
+	while (worker > 0 && bed->workers[worker - 1].tasks->len == 0)
+		worker--;
+	ck_assert_uint_gt(worker, 0);
+	return worker - 1;
+}
+
+/*
+ * Submits a job whose first starts get no answer and are repeated; the copies
+ * of the starts are delayed.
+ */
+static void
+submit_with_delayed_starts(bed_t *bed, int tasks)
+{
+	for (size_t i = 0; i < bed->worker_count; i++)
+		bed->workers[i].delayed_starts = 1;
+	bed_submit(bed, JOB, "batch", tasks, 8, tasks > 1);
+	WAIT(bed, tasks > 1 ? job_has_2_tasks : job_has_1_task);
+	for (size_t i = 0; i < bed->worker_count; i++)
+		bed->workers[i].delayed_starts = 0;
+}
+
+/*
+ * Restarts a worker that drains afterwards, so that the unit's next run is on
+ * other workers.
+ */
+static void
+restart_and_drain(bed_t *bed, size_t worker)
+{
+	bed->workers[worker].info.draining = true;
+	bed_restart_worker(bed, worker);
+}
+
+/*
+ * Guards against two runs of a task at once: a start without an answer was
+ * repeated, its worker restarts, the task is started elsewhere, and the new
+ * incarnation executes the first copy of the start.
+ */
+START_TEST(delayed_start_in_next_incarnation)
+{
+	bed_t bed;
+
+	bed_open(&bed, 2, 8);
+	submit_with_delayed_starts(&bed, 1);
+	restart_and_drain(&bed, last_busy_worker(&bed));
+	WAIT(&bed, job_has_1_task);
+	bed_deliver_delayed(&bed);
+	ck_assert(!bed.duplicate_run);
+	bed_end_tasks(&bed, JOB, RUN_DONE);
+	WAIT(&bed, is_completed);
+	bed_close(&bed);
+}
+END_TEST
+
+/* Same for one member of a gang, whose other members are stopped. */
+START_TEST(delayed_start_of_gang_in_next_incarnation)
+{
+	bed_t bed;
+
+	bed_open(&bed, 4, 8);
+	submit_with_delayed_starts(&bed, 2);
+	restart_and_drain(&bed, last_busy_worker(&bed));
+	ck_assert_int_eq(bed_running(&bed, JOB), 1);
+	WAIT(&bed, job_has_2_tasks);
+	bed_deliver_delayed(&bed);
+	ck_assert(!bed.duplicate_run);
+	bed_end_tasks(&bed, JOB, RUN_DONE);
+	WAIT(&bed, is_completed);
+	bed_close(&bed);
+}
+END_TEST
+
+/* Same when the leader changes before it learns of the restart. */
+START_TEST(delayed_start_after_leader_change)
+{
+	bed_t bed;
+	size_t worker;
+
+	bed_open(&bed, 2, 8);
+	submit_with_delayed_starts(&bed, 1);
+	worker = last_busy_worker(&bed);
+	bed.workers[worker].info.draining = true;
+	bed_reset_worker(&bed, worker);
+	bed_restart_fleet(&bed);
+	WAIT(&bed, job_has_1_task);
+	bed_deliver_delayed(&bed);
+	ck_assert(!bed.duplicate_run);
+	bed_end_tasks(&bed, JOB, RUN_DONE);
+	WAIT(&bed, is_completed);
+	bed_close(&bed);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("fleet_restarts");
+	TCase *tcase = tcase_create("fleet_restarts");
+
+	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
+	tcase_add_test(tcase, delayed_start_in_next_incarnation);
+	tcase_add_test(tcase, delayed_start_of_gang_in_next_incarnation);
+	tcase_add_test(tcase, delayed_start_after_leader_change);
+	suite_add_tcase(suite, tcase);
+	return unit_run(suite, CK_FORK);
+}
