sched: stop a run before it is given up on a restarted worker

Callers could see a job run twice: an order names a worker by its id, and the id outlives a restart. A start got no answer and was repeated; the worker restarted under its id, and the next poll did not list the task. The leader gave it up at once and started it elsewhere, while the first copy of the start could still be executed by the new incarnation, which knows of no run, stop or fencing token.

A start without an answer is now remembered for as long as the member lives. On a restart the runs with members on the worker are stopped, answers to stops of the incarnation before are forgotten, and a member that may still start is given up only after the present incarnation has answered a stop: from then on it refuses the run. A new leader, which cannot know the starts without an answer, does the same for every run placed on an earlier incarnation.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -76,6 +76,7 @@
 recover_run(fleet_t *fleet, ledger_unit_t *unit)
 {
 	run_t *run = run_create(fleet, unit, unit->run, unit->places);
+	bool restarted = false;
 
 	run->start_committed = true;
 	for (int i = 0; i < run->member_count; i++) {
@@ -84,15 +85,14 @@
 		/* The previous leader may have sent the start. */
 		member->state = MEMBER_SENT;
 		member->start_unanswered = true;
-		/*
-		 * The worker has restarted: as running, the task is lost once a
-		 * poll does not list it.
-		 */
+		member->starts_unanswered = 1;
 		if (member->worker->info.born != unit->places[i].born)
-			member->state = MEMBER_RUNNING;
+			restarted = true;
 	}
 	if (ledger_job_has_ended(unit->job))
 		run_stop(run, "job_ended");
+	else if (restarted)
+		run_stop(run, "worker_restarted");
 }
 
 static void
--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -255,9 +255,25 @@
 }
 
 /*
- * Treats a member as lost if the worker lists it neither as running nor as
- * ended and answered no order about it after the poll was sent: the member will
- * not start any more.
+ * Handles a member that the worker lists neither as running nor as ended. It is
+ * lost unless a start may still be executed; then the run is stopped first.
+ */
+static void
+process_unlisted(member_t *member)
+{
+	if (member->state == MEMBER_RUNNING && member_may_still_start(member)) {
+		member->state = MEMBER_SENT;
+		run_stop(member->run, "not_listed");
+	} else if (member->state == MEMBER_RUNNING ||
+		   (member->state == MEMBER_SENT &&
+		       member->stop == STOP_ANSWERED)) {
+		member_lost(member, "not_listed");
+	}
+}
+
+/*
+ * Handles the members that the worker does not list and about which it answered
+ * no order after the poll was sent.
  */
 static void
 process_missing(worker_t *worker, const order_answer_t *answer)
@@ -269,13 +285,9 @@
 		if (i >= worker->members->len)
 			continue;
 		member = g_ptr_array_index(worker->members, i);
-		if (member->answer_sequence > worker->poll_sequence ||
-		    is_listed(member, answer))
-			continue;
-		if (member->state == MEMBER_RUNNING ||
-		    (member->state == MEMBER_SENT &&
-			member->stop == STOP_ANSWERED))
-			member_lost(member, "not_listed");
+		if (member->answer_sequence <= worker->poll_sequence &&
+		    !is_listed(member, answer))
+			process_unlisted(member);
 	}
 }
 
@@ -357,6 +369,7 @@
 		if (answer->born > worker->info.born) {
 			worker_reset_incarnation(worker, answer->born);
 			worker->info.born = answer->born;
+			worker_stop_runs(worker, "worker_restarted");
 			worker_clock_update(
 			    &worker->clock, answer->clock_ms, now_ms);
 		}
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -89,7 +89,11 @@
 	member_stop_t stop;
 	bool order_in_flight;  /* a start or a stop is in flight */
 	bool start_unanswered; /* a start without an answer may still arrive */
-	int starts_unanswered; /* starts that got no answer so far */
+	/*
+	 * Starts that got no answer. A copy of one may arrive at any later
+	 * time, also at a later incarnation of the worker.
+	 */
+	int starts_unanswered;
 	/* fleet_next_sequence when a start or stop was last answered */
 	uint64_t answer_sequence;
 	int64_t retry_ms;
@@ -210,6 +214,7 @@
 void worker_retire(worker_t *worker);
 void fleet_reap_workers(fleet_t *fleet);
 void worker_reset_incarnation(worker_t *worker, uint64_t born);
+void worker_stop_runs(worker_t *worker, const char *reason);
 void worker_depart(worker_t *worker, fleet_done_t *done, void *ctx);
 void pending_end_free(void *data);
 int64_t worker_grant_lease(worker_t *worker, int64_t now_ms);
@@ -220,6 +225,7 @@
 typedef struct {
 	run_t *run;
 	worker_t *worker;
+	uint64_t born; /* incarnation of the worker that the order is for */
 	int member;
 	int percent; /* of a pace order */
 	int64_t sent_us;
@@ -248,6 +254,8 @@
     member_t *member, const running_task_t *task, int64_t now_ms);
 void member_ended(member_t *member, run_outcome_t how, const char *checkpoint);
 void member_lost(member_t *member, const char *why);
+void member_forget_stop(member_t *member);
+bool member_may_still_start(const member_t *member);
 task_name_t member_task(const member_t *member);
 
 /* fleet_plan.c */
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -308,6 +308,24 @@
 	after_member_end(run, why);
 }
 
+/* Discards the answer to a stop, which a later incarnation has not seen. */
+void
+member_forget_stop(member_t *member)
+{
+	member->stop = STOP_NONE;
+	member->retry_ms = 0;
+}
+
+/*
+ * Whether a start without an answer may still be executed.  The worker refuses
+ * it once it has answered a stop of the run.
+ */
+bool
+member_may_still_start(const member_t *member)
+{
+	return member->starts_unanswered > 0 && member->stop != STOP_ANSWERED;
+}
+
 void
 member_reported_running(
     member_t *member, const running_task_t *task, int64_t now_ms)
@@ -336,6 +354,7 @@
 
 	order->run = member->run;
 	order->worker = member->worker;
+	order->born = member->worker->info.born;
 	order->member = (int)(member - member->run->members);
 	order->sent_us = clock_mono_us();
 	order->run->orders_in_flight++;
@@ -385,6 +404,23 @@
 		    ->orders_in_flight = 0;
 }
 
+/*
+ * Records that the worker refuses later starts of the member's run, unless it
+ * has restarted since the order was sent.
+ */
+static void
+note_stop_answered(member_t *member, const member_order_t *order)
+{
+	worker_t *worker = member->worker;
+
+	member->answer_sequence = fleet_next_sequence(member->run->fleet);
+	worker->needs_poll = true;
+	if (order->born == worker->info.born)
+		member->stop = STOP_ANSWERED;
+	else
+		member_forget_stop(member);
+}
+
 /*
  * Handles a refused start. The refusal is final unless an earlier start of the
  * run that got no answer may still arrive; then the run is stopped.
@@ -447,10 +483,7 @@
 		/*
 		 * The task was stopped or has ended; the next poll tells which.
 		 */
-		member->stop = STOP_ANSWERED;
-		member->answer_sequence =
-		    fleet_next_sequence(member->run->fleet);
-		member->worker->needs_poll = true;
+		note_stop_answered(member, order);
 		break;
 	case ORDER_NO_ROOM:
 		counter_add(order->run->fleet->refused_no_room, 1);
@@ -528,12 +561,8 @@
 	if (member == NULL)
 		goto done;
 	member->retry_ms = now_ms + STOP_RETRY_MS;
-	if (answer->outcome == ORDER_OK) {
-		member->stop = STOP_ANSWERED;
-		member->answer_sequence =
-		    fleet_next_sequence(member->run->fleet);
-		member->worker->needs_poll = true;
-	}
+	if (answer->outcome == ORDER_OK)
+		note_stop_answered(member, order);
 	fleet_schedule_work(order->run->fleet);
 done:
 	member_order_end(order);
--- a/sched/fleet_workers.c
+++ b/sched/fleet_workers.c
@@ -167,7 +167,7 @@
 
 /*
  * Resets the state of a worker that restarted under its ID; born is its new
- * incarnation. Its members are kept until a poll shows which tasks run.
+ * incarnation. Its members are kept, as it may still execute their starts.
  */
 void
 worker_reset_incarnation(worker_t *worker, uint64_t born)
@@ -184,6 +184,21 @@
 	worker->suspicion = (suspicion_t){0};
 	worker->needs_poll = true;
 	g_queue_clear_full(&worker->pending_ends, pending_end_free);
+	for (guint i = 0; i < worker->members->len; i++)
+		member_forget_stop(g_ptr_array_index(worker->members, i));
+}
+
+/* Stops the runs that have a member on the worker. */
+void
+worker_stop_runs(worker_t *worker, const char *reason)
+{
+	GPtrArray *members = g_ptr_array_copy(worker->members, NULL, NULL);
+
+	/* run_stop may detach members, but frees no run. */
+	for (guint i = 0; i < members->len; i++)
+		run_stop(((const member_t *)g_ptr_array_index(members, i))->run,
+		    reason);
+	g_ptr_array_unref(members);
 }
 
 static bool
@@ -197,7 +212,9 @@
 static void
 update_worker(worker_t *worker, const fleet_worker_t *info)
 {
-	if (info->born != worker->info.born)
+	bool restarted = info->born != worker->info.born;
+
+	if (restarted)
 		worker_reset_incarnation(worker, info->born);
 	g_hash_table_steal(worker->fleet->workers, worker->info.id);
 	codec_free((xdrproc_t)xdr_fleet_worker_t, &worker->info);
@@ -205,6 +222,8 @@
 	g_hash_table_insert(worker->fleet->workers, worker->info.id, worker);
 	worker->draining = info->draining;
 	worker->registered = true;
+	if (restarted)
+		worker_stop_runs(worker, "worker_restarted");
 }
 
 /* Records durably that an incarnation of a worker has ended. */
--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -97,6 +97,26 @@
 	       a->task.index == b->index;
 }
 
+/* Returns the highest run of the task that has ended or was stopped here. */
+static uint32_t
+refused_run(const bed_worker_t *worker, const task_name_t *task)
+{
+	char *name = task_text(task);
+	gpointer run = g_hash_table_lookup(worker->refused, name);
+
+	g_free(name);
+	return GPOINTER_TO_UINT(run);
+}
+
+/* The worker refuses runs of the task that are not higher from now on. */
+static void
+refuse_runs(bed_worker_t *worker, const task_name_t *task, uint32_t run)
+{
+	if (refused_run(worker, task) < run)
+		g_hash_table_replace(
+		    worker->refused, task_text(task), GUINT_TO_POINTER(run));
+}
+
 static void
 end_task(bed_worker_t *worker, guint i, run_outcome_t how)
 {
@@ -110,6 +130,7 @@
 	};
 
 	end.task.job = end.job;
+	refuse_runs(worker, &end.task, end.run);
 	g_array_append_val(worker->ends, end);
 	g_ptr_array_remove_index(worker->tasks, i);
 }
@@ -138,16 +159,6 @@
 	return false;
 }
 
-static uint32_t
-stopped_run(const bed_worker_t *worker, const task_name_t *task)
-{
-	char *name = task_text(task);
-	gpointer run = g_hash_table_lookup(worker->stopped, name);
-
-	g_free(name);
-	return GPOINTER_TO_UINT(run);
-}
-
 static order_outcome_t
 start_task(bed_worker_t *worker, const order_t *order)
 {
@@ -159,16 +170,7 @@
 		if (has_name(task, &order->task) && task->run == order->run)
 			return ORDER_OK;
 	}
-	for (guint i = 0; i < worker->ends->len; i++) {
-		const bed_end_t *end =
-		    &g_array_index(worker->ends, bed_end_t, i);
-
-		if (strcmp(end->job, order->job) == 0 &&
-		    end->task.index == order->task.index &&
-		    end->run >= order->run)
-			return ORDER_STALE_RUN;
-	}
-	if (stopped_run(worker, &order->task) >= order->run)
+	if (refused_run(worker, &order->task) >= order->run)
 		return ORDER_STALE_RUN;
 	if (order->lease_end_ms < worker_now_ms(worker))
 		return ORDER_LEASE_EXPIRED;
@@ -199,9 +201,7 @@
 		}
 	}
 	/* A start of the run that arrives later is refused. */
-	if (stopped_run(worker, &order->task) < order->run)
-		g_hash_table_replace(worker->stopped, task_text(&order->task),
-		    GUINT_TO_POINTER(order->run));
+	refuse_runs(worker, &order->task, order->run);
 }
 
 /* Forgets acknowledged ends. */
@@ -512,7 +512,7 @@
 	};
 	worker->clock_base_ms = CLOCK_BASE_MS;
 	worker->next_end = 1;
-	worker->stopped =
+	worker->refused =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	worker->tasks = g_ptr_array_new_with_free_func(free_task);
 	worker->ends = g_array_new(FALSE, TRUE, sizeof(bed_end_t));
@@ -606,7 +606,7 @@
 		forget_ends(&bed->workers[i], UINT64_MAX);
 		g_array_unref(bed->workers[i].ends);
 		g_ptr_array_unref(bed->workers[i].tasks);
-		g_hash_table_unref(bed->workers[i].stopped);
+		g_hash_table_unref(bed->workers[i].refused);
 		codec_free(
 		    (xdrproc_t)xdr_fleet_worker_t, &bed->workers[i].info);
 	}
@@ -736,7 +736,7 @@
 
 	g_ptr_array_set_size(worker->tasks, 0);
 	forget_ends(worker, UINT64_MAX);
-	g_hash_table_remove_all(worker->stopped);
+	g_hash_table_remove_all(worker->refused);
 	worker->next_end = 1;
 	worker->lease_end_ms = 0;
 	worker->clock_base_ms -= CLOCK_RESTART_MS;
--- a/tests/unit/fleet_bed.h
+++ b/tests/unit/fleet_bed.h
@@ -32,7 +32,7 @@
 	    clock_base_ms;    /* offset of its clock, new in each incarnation */
 	int64_t lease_end_ms; /* on the worker's clock */
 	uint64_t next_end;
-	GHashTable *stopped; /* task -> highest run stopped before its start */
+	GHashTable *refused; /* task -> highest run that ended or was stopped */
 	GPtrArray *tasks;    /* bed_task_t */
 	GArray *ends;        /* bed_end_t, not acknowledged */
 	bool unreachable;    /* orders neither arrive nor are answered */
