entry: the HTTP client sends a request once unless told otherwise

When a kept connection closes without an answer, libcurl sends the POST again on a new one and reports only the answer to the second copy. A start whose first copy had been accepted, or was executed late, was repeated that way after a reset of connections; the busy worker refused the second copy with 503, the leader took the refusal as final and started the task elsewhere. Then the first copy ran: two runs at the same time, or a start after an end that was acknowledged.

The client now sends a request once; the connection's end is reported as -ECONNRESET, so that the scheduler counts the start as unanswered and stops the run before it goes elsewhere.

--- a/entry/client.c
+++ b/entry/client.c
@@ -28,7 +28,8 @@
 	char *body;
 	char *peer;
 	GByteArray *received;
-	bool sent;       /* a connection was ready to carry the request */
+	bool sent; /* a connection was ready to carry the request */
+	bool may_repeat;
 	bool has_length; /* the end of the body can be told from a cut */
 	bool too_large;
 	client_done_t *done;
@@ -76,13 +77,18 @@
 	return len;
 }
 
-/* libcurl has a connection and is about to send the request on it. */
+/*
+ * libcurl has a connection and is about to send the request on it. It does so
+ * again when a kept connection closes without an answer.
+ */
 static int
 on_ready_to_send(void *ctx, char *primary_ip, char *local_ip, int primary_port,
     int local_port)
 {
 	client_call_t *call = ctx;
 
+	if (call->sent && !call->may_repeat)
+		return CURL_PREREQFUNC_ABORT;
 	call->sent = true;
 	return CURL_PREREQFUNC_OK;
 }
@@ -323,9 +329,8 @@
 /*
  * Starts a call; done is called once from the loop, never from here.  The
  * deadline counts from now and covers the wait for a free connection.  The
- * request is copied.  A server that closed a kept connection before any byte
- * of the answer gets the request again on a new one, so calls must be
- * idempotent; those of docs/INTERFACES.md are, by task id.
+ * request is copied.  It is sent once unless it says may_repeat: a connection
+ * that closes without an answer ends the call with -ECONNRESET.
  */
 client_call_t *
 client_start(client_t *client, const client_request_t *request,
@@ -335,6 +340,7 @@
 	long deadline_ms = (long)MAX(request->deadline_ms, 1);
 
 	call->client = client;
+	call->may_repeat = request->may_repeat;
 	call->done = done;
 	call->ctx = ctx;
 	call->link.data = call;
@@ -402,7 +408,10 @@
 	}
 	if (code == CURLE_OK)
 		return;
-	if (call->too_large)
+	if (code == CURLE_ABORTED_BY_CALLBACK)
+		err_set(err, -ECONNRESET, "call", call->peer,
+		    "the connection closed without an answer");
+	else if (call->too_large)
 		err_set(err, -EMSGSIZE, "call", call->peer,
 		    "the answer is longer than %zu bytes",
 		    call->client->max_body_bytes);
--- a/entry/client.h
+++ b/entry/client.h
@@ -26,6 +26,11 @@
 	str_t body;
 	int64_t deadline_ms;
 	bool fresh_connection; /* do not reuse an open connection */
+	/*
+	 * Send the request again, once, when a kept connection closes without
+	 * an answer. The answer then says nothing about the first copy.
+	 */
+	bool may_repeat;
 } client_request_t;
 
 /*
--- a/entry/dispatch.c
+++ b/entry/dispatch.c
@@ -219,8 +219,8 @@
 	call.config_version = machine_config_version(entry_machine(entry));
 	call.body = (str_t){body->str, body->len};
 	call.deadline_ms = KEPT_CALL_MS;
-	/* libcurl repeats a call whose kept connection closes unanswered; the
-	 * server may have run the task, restarted and forgotten it. */
+	/* A kept connection that closes unanswered leaves open whether the task
+	 * ran; the server may have restarted and forgotten it. */
 	call.fresh_connection = !request->repeatable;
 	request->may_have_run = true;
 	request->started_ms = now_ms;
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -616,6 +616,32 @@
 }
 END_TEST
 
+/*
+ * Guards against a request that libcurl sends twice when a kept connection
+ * closes unanswered: the server may have accepted the first copy, and the
+ * answer to the second one says nothing about it.
+ */
+START_TEST(client_does_not_repeat)
+{
+	client_t *client = client_create(loop, 9, MAX_BODY);
+	outcome_seen_t seen = {0};
+	raw_t raw;
+
+	raw_start(&raw, REPLY_OK);
+	call(client, raw.port, "PUT", 5000, &seen);
+	run_until(&seen.done, 1);
+	raw.reply = NULL;
+	raw.close_after = true;
+	call(client, raw.port, "PUT", 5000, &seen);
+	run_until(&seen.done, 2);
+	ck_assert_int_eq(seen.code, -ECONNRESET);
+	ck_assert(!seen.not_sent);
+	ck_assert_int_eq(raw.requests, 2);
+	client_destroy(client);
+	raw_stop(&raw);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -638,6 +664,7 @@
 	tcase_add_test(client_case, client_not_sent);
 	tcase_add_test(client_case, client_connection_limit);
 	tcase_add_test(client_case, client_fresh_connection);
+	tcase_add_test(client_case, client_does_not_repeat);
 	suite_add_tcase(suite, listener_case);
 	suite_add_tcase(suite, client_case);
 	return unit_run(suite, CK_NOFORK);
