sched: a refusal does not hide an attempt that may have stored the job

After an attempt without an answer, or with "uncertain", a refusal by the next leader went to the caller as 429, 503, 404 or 401, which says that the job never runs, while the first attempt's command could still be committed. Such a call now ends as unknown (504), so that the caller asks again with the same id.

refusal_after_uncertain_answer failed before for each of four refusals.

--- a/sched/gateway.c
+++ b/sched/gateway.c
@@ -260,6 +260,17 @@
 	       err->code == -ENOBUFS;
 }
 
+/*
+ * Whether the answer says that a job is not accepted although an earlier
+ * attempt may have stored it.
+ */
+static bool
+is_doubtful_refusal(const gateway_call_t *call, batch_answer_t answer)
+{
+	return call->maybe_received && call->request.verb == BATCH_SUBMIT &&
+	       answer != BATCH_ACCEPTED;
+}
+
 static void
 on_attempt_done(void *ctx, const err_t *err, void *result)
 {
@@ -280,7 +291,10 @@
 		call->maybe_received = true;
 		retry_or_fail(call);
 	} else if (reply->answer != BATCH_NOT_LEADER) {
-		finish_call(call, GATEWAY_ANSWERED, reply);
+		if (is_doubtful_refusal(call, reply->answer))
+			fail_call(call);
+		else
+			finish_call(call, GATEWAY_ANSWERED, reply);
 	} else if (gateway->leader[0] != '\0' &&
 		   strcmp(gateway->leader, call->target) != 0 &&
 		   endpoint_peer_is_up(gateway->endpoint, gateway->leader)) {
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -21,6 +21,9 @@
 	gateway_t *gateway;
 	settings_t *entry_settings; /* of i1; names only i2 as peer */
 	batch_reply_t replies[3];
+	/* In place of the reply after the first call that is no probe. */
+	batch_answer_t later_answer;
+	bool answers_differ;
 	int served[3];
 	int answers;
 	gateway_outcome_t outcome;
@@ -40,10 +43,14 @@
 {
 	server_t *server = ctx;
 	fixture_t *fixture = server->fixture;
+	batch_reply_t *reply = &fixture->replies[server->index];
 
 	fixture->served[server->index]++;
 	if (request != NULL)
-		endpoint_answer(request, &fixture->replies[server->index]);
+		endpoint_answer(request, reply);
+	if (fixture->answers_differ &&
+	    ((const batch_call_t *)args)->verb != BATCH_LEADER)
+		reply->answer = fixture->later_answer;
 }
 
 static void
@@ -221,6 +228,29 @@
 }
 END_TEST
 
+/*
+ * Guards against a refusal that says "not accepted" about a job that may have
+ * been stored by the first of two attempts. _i is the index of the refusal.
+ */
+START_TEST(refusal_after_uncertain_answer)
+{
+	static const batch_answer_t refusals[] = {
+	    BATCH_REFUSED, BATCH_NO_CONFIG, BATCH_NO_QUEUE, BATCH_NO_KEY};
+	fixture_t fixture;
+
+	fixture_open(&fixture);
+	endpoint_on_found(fixture.endpoints[1], ignore_found, NULL);
+	fixture.replies[1] = reply_of(BATCH_UNCERTAIN);
+	fixture.answers_differ = true;
+	fixture.later_answer = refusals[_i];
+	WAIT(&fixture, is_second_connected);
+	call(&fixture, BATCH_SUBMIT);
+	WAIT(&fixture, is_answered);
+	ck_assert_int_eq(fixture.outcome, GATEWAY_UNKNOWN);
+	fixture_close(&fixture);
+}
+END_TEST
+
 /* Guards against calls that wait although no replica is connected. */
 START_TEST(no_replica_connected)
 {
@@ -247,6 +277,7 @@
 	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
 	tcase_add_test(tcase, leader_not_in_settings);
 	tcase_add_test(tcase, uncertain_answer_is_unknown);
+	tcase_add_loop_test(tcase, refusal_after_uncertain_answer, 0, 4);
 	tcase_add_test(tcase, no_replica_connected);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_FORK);
