--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -218,11 +218,14 @@
 /*
  * Treats a member as lost if the worker lists it neither as running nor as
  * ended and answered no order about it after the poll was sent: the member will
- * not start any more.
+ * not start any more. A list of ends that was cut off proves nothing, since the
+ * member may have ended beyond it.
  */
 static void
 process_missing(worker_t *worker, const order_answer_t *answer)
 {
+	if (answer->more_ends)
+		return;
 	for (guint i = worker->members->len; i-- > 0;) {
 		member_t *member;
 
@@ -281,6 +284,18 @@
 					       : POLL_RETRY_UNREACHABLE_MS);
 }
 
+/* An answer of an earlier incarnation proves nothing about this one. */
+static order_outcome_t
+poll_outcome(const worker_t *worker, const order_answer_t *answer)
+{
+	if (answer->outcome != ORDER_OK || answer->born >= worker->info.born)
+		return answer->outcome;
+	evlog("poll_outdated", "{s:s,s:I,s:I}", "worker", worker->info.id,
+	    "born", (json_int_t)answer->born, "expected",
+	    (json_int_t)worker->info.born);
+	return ORDER_NO_ANSWER;
+}
+
 static void
 on_poll_answer(void *ctx, const order_answer_t *answer)
 {
@@ -292,7 +307,7 @@
 	worker->poll_done_ms = now_ms;
 	if (worker->retired)
 		return;
-	switch (answer->outcome) {
+	switch (poll_outcome(worker, answer)) {
 	case ORDER_NO_ANSWER:
 		/* This process was paused: the answer may have come. */
 		if (loop_watch_resumed_ms() >= worker->poll_sent_ms)
--- a/sched/orders.h
+++ b/sched/orders.h
@@ -78,6 +78,7 @@
 	size_t running_count;
 	const ended_task_t *ended;
 	size_t ended_count;
+	bool more_ends; /* tasks that are not listed may have ended */
 } order_answer_t;
 
 /* Called once for each order, never before the sending call returns. */
--- a/tests/fuzz/fuzz_wire.c
+++ b/tests/fuzz/fuzz_wire.c
@@ -65,15 +65,35 @@
 	codec_free((xdrproc_t)xdr_fleet_worker_t, &announcement.worker);
 }
 
+static void
+check_lists(const order_answer_t *answer)
+{
+	uint64_t last_number = 0;
+
+	for (size_t i = 0; i < answer->running_count; i++) {
+		const running_task_t *task = &answer->running[i];
+
+		g_assert_nonnull(task->task.job);
+		g_assert_cmpuint(task->run, >=, 1);
+		g_assert_cmpint(task->percent, >=, 0);
+		g_assert_cmpint(task->percent, <=, 100);
+		g_assert_cmpint(task->load, >=, 0);
+	}
+	for (size_t i = 0; i < answer->ended_count; i++) {
+		g_assert_nonnull(answer->ended[i].task.job);
+		g_assert_cmpuint(answer->ended[i].number, >, last_number);
+		last_number = answer->ended[i].number;
+	}
+}
+
 static void
 check_poll(str_t body)
 {
 	json_t *root = json_loadb(body.data, body.len, 0, NULL);
 	wire_poll_t poll = {0};
 
-	wire_read_poll(root, &poll);
-	for (size_t i = 0; i < poll.answer.running_count; i++)
-		g_assert_nonnull(poll.answer.running[i].task.job);
+	if (wire_read_poll(root, &poll) == 0)
+		check_lists(&poll.answer);
 	wire_poll_clear(&poll);
 	json_decref(root);
 }
--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -199,14 +199,21 @@
 {
 	running_task_t running[MAX_LISTED] = {0};
 	ended_task_t ended[MAX_LISTED] = {0};
+	guint max_ends =
+	    worker->max_listed_ends != 0 ? worker->max_listed_ends : MAX_LISTED;
 	order_answer_t answer = {
 	    .outcome = ORDER_OK,
 	    .clock_ms = worker_now_ms(),
 	    .born = worker->info.born,
 	    .running = running,
 	    .ended = ended,
+	    .more_ends = worker->ends->len >= max_ends,
 	};
 
+	if (worker->forged_poll != NULL) {
+		order->done(order->ctx, worker->forged_poll);
+		return;
+	}
 	if (order->snapshot != NULL) {
 		answer.running =
 		    (const running_task_t *)(void *)order->snapshot->data;
@@ -216,7 +223,7 @@
 			  i < MAX_LISTED;
 	     i++)
 		running[answer.running_count++] = describe_task(worker, i);
-	for (guint i = 0; i < worker->ends->len && i < MAX_LISTED; i++) {
+	for (guint i = 0; i < MIN(worker->ends->len, max_ends); i++) {
 		const bed_end_t *end =
 		    &g_array_index(worker->ends, bed_end_t, i);
 
--- a/tests/unit/fleet_bed.h
+++ b/tests/unit/fleet_bed.h
@@ -37,6 +37,8 @@
 	bool answers_as_other_incarnation;
 	bool drops_start_answers; /* starts are executed, their answers lost */
 	bool fails_tasks;         /* each task fails as soon as it starts */
+	const order_answer_t *forged_poll; /* if set, answers polls */
+	guint max_listed_ends; /* in the answer of a poll; 0: no limit */
 	int starts;
 	int stops;
 	int wrong_incarnation_starts; /* starts for an ended incarnation */
--- /dev/null
+++ b/tests/unit/test_fleet_announce.c
@@ -0,0 +1,96 @@
+#include <glib.h>
+
+#include "sched/fleet_private.h"
+#include "tests/unit/fleet_bed.h"
+#include "tests/unit/runner.h"
+
+/*
+ * What workers say about themselves and their tasks, and what the leader must
+ * not conclude from it.
+ */
+
+#define TEST_TIMEOUT_S 60
+#define JOB "00000000000000aa"
+#define OTHER "00000000000000bb"
+
+#define WAIT(bed, met) ck_assert(system_wait((bed)->loop, (met), (bed)))
+
+static bool
+job_has_1_task(void *ctx)
+{
+	return bed_running(ctx, JOB) == 1;
+}
+
+static bool
+both_jobs_run(void *ctx)
+{
+	return bed_running(ctx, JOB) == 1 && bed_running(ctx, OTHER) == 1;
+}
+
+static bool
+both_are_completed(void *ctx)
+{
+	return bed_state(ctx, JOB) == BATCH_STATE_COMPLETED &&
+	       bed_state(ctx, OTHER) == BATCH_STATE_COMPLETED;
+}
+
+/* ---- answers to polls ---- */
+
+/*
+ * An empty list of an earlier incarnation, or without the time of birth, comes
+ * while a task runs.  Guards against giving the task up and starting it again.
+ * _i is the time of birth in the list.
+ */
+START_TEST(list_of_earlier_incarnation_proves_nothing)
+{
+	order_answer_t forged = {.outcome = ORDER_OK, .born = (uint64_t)_i};
+	bed_t bed;
+
+	bed_open(&bed, 1, 8);
+	bed_restart_worker(&bed, 0);
+	bed_submit(&bed, JOB, "batch", 1, 1, false);
+	WAIT(&bed, job_has_1_task);
+	bed.workers[0].forged_poll = &forged;
+	bed_run_for(&bed, 200);
+	bed.workers[0].forged_poll = NULL;
+	bed_run_for(&bed, 100);
+	ck_assert(!bed.duplicate_run);
+	ck_assert_int_eq(bed_starts(&bed), 1);
+	ck_assert_int_eq(bed_running(&bed, JOB), 1);
+	bed_close(&bed);
+}
+END_TEST
+
+/*
+ * Two tasks end, and the worker lists one end at a time.  Guards against taking
+ * the task of the second end for lost and starting it again after it is done.
+ */
+START_TEST(ends_beyond_the_list)
+{
+	bed_t bed;
+
+	bed_open(&bed, 1, 8);
+	bed_submit(&bed, JOB, "batch", 1, 1, false);
+	bed_submit(&bed, OTHER, "batch", 1, 1, false);
+	WAIT(&bed, both_jobs_run);
+	bed.workers[0].max_listed_ends = 1;
+	bed_end_tasks(&bed, NULL, RUN_DONE);
+	WAIT(&bed, both_are_completed);
+	ck_assert_int_eq(bed_starts(&bed), 2);
+	bed_close(&bed);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("fleet announcements");
+	TCase *tcase = tcase_create("fleet announcements");
+
+	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
+	tcase_add_loop_test(
+	    tcase, list_of_earlier_incarnation_proves_nothing, 0, 2);
+	tcase_add_test(tcase, ends_beyond_the_list);
+	suite_add_tcase(suite, tcase);
+	return unit_run(suite, CK_FORK);
+}
