workers: a new leader is not taken back by a late announcement

A new leader reads the workers from the ledger and knows no sequence number of their announcements, so the first one that it heard counted as newer whatever it said. A late one of an earlier incarnation took the address and `born` back; one of the same incarnation from before it drained made the worker ready again, and units were placed on a worker that was about to end.

Incarnations are now compared even without a sequence number, and draining is final within an incarnation. The check for departed incarnations holds also for a worker that is known by its tasks only.

--- a/sched/fleet_workers.c
+++ b/sched/fleet_workers.c
@@ -183,12 +183,22 @@
 	g_queue_clear_full(&worker->pending_ends, pending_end_free);
 }
 
+/*
+ * Whether an announcement was overtaken by what is known. A leader that read
+ * the worker from the ledger knows no sequence number, so that only the
+ * incarnation and the draining, which is final, tell.
+ */
 static bool
 is_stale(const worker_t *worker, const fleet_announcement_t *announcement)
 {
-	if (announcement->worker.born != worker->info.born)
-		return announcement->worker.born < worker->info.born;
-	return announcement->sequence <= worker->announcement_sequence;
+	const fleet_worker_t *info = &announcement->worker;
+
+	if (info->born != worker->info.born)
+		return info->born < worker->info.born;
+	if (worker->info.draining && !info->draining)
+		return true;
+	return worker->announcement_sequence > 0 &&
+	       announcement->sequence <= worker->announcement_sequence;
 }
 
 static void
@@ -250,12 +260,11 @@
 		return;
 	}
 	worker = fleet_find_worker(fleet, info->id);
-	if (worker != NULL && worker->announcement_sequence > 0 &&
-	    is_stale(worker, announcement)) {
+	if (worker != NULL && is_stale(worker, announcement)) {
 		done(ctx, FLEET_OK);
 		return;
 	}
-	if (worker == NULL && has_departed(fleet, info)) {
+	if (has_departed(fleet, info)) {
 		evlog("announcement_late", "{s:s,s:I}", "worker", info->id,
 		    "born", (json_int_t)info->born);
 		done(ctx, FLEET_OK);
--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -463,17 +463,23 @@
 }
 
 void
-bed_announce(bed_t *bed, size_t worker)
+bed_announce_as(bed_t *bed, const fleet_worker_t *info, uint64_t sequence)
 {
 	fleet_announcement_t announcement = {
-	    .worker = bed->workers[worker].info,
-	    .sequence = ++bed->sequence,
+	    .worker = *info,
+	    .sequence = sequence,
 	    .clock_ms = worker_now_ms(),
 	};
 
 	fleet_announce(bed->fleet, &announcement, on_announced, bed);
 }
 
+void
+bed_announce(bed_t *bed, size_t worker)
+{
+	bed_announce_as(bed, &bed->workers[worker].info, ++bed->sequence);
+}
+
 static bool
 all_announced(void *ctx)
 {
@@ -517,12 +523,18 @@
 }
 
 void
-bed_restart_fleet(bed_t *bed)
+bed_restart_fleet_unannounced(bed_t *bed)
 {
 	bed_drop_orders(bed);
 	fleet_destroy(bed->fleet);
 	bed->fleet = NULL;
 	start_fleet(bed);
+}
+
+void
+bed_restart_fleet(bed_t *bed)
+{
+	bed_restart_fleet_unannounced(bed);
 	for (size_t i = 0; i < bed->worker_count; i++)
 		bed_announce(bed, i);
 }
--- a/tests/unit/fleet_bed.h
+++ b/tests/unit/fleet_bed.h
@@ -69,6 +69,8 @@
  * and announcements.
  */
 void bed_restart_fleet(bed_t *bed);
+/* Same, but no worker announces itself to the new leader. */
+void bed_restart_fleet_unannounced(bed_t *bed);
 /* Discards the orders in flight without an answer. */
 void bed_drop_orders(bed_t *bed);
 void bed_configure(bed_t *bed);
@@ -85,6 +87,8 @@
 void bed_submit_long_running(bed_t *bed, const char *id, int accelerators);
 void bed_cancel(bed_t *bed, const char *id);
 void bed_announce(bed_t *bed, size_t worker);
+/* Announces info in place of what the worker is. */
+void bed_announce_as(bed_t *bed, const fleet_worker_t *info, uint64_t sequence);
 void bed_restart_worker(bed_t *bed, size_t worker);
 /*
  * Ends every task of the job, or of all jobs when job is NULL, on its worker;
--- a/tests/unit/test_fleet_announce.c
+++ b/tests/unit/test_fleet_announce.c
@@ -81,6 +81,64 @@
 }
 END_TEST
 
+/* ---- late announcements ---- */
+
+static const worker_t *
+known_worker(const bed_t *bed)
+{
+	return fleet_find_worker(bed->fleet, bed->workers[0].info.id);
+}
+
+/*
+ * The first announcement that a new leader hears is a late one of an earlier
+ * incarnation.  Guards against sending orders to the address of that one.
+ */
+START_TEST(earlier_incarnation_replaces_nothing)
+{
+	fleet_worker_t earlier;
+	bed_t bed;
+
+	bed_open(&bed, 1, 8);
+	earlier = bed.workers[0].info;
+	earlier.address = (char *)"10.0.0.2";
+	bed_restart_worker(&bed, 0);
+	bed_run_for(&bed, 100);
+	bed_restart_fleet_unannounced(&bed);
+	bed_announce_as(&bed, &earlier, 1000);
+	ck_assert_uint_eq(known_worker(&bed)->info.born, earlier.born + 1);
+	ck_assert_str_eq(known_worker(&bed)->info.address, "10.0.0.1");
+	bed_close(&bed);
+}
+END_TEST
+
+/*
+ * The first announcement that a new leader hears was sent before the worker
+ * drained.  Guards against placing units on the worker again.
+ */
+START_TEST(draining_is_final)
+{
+	fleet_worker_t ready;
+	bed_t bed;
+
+	bed_open(&bed, 1, 8);
+	ready = bed.workers[0].info;
+	bed.workers[0].info.draining = true;
+	bed_announce(&bed, 0);
+	bed_run_for(&bed, 100);
+	bed_restart_fleet_unannounced(&bed);
+	bed_announce_as(&bed, &ready, 1);
+	ck_assert(known_worker(&bed)->draining);
+	bed_submit(&bed, JOB, "batch", 1, 1, false);
+	bed_run_for(&bed, 200);
+	ck_assert_int_eq(bed_starts(&bed), 0);
+	/* The next incarnation is ready. */
+	bed.workers[0].info.draining = false;
+	bed_restart_worker(&bed, 0);
+	WAIT(&bed, job_has_1_task);
+	bed_close(&bed);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -91,6 +149,8 @@
 	tcase_add_loop_test(
 	    tcase, list_of_earlier_incarnation_proves_nothing, 0, 2);
 	tcase_add_test(tcase, ends_beyond_the_list);
+	tcase_add_test(tcase, earlier_incarnation_replaces_nothing);
+	tcase_add_test(tcase, draining_is_final);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_FORK);
 }
