workers: a restart learned from a poll starts the counts anew

When a poll was the first to show that a worker had restarted under its id, the leader kept the sequence number of the earlier incarnation. The worker's own announcements count from 1 again, so they were acknowledged and ignored until they passed it: the worker kept the old address, capacity and draining, and after a few missed announcements got no units. Until then units were placed by the capacity of the earlier incarnation, and the new `born` was not committed, as the announcement that brought it changed nothing any more.

Evidence, the new tests on the code before: restart_learned_from_poll: 'bed_starts(&bed) == 1' failed: bed_starts(&bed) == 2 draining_ends_with_incarnation: Test timeout expired (the worker stays draining)

The sequence number is now reset with the other counts of an incarnation. A worker whose restart was learned from a poll counts as not registered, so it gets no units until its announcement has told, and committed, what it is.

--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -331,8 +331,7 @@
 		worker->next_poll_ms = now_ms;
 		/* The worker restarted before its announcement arrived. */
 		if (answer->born > worker->info.born) {
-			worker->info.born = answer->born;
-			worker_reset_incarnation(worker);
+			worker_learn_incarnation(worker, answer->born);
 			worker_clock_update(
 			    &worker->clock, answer->clock_ms, now_ms);
 		}
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -32,7 +32,8 @@
 typedef struct {
 	fleet_t *fleet;
 	fleet_worker_t info; /* owned copy */
-	bool registered; /* announced to this leader or read from the ledger */
+	/* This incarnation was announced, or read from the ledger. */
+	bool registered;
 	int64_t last_announced_ms;
 	uint64_t announcement_sequence; /* of the last announcement */
 	worker_clock_t clock;
@@ -204,7 +205,7 @@
 worker_t *worker_create(fleet_t *fleet, const fleet_worker_t *info);
 void worker_retire(worker_t *worker);
 void fleet_reap_workers(fleet_t *fleet);
-void worker_reset_incarnation(worker_t *worker);
+void worker_learn_incarnation(worker_t *worker, uint64_t born);
 void worker_depart(worker_t *worker, fleet_done_t *done, void *ctx);
 void pending_end_free(void *data);
 int64_t worker_grant_lease(worker_t *worker, int64_t now_ms);
--- a/sched/fleet_workers.c
+++ b/sched/fleet_workers.c
@@ -169,11 +169,13 @@
  * Resets the state of a worker that restarted under its ID. Its members are
  * kept until a poll shows which tasks run.
  */
-void
+static void
 worker_reset_incarnation(worker_t *worker)
 {
 	evlog("worker_restarted", "{s:s,s:i}", "worker", worker->info.id,
 	    "members", (int)worker->members->len);
+	/* The counts of an incarnation start anew. */
+	worker->announcement_sequence = 0;
 	worker->last_end_number = 0;
 	worker->ackable_end = 0;
 	worker->confirmed_ack = 0;
@@ -183,6 +185,20 @@
 	g_queue_clear_full(&worker->pending_ends, pending_end_free);
 }
 
+/*
+ * Records a restart that was learned from a poll. The worker gets no units
+ * until it announces what the new incarnation is.
+ */
+void
+worker_learn_incarnation(worker_t *worker, uint64_t born)
+{
+	worker->info.born = born;
+	worker->info.draining = false;
+	worker->draining = false;
+	worker->registered = false;
+	worker_reset_incarnation(worker);
+}
+
 /*
  * Whether an announcement was overtaken by what is known. A leader that read
  * the worker from the ledger knows no sequence number, so that only the
--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -676,7 +676,7 @@
 
 /* The worker crashes and starts again under its id. */
 void
-bed_restart_worker(bed_t *bed, size_t i)
+bed_restart_worker_unannounced(bed_t *bed, size_t i)
 {
 	bed_worker_t *worker = &bed->workers[i];
 
@@ -685,6 +685,12 @@
 	worker->next_end = 1;
 	worker->lease_end_ms = 0;
 	worker->info.born++;
+}
+
+void
+bed_restart_worker(bed_t *bed, size_t i)
+{
+	bed_restart_worker_unannounced(bed, i);
 	bed_announce(bed, i);
 }
 
--- a/tests/unit/fleet_bed.h
+++ b/tests/unit/fleet_bed.h
@@ -90,6 +90,8 @@
 /* Announces info in place of what the worker is. */
 void bed_announce_as(bed_t *bed, const fleet_worker_t *info, uint64_t sequence);
 void bed_restart_worker(bed_t *bed, size_t worker);
+/* Same, but the worker does not announce itself yet. */
+void bed_restart_worker_unannounced(bed_t *bed, size_t worker);
 /*
  * Ends every task of the job, or of all jobs when job is NULL, on its worker;
  * the leader learns of it by a poll.
--- a/tests/unit/test_fleet_announce.c
+++ b/tests/unit/test_fleet_announce.c
@@ -139,6 +139,66 @@
 }
 END_TEST
 
+/* ---- restarts learned from a poll ---- */
+
+static bool
+restart_is_known(void *ctx)
+{
+	return known_worker(ctx)->info.born == 2;
+}
+
+/*
+ * A poll shows that the worker has restarted, with less capacity; its sequence
+ * numbers start anew.  Guards against starts before the capacity is known, and
+ * against taking its announcements for late ones.
+ */
+START_TEST(restart_learned_from_poll)
+{
+	fleet_worker_t *info;
+	bed_t bed;
+
+	bed_open(&bed, 1, 8);
+	info = &bed.workers[0].info;
+	bed.sequence = 1000;
+	bed_announce(&bed, 0);
+	bed_submit(&bed, JOB, "batch", 1, 8, false);
+	WAIT(&bed, job_has_1_task);
+	bed_restart_worker_unannounced(&bed, 0);
+	info->capacity.accelerators = 4;
+	WAIT(&bed, restart_is_known);
+	bed_run_for(&bed, 100);
+	ck_assert_int_eq(bed_starts(&bed), 1);
+	bed_announce_as(&bed, info, 1);
+	ck_assert_int_eq(known_worker(&bed)->info.capacity.accelerators, 4);
+	bed_submit(&bed, OTHER, "batch", 1, 4, false);
+	bed_run_for(&bed, 200);
+	ck_assert_int_eq(bed_running(&bed, OTHER), 1);
+	bed_restart_fleet_unannounced(&bed);
+	ck_assert_uint_eq(known_worker(&bed)->info.born, 2);
+	bed_close(&bed);
+}
+END_TEST
+
+/* Guards against taking the new incarnation for a draining one for good. */
+START_TEST(draining_ends_with_incarnation)
+{
+	bed_t bed;
+
+	bed_open(&bed, 1, 8);
+	bed_submit(&bed, JOB, "batch", 1, 8, false);
+	WAIT(&bed, job_has_1_task);
+	bed.workers[0].info.draining = true;
+	bed_announce(&bed, 0);
+	bed_run_for(&bed, 50);
+	bed_restart_worker_unannounced(&bed, 0);
+	bed.workers[0].info.draining = false;
+	WAIT(&bed, restart_is_known);
+	bed_announce_as(&bed, &bed.workers[0].info, 1);
+	WAIT(&bed, job_has_1_task);
+	bed_close(&bed);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -151,6 +211,8 @@
 	tcase_add_test(tcase, ends_beyond_the_list);
 	tcase_add_test(tcase, earlier_incarnation_replaces_nothing);
 	tcase_add_test(tcase, draining_is_final);
+	tcase_add_test(tcase, restart_learned_from_poll);
+	tcase_add_test(tcase, draining_ends_with_incarnation);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_FORK);
 }
