runs: no start is sent to a worker that drains

A start that got no answer was sent again also after the worker had announced that it drains, and a first start was sent when the worker began to drain while the start was being committed.

Evidence, the new tests on the code before: lost_start_is_not_repeated_while_draining (single task and gang): 'bed.workers[0].starts == 0' failed: bed.workers[0].starts == 1 first_start_is_not_sent_while_draining: 'bed.workers[0].starts == 0' failed: bed.workers[0].starts == 1

A draining worker now gets no start at all, which needs no bound. A run with a member that was never sent there is stopped at once. Where a start may have arrived, the next poll decides: a member that it lists goes on, for any other the run is stopped, and the unit, also a gang, is placed elsewhere once the stop was answered. tasks_on_draining_worker_are_adopted guards against stopping what runs there when the leader changes.

--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -240,6 +240,8 @@
 		    (member->state == MEMBER_SENT &&
 			member->stop == STOP_ANSWERED))
 			member_lost(member, "not_listed");
+		else
+			member_not_started(member);
 	}
 }
 
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -244,6 +244,7 @@
     member_t *member, const running_task_t *task, int64_t now_ms);
 void member_ended(member_t *member, run_outcome_t how, const char *checkpoint);
 void member_lost(member_t *member, const char *why);
+void member_not_started(member_t *member);
 task_name_t member_task(const member_t *member);
 
 /* fleet_plan.c */
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -11,6 +11,7 @@
 #define STOP_RETRY_MS 200
 /* More than any number of attempts. */
 #define UNLIMITED_ATTEMPTS 1000000
+#define STOPPED_BY_DRAINING "worker_draining"
 
 /* ---- runs ---- */
 
@@ -524,6 +525,32 @@
 	    on_stopped, member_order_begin(member));
 }
 
+/* Whether a member awaits its first start on a worker that drains by now. */
+static bool
+has_unsent_on_draining(const run_t *run)
+{
+	for (int i = 0; i < run->member_count; i++) {
+		const member_t *member = &run->members[i];
+
+		if (member->state == MEMBER_UNSENT && member->worker->draining)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Handles a member that the worker does not list. A draining worker gets no
+ * start, not even a repeated one: the run is stopped, so that the unit runs
+ * elsewhere.
+ */
+void
+member_not_started(member_t *member)
+{
+	if (member->state == MEMBER_SENT && !member->order_in_flight &&
+	    member->worker->draining)
+		run_stop(member->run, STOPPED_BY_DRAINING);
+}
+
 /* Sends the starts of all members once the start of the run is committed. */
 void
 run_on_start_committed(run_t *run)
@@ -535,6 +562,8 @@
 	if (run->stopping) {
 		run->stopping = false;
 		run_stop(run, run->stop_reason);
+	} else if (has_unsent_on_draining(run)) {
+		run_stop(run, STOPPED_BY_DRAINING);
 	}
 	for (int i = 0; i < run->member_count && !run->stopping; i++) {
 		if (run->members[i].state == MEMBER_UNSENT)
@@ -593,6 +622,12 @@
 			send_stop(member);
 		return;
 	}
+	/* Once the worker drains, a poll decides; see member_not_started. */
+	if (member->worker->draining) {
+		if (member->state == MEMBER_UNSENT)
+			run_stop(member->run, STOPPED_BY_DRAINING);
+		return;
+	}
 	/* A start renews the lease, which must not happen while unreachable. */
 	if ((member->state == MEMBER_SENT || member->state == MEMBER_UNSENT) &&
 	    member->stop == STOP_NONE && member->worker->reachable &&
--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -263,6 +263,9 @@
 	bed_worker_t *worker = find_worker(bed, order->worker);
 	order_outcome_t outcome = ORDER_OK;
 
+	if (worker != NULL && worker->loses_starts &&
+	    order->kind == ORDER_START)
+		order->lost = true;
 	if (worker == NULL || worker->unreachable || order->lost) {
 		if (clock_mono_ms() < order->until_ms)
 			return false;
--- a/tests/unit/fleet_bed.h
+++ b/tests/unit/fleet_bed.h
@@ -36,6 +36,7 @@
 	/* Orders get ORDER_OTHER_INCARNATION. */
 	bool answers_as_other_incarnation;
 	bool drops_start_answers; /* starts are executed, their answers lost */
+	bool loses_starts;        /* starts neither arrive nor are answered */
 	bool fails_tasks;         /* each task fails as soon as it starts */
 	const order_answer_t *forged_poll; /* if set, answers polls */
 	guint max_listed_ends; /* in the answer of a poll; 0: no limit */
--- a/tests/unit/test_fleet_announce.c
+++ b/tests/unit/test_fleet_announce.c
@@ -199,6 +199,100 @@
 }
 END_TEST
 
+/* ---- draining workers ---- */
+
+static void
+announce_draining(bed_t *bed, size_t worker)
+{
+	bed->workers[worker].info.draining = true;
+	bed_announce(bed, worker);
+}
+
+static bool
+start_was_sent(void *ctx)
+{
+	const bed_t *bed = ctx;
+
+	return bed->fleet->runs->len == 1 &&
+	       ((run_t *)g_ptr_array_index(bed->fleet->runs, 0))
+		   ->start_committed;
+}
+
+static bool
+start_is_proposed(void *ctx)
+{
+	return ((bed_t *)ctx)->fleet->runs->len == 1;
+}
+
+/*
+ * The start on a worker is lost, and the worker announces that it drains.
+ * Guards against sending the start again, and against a unit that does not run
+ * elsewhere. _i is 1 for a gang, 0 for two single tasks.
+ */
+START_TEST(lost_start_is_not_repeated_while_draining)
+{
+	bed_t bed;
+
+	bed_open(&bed, 2, 8);
+	bed.workers[0].loses_starts = true;
+	bed_submit(&bed, JOB, "batch", 2, 8, _i == 1);
+	bed_run_for(&bed, 50);
+	announce_draining(&bed, 0);
+	bed_run_for(&bed, 10);
+	bed.workers[0].loses_starts = false;
+	bed_run_for(&bed, 600);
+	ck_assert_int_eq(bed.workers[0].starts, 0);
+	/* A gang waits for room as a whole; single tasks do not. */
+	ck_assert_int_eq(bed_running(&bed, JOB), _i == 1 ? 0 : 1);
+	bed_end_tasks(&bed, JOB, RUN_DONE);
+	if (_i == 0)
+		WAIT(&bed, job_has_1_task);
+	ck_assert_int_eq(bed.workers[0].starts, 0);
+	ck_assert(!bed.duplicate_run);
+	bed_close(&bed);
+}
+END_TEST
+
+/*
+ * The worker announces that it drains while the start is being committed.
+ * Guards against sending the first start after that.
+ */
+START_TEST(first_start_is_not_sent_while_draining)
+{
+	bed_t bed;
+
+	bed_open(&bed, 1, 8);
+	bed_submit(&bed, JOB, "batch", 1, 8, false);
+	WAIT(&bed, start_is_proposed);
+	ck_assert(!start_was_sent(&bed));
+	announce_draining(&bed, 0);
+	bed_run_for(&bed, 300);
+	ck_assert_int_eq(bed.workers[0].starts, 0);
+	bed_close(&bed);
+}
+END_TEST
+
+/*
+ * A new leader does not know which starts reached a draining worker.  Guards
+ * against stopping tasks that run there.
+ */
+START_TEST(tasks_on_draining_worker_are_adopted)
+{
+	bed_t bed;
+
+	bed_open(&bed, 1, 8);
+	bed_submit(&bed, JOB, "batch", 1, 8, false);
+	WAIT(&bed, job_has_1_task);
+	announce_draining(&bed, 0);
+	bed_run_for(&bed, 50);
+	bed_restart_fleet_unannounced(&bed);
+	bed_run_for(&bed, 700);
+	ck_assert_int_eq(bed.workers[0].stops, 0);
+	ck_assert_int_eq(bed_running(&bed, JOB), 1);
+	bed_close(&bed);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -213,6 +307,10 @@
 	tcase_add_test(tcase, draining_is_final);
 	tcase_add_test(tcase, restart_learned_from_poll);
 	tcase_add_test(tcase, draining_ends_with_incarnation);
+	tcase_add_loop_test(
+	    tcase, lost_start_is_not_repeated_while_draining, 0, 2);
+	tcase_add_test(tcase, first_start_is_not_sent_while_draining);
+	tcase_add_test(tcase, tasks_on_draining_worker_are_adopted);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_FORK);
 }
