workers: an announcement from another writer changes nothing

An announcement that named a service of no configuration was recorded like any other: under a known id it moved the worker to that service and address, so that it got no more units and orders went elsewhere.

One that names a service that is not configured is acknowledged, counted in fleet_foreign_announcements_total and changes nothing; the worker is taken up with its next announcement once the service is configured. Before the first configuration every service counts, and a worker keeps one that was removed, so that its draining is still recorded.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -459,6 +459,9 @@
 	fleet->ends_failed =
 	    counter_get("fleet_ends_total{how=\"failed\"}", "");
 	fleet->ends_lost = counter_get("fleet_ends_total{how=\"lost\"}", "");
+	fleet->foreign_announcements =
+	    counter_get("fleet_foreign_announcements_total",
+		"announcements that name a service that is not configured");
 	fleet->refused_no_room =
 	    counter_get("fleet_refused_room_total", "starts without room");
 	fleet->preempted =
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -165,6 +165,7 @@
 	counter_t *ends_done;
 	counter_t *ends_failed;
 	counter_t *ends_lost;
+	counter_t *foreign_announcements; /* of services not configured */
 	counter_t *refused_no_room;
 	counter_t *preempted;
 	counter_t *submitted;
--- a/sched/fleet_workers.c
+++ b/sched/fleet_workers.c
@@ -258,6 +258,38 @@
 	       (departing != NULL && info->born <= *departing);
 }
 
+static bool
+is_service(const fleet_config_t *config, const char *name)
+{
+	for (u_int i = 0; i < config->services.services_len; i++) {
+		if (strcmp(config->services.services_val[i].name, name) == 0)
+			return true;
+	}
+	for (u_int i = 0; i < config->queues.queues_len; i++) {
+		if (strcmp(config->queues.queues_val[i].service, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Whether an announcement names a service that is not configured, and so is not
+ * from a worker of this fleet. A worker keeps a service that was removed from
+ * the configuration, so that its draining is still recorded. Before the first
+ * configuration every service counts.
+ */
+static bool
+is_foreign(
+    const fleet_t *fleet, const worker_t *worker, const fleet_worker_t *info)
+{
+	const fleet_config_t *config = ledger_config(fleet_ledger(fleet));
+
+	if (config->number == 0 || is_service(config, info->service))
+		return false;
+	return worker == NULL ||
+	       strcmp(worker->info.service, info->service) != 0;
+}
+
 /*
  * Processes an announcement. done is called once the resulting change is
  * committed; a stale announcement changes nothing.
@@ -280,6 +312,11 @@
 		done(ctx, FLEET_OK);
 		return;
 	}
+	if (is_foreign(fleet, worker, info)) {
+		counter_add(fleet->foreign_announcements, 1);
+		done(ctx, FLEET_OK);
+		return;
+	}
 	if (has_departed(fleet, info)) {
 		evlog("announcement_late", "{s:s,s:I}", "worker", info->id,
 		    "born", (json_int_t)info->born);
--- a/tests/unit/test_fleet_announce.c
+++ b/tests/unit/test_fleet_announce.c
@@ -139,6 +139,37 @@
 }
 END_TEST
 
+/* ---- other writers ---- */
+
+/*
+ * An announcement under a worker's id names a service that is not configured.
+ * Guards against moving the worker there. The bed's workers announce themselves
+ * before the first configuration.
+ */
+START_TEST(unknown_service_changes_nothing)
+{
+	fleet_worker_t foreign;
+	bed_t bed;
+
+	bed_open(&bed, 1, 8);
+	foreign = bed.workers[0].info;
+	foreign.service = (char *)"elsewhere";
+	foreign.address = (char *)"10.0.0.2";
+	bed_announce_as(&bed, &foreign, 1000);
+	ck_assert_str_eq(known_worker(&bed)->info.service, "svc");
+	ck_assert_str_eq(known_worker(&bed)->info.address, "10.0.0.1");
+	foreign.id = (char *)"w9";
+	bed_announce_as(&bed, &foreign, 1000);
+	ck_assert_ptr_null(fleet_find_worker(bed.fleet, "w9"));
+	/* Its own announcements are no late ones. */
+	bed.workers[0].info.draining = true;
+	bed_announce(&bed, 0);
+	ck_assert(known_worker(&bed)->draining);
+	bed_run_for(&bed, 50);
+	bed_close(&bed);
+}
+END_TEST
+
 /* ---- restarts learned from a poll ---- */
 
 static bool
@@ -305,6 +336,7 @@
 	tcase_add_test(tcase, ends_beyond_the_list);
 	tcase_add_test(tcase, earlier_incarnation_replaces_nothing);
 	tcase_add_test(tcase, draining_is_final);
+	tcase_add_test(tcase, unknown_service_changes_nothing);
 	tcase_add_test(tcase, restart_learned_from_poll);
 	tcase_add_test(tcase, draining_ends_with_incarnation);
 	tcase_add_loop_test(
