--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -26,6 +26,8 @@
  * then, so polls would follow each other at once.
  */
 #define POLL_UNCOMMITTED_MS 200
+/* Ends that a worker may have numbered without listing them. */
+#define MAX_END_GAP (1 << 20)
 #define POLL_RETRY_MS 150
 #define POLL_RETRY_UNREACHABLE_MS 500
 
@@ -286,13 +288,35 @@
 					       : POLL_RETRY_UNREACHABLE_MS);
 }
 
+/*
+ * Whether the ends continue those listed so far. A number far ahead was
+ * garbled: ends below it would be skipped and acknowledged before they were
+ * listed.
+ */
+static bool
+ends_continue(const worker_t *worker, const order_answer_t *answer)
+{
+	uint64_t last = worker->last_end_number;
+
+	/* A new leader knows no number; another incarnation starts anew. */
+	if (answer->born != worker->info.born)
+		last = 0;
+	for (size_t i = 0; i < answer->ended_count; i++) {
+		if (last != 0 && answer->ended[i].number > last + MAX_END_GAP)
+			return false;
+		last = MAX(last, answer->ended[i].number);
+	}
+	return true;
+}
+
 /* An answer of an earlier incarnation proves nothing about this one. */
 static order_outcome_t
 poll_outcome(const worker_t *worker, const order_answer_t *answer)
 {
-	if (answer->outcome != ORDER_OK || answer->born >= worker->info.born)
+	if (answer->outcome != ORDER_OK || (answer->born >= worker->info.born &&
+					       ends_continue(worker, answer)))
 		return answer->outcome;
-	evlog("poll_outdated", "{s:s,s:I,s:I}", "worker", worker->info.id,
+	evlog("poll_ignored", "{s:s,s:I,s:I}", "worker", worker->info.id,
 	    "born", (json_int_t)answer->born, "expected",
 	    (json_int_t)worker->info.born);
 	return ORDER_NO_ANSWER;
--- a/sched/worker_clock.c
+++ b/sched/worker_clock.c
@@ -5,6 +5,8 @@
 /* Up to 2% for the worker's clock and 1% for the leader's. */
 #define MAX_DRIFT_PERCENT 3
 #define PERCENT 100
+/* Keeps sums of times within 64 bits. */
+#define MAX_CLOCK_MS (INT64_C(1) << 53)
 /* Covers rounding to milliseconds and the delivery time of an order. */
 #define LEASE_SLACK_MS 200
 
@@ -26,12 +28,12 @@
 
 /*
  * Updates the bound from an answer, which may have been delayed; clock_ms is 0
- * if the answer has no time.
+ * if the answer has no time. A time out of range was garbled.
  */
 void
 worker_clock_update(worker_clock_t *clock, int64_t clock_ms, int64_t now_ms)
 {
-	if (clock_ms <= 0)
+	if (clock_ms <= 0 || clock_ms > MAX_CLOCK_MS)
 		return;
 	if (worker_clock_is_known(clock))
 		clock_ms =
--- a/tests/fuzz/driver.c
+++ b/tests/fuzz/driver.c
@@ -27,6 +27,30 @@
 	memcpy(input->data + at, bytes, count);
 }
 
+/* Replaces a run of digits, or inserts, a value at the edge of a type. */
+static void
+insert_token(GRand *rand, GByteArray *input)
+{
+	static const char *const tokens[] = {"-1", "0", "2147483648",
+	    "4294967297", "9007199254740993", "9223372036854775807",
+	    "-9223372036854775808", "9223372036854775808", "1e300", "-0.5",
+	    "null", "[[[[", "\\u0000", "\"\""};
+	const char *token =
+	    tokens[g_rand_int_range(rand, 0, G_N_ELEMENTS(tokens))];
+	guint len = (guint)strlen(token);
+	guint at = (guint)g_rand_int_range(rand, 0, (gint32)input->len + 1);
+	guint tail;
+
+	while (at < input->len && !g_ascii_isdigit(input->data[at]))
+		at++;
+	while (at < input->len && g_ascii_isdigit(input->data[at]))
+		g_byte_array_remove_index(input, at);
+	tail = input->len - at;
+	g_byte_array_set_size(input, input->len + len);
+	memmove(input->data + at + len, input->data + at, tail);
+	memcpy(input->data + at, token, len);
+}
+
 /* Changes a byte, often to a value at the edge of a range. */
 static void
 change_byte(GRand *rand, GByteArray *input)
@@ -53,6 +77,8 @@
 			g_byte_array_set_size(
 			    input, (guint)g_rand_int_range(
 				       rand, 0, (gint32)input->len));
+		else if (g_rand_int_range(rand, 0, 4) == 0)
+			insert_token(rand, input);
 		else
 			change_byte(rand, input);
 	}
--- a/tests/unit/test_fleet_announce.c
+++ b/tests/unit/test_fleet_announce.c
@@ -81,6 +81,40 @@
 }
 END_TEST
 
+/*
+ * A garbled answer lists an end with a number far ahead.  Guards against
+ * skipping the ends that follow, and acknowledging them before they are read.
+ */
+START_TEST(end_number_far_ahead)
+{
+	ended_task_t end = {.number = UINT64_C(1) << 39,
+	    .task = {.job = "00000000000000ff"},
+	    .run = 1,
+	    .how = RUN_DONE,
+	    .checkpoint = ""};
+	order_answer_t forged = {
+	    .outcome = ORDER_OK, .born = 1, .ended = &end, .ended_count = 1};
+	bed_t bed;
+
+	bed_open(&bed, 1, 8);
+	bed_submit(&bed, OTHER, "batch", 1, 1, false);
+	while (bed_running(&bed, OTHER) == 0)
+		bed_run_for(&bed, 1);
+	bed_end_tasks(&bed, OTHER, RUN_DONE);
+	bed_submit(&bed, JOB, "batch", 1, 1, false);
+	WAIT(&bed, job_has_1_task);
+	bed_run_for(&bed, 50);
+	bed.workers[0].forged_poll = &forged;
+	bed_run_for(&bed, 200);
+	bed.workers[0].forged_poll = NULL;
+	bed_run_for(&bed, 100);
+	bed_end_tasks(&bed, JOB, RUN_DONE);
+	WAIT(&bed, both_are_completed);
+	ck_assert_int_eq(bed_starts(&bed), 2);
+	bed_close(&bed);
+}
+END_TEST
+
 /* ---- late announcements ---- */
 
 static const worker_t *
@@ -334,6 +368,7 @@
 	tcase_add_loop_test(
 	    tcase, list_of_earlier_incarnation_proves_nothing, 0, 2);
 	tcase_add_test(tcase, ends_beyond_the_list);
+	tcase_add_test(tcase, end_number_far_ahead);
 	tcase_add_test(tcase, earlier_incarnation_replaces_nothing);
 	tcase_add_test(tcase, draining_is_final);
 	tcase_add_test(tcase, unknown_service_changes_nothing);
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -4,7 +4,9 @@
 #include "rpc/codec.h"
 #include "tests/unit/runner.h"
 
-/* Announcements of workers, and what other writers send in their place. */
+/*
+ * Messages of workers and callers, and what other writers send in their place.
+ */
 
 #define ID "i-7f3a91c2"
 #define FIELD(name, value) "\"" name "\":" value ","
@@ -124,6 +126,41 @@
 }
 END_TEST
 
+/* Guards against figures of a job whose sums and products overflow. */
+START_TEST(jobs_out_of_range)
+{
+	static const char *const bodies[] = {
+	    "{\"steps\":[{\"count\":1}],\"repeatCount\":2,"
+	    "\"intervalMs\":9223372036854775807}",
+	    "{\"steps\":[{\"count\":1}],\"repeatCount\":2,"
+	    "\"intervalMs\":-1}",
+	    "{\"steps\":[{\"count\":1}],\"firstMs\":9223372036854775807}",
+	    "{\"steps\":[{\"count\":1}],\"firstMs\":-1}",
+	    "{\"steps\":[{\"count\":1,\"estMs\":-1}]}",
+	    "{\"steps\":[{\"count\":65536,\"gpu\":65536}]}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		batch_spec_t spec;
+		const char *reason;
+
+		ck_assert_msg(
+		    wire_read_job(str_from(bodies[i]), &spec, &reason) != 0,
+		    "accepted: %s", bodies[i]);
+		codec_free((xdrproc_t)xdr_batch_spec_t, &spec);
+	}
+}
+END_TEST
+
+/* Guards against a read outside of the names for a state of another release. */
+START_TEST(unknown_state)
+{
+	ck_assert_str_eq(wire_state_name(BATCH_STATE_COMPLETED), "completed");
+	ck_assert_ptr_null(wire_state_name((batch_state_t)1000));
+	ck_assert_ptr_null(wire_state_name((batch_state_t)-1));
+}
+END_TEST
+
 int
 main(void)
 {
@@ -132,6 +169,8 @@
 
 	tcase_add_test(tcase, readable_announcement);
 	tcase_add_test(tcase, foreign_announcements);
+	tcase_add_test(tcase, jobs_out_of_range);
+	tcase_add_test(tcase, unknown_state);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_FORK);
 }
--- a/tests/unit/test_worker_clock.c
+++ b/tests/unit/test_worker_clock.c
@@ -50,6 +50,19 @@
 }
 END_TEST
 
+/* Guards against a garbled time that overflows, or that is never corrected. */
+START_TEST(garbled_clock)
+{
+	worker_clock_t clock = {0};
+
+	worker_clock_update(&clock, INT64_MAX, 500);
+	ck_assert(!worker_clock_is_known(&clock));
+	worker_clock_update(&clock, 10000, 1000);
+	worker_clock_update(&clock, INT64_MAX, 1500);
+	ck_assert_int_le(worker_clock_lower_bound(&clock, 1500), 10500);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -59,6 +72,7 @@
 	tcase_add_test(tcase, slow_clock);
 	tcase_add_test(tcase, delayed_answer);
 	tcase_add_test(tcase, unknown_clock);
+	tcase_add_test(tcase, garbled_clock);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_NOFORK);
 }
