--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -467,6 +467,9 @@
 	    "strays whose unit had another run in progress");
 	fleet->ends_uncounted = counter_get("fleet_ends_uncounted_total",
 	    "successful ends acknowledged without being counted");
+	fleet->foreign_announcements =
+	    counter_get("fleet_foreign_announcements_total",
+		"announcements that name a service that is not configured");
 	fleet->refused_no_room =
 	    counter_get("fleet_refused_room_total", "starts without room");
 	fleet->preempted =
--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -26,6 +26,8 @@
  * then, so polls would follow each other at once.
  */
 #define POLL_UNCOMMITTED_MS 200
+/* Ends that a worker may have numbered without listing them. */
+#define MAX_END_GAP (1 << 20)
 #define POLL_RETRY_MS 150
 #define POLL_RETRY_UNREACHABLE_MS 500
 
@@ -268,16 +270,21 @@
 		   (member->state == MEMBER_SENT &&
 		       member->stop == STOP_ANSWERED)) {
 		member_lost(member, "not_listed");
+	} else {
+		member_not_started(member);
 	}
 }
 
 /*
  * Handles the members that the worker does not list and about which it answered
- * no order after the poll was sent.
+ * no order after the poll was sent. A list of ends that was cut off proves
+ * nothing, since a member may have ended beyond it.
  */
 static void
 process_missing(worker_t *worker, const order_answer_t *answer)
 {
+	if (answer->more_ends)
+		return;
 	for (guint i = worker->members->len; i-- > 0;) {
 		member_t *member;
 
@@ -332,6 +339,40 @@
 					       : POLL_RETRY_UNREACHABLE_MS);
 }
 
+/*
+ * Whether the ends continue those listed so far. A number far ahead was
+ * garbled: ends below it would be skipped and acknowledged before they were
+ * listed.
+ */
+static bool
+ends_continue(const worker_t *worker, const order_answer_t *answer)
+{
+	uint64_t last = worker->last_end_number;
+
+	/* A new leader knows no number; another incarnation starts anew. */
+	if (answer->born != worker->info.born)
+		last = 0;
+	for (size_t i = 0; i < answer->ended_count; i++) {
+		if (last != 0 && answer->ended[i].number > last + MAX_END_GAP)
+			return false;
+		last = MAX(last, answer->ended[i].number);
+	}
+	return true;
+}
+
+/* An answer of an earlier incarnation proves nothing about this one. */
+static order_outcome_t
+poll_outcome(const worker_t *worker, const order_answer_t *answer)
+{
+	if (answer->outcome != ORDER_OK || (answer->born >= worker->info.born &&
+					       ends_continue(worker, answer)))
+		return answer->outcome;
+	evlog("poll_ignored", "{s:s,s:I,s:I}", "worker", worker->info.id,
+	    "born", (json_int_t)answer->born, "expected",
+	    (json_int_t)worker->info.born);
+	return ORDER_NO_ANSWER;
+}
+
 static void
 on_poll_answer(void *ctx, const order_answer_t *answer)
 {
@@ -343,7 +384,7 @@
 	worker->poll_done_ms = now_ms;
 	if (worker->retired)
 		return;
-	switch (answer->outcome) {
+	switch (poll_outcome(worker, answer)) {
 	case ORDER_NO_ANSWER:
 		/* This process was paused: the answer may have come. */
 		if (loop_watch_resumed_ms() >= worker->poll_sent_ms)
@@ -367,9 +408,7 @@
 		worker->next_poll_ms = now_ms;
 		/* The worker restarted before its announcement arrived. */
 		if (answer->born > worker->info.born) {
-			worker_reset_incarnation(worker, answer->born);
-			worker->info.born = answer->born;
-			worker_stop_runs(worker, "worker_restarted");
+			worker_learn_incarnation(worker, answer->born);
 			worker_clock_update(
 			    &worker->clock, answer->clock_ms, now_ms);
 		}
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -32,7 +32,8 @@
 typedef struct {
 	fleet_t *fleet;
 	fleet_worker_t info; /* owned copy */
-	bool registered; /* announced to this leader or read from the ledger */
+	/* This incarnation was announced, or read from the ledger. */
+	bool registered;
 	int64_t last_announced_ms;
 	uint64_t announcement_sequence; /* of the last announcement */
 	worker_clock_t clock;
@@ -173,6 +174,7 @@
 	counter_t *strays;
 	counter_t *overlaps; /* strays whose unit has another run in progress */
 	counter_t *ends_uncounted;
+	counter_t *foreign_announcements; /* of services not configured */
 	counter_t *refused_no_room;
 	counter_t *preempted;
 	counter_t *submitted;
@@ -213,8 +215,7 @@
 worker_t *worker_create(fleet_t *fleet, const fleet_worker_t *info);
 void worker_retire(worker_t *worker);
 void fleet_reap_workers(fleet_t *fleet);
-void worker_reset_incarnation(worker_t *worker, uint64_t born);
-void worker_stop_runs(worker_t *worker, const char *reason);
+void worker_learn_incarnation(worker_t *worker, uint64_t born);
 void worker_depart(worker_t *worker, fleet_done_t *done, void *ctx);
 void pending_end_free(void *data);
 int64_t worker_grant_lease(worker_t *worker, int64_t now_ms);
@@ -256,6 +257,7 @@
 void member_lost(member_t *member, const char *why);
 void member_forget_stop(member_t *member);
 bool member_may_still_start(const member_t *member);
+void member_not_started(member_t *member);
 task_name_t member_task(const member_t *member);
 
 /* fleet_plan.c */
--- a/sched/fleet_workers.c
+++ b/sched/fleet_workers.c
@@ -169,7 +169,7 @@
  * Resets the state of a worker that restarted under its ID; born is its new
  * incarnation. Its members are kept, as it may still execute their starts.
  */
-void
+static void
 worker_reset_incarnation(worker_t *worker, uint64_t born)
 {
 	evlog("worker_restarted", "{s:s,s:I,s:I,s:i,s:I,s:i}", "worker",
@@ -177,6 +177,8 @@
 	    (json_int_t)worker->info.born, "members", (int)worker->members->len,
 	    "acknowledged", (json_int_t)worker->ackable_end, "ends_pending",
 	    (int)worker->pending_ends.length);
+	/* The counts of an incarnation start anew. */
+	worker->announcement_sequence = 0;
 	worker->last_end_number = 0;
 	worker->ackable_end = 0;
 	worker->confirmed_ack = 0;
@@ -189,7 +191,7 @@
 }
 
 /* Stops the runs that have a member on the worker. */
-void
+static void
 worker_stop_runs(worker_t *worker, const char *reason)
 {
 	GPtrArray *members = g_ptr_array_copy(worker->members, NULL, NULL);
@@ -201,12 +203,37 @@
 	g_ptr_array_unref(members);
 }
 
+/*
+ * Records a restart that was learned from a poll. The worker gets no units
+ * until it announces what the new incarnation is.
+ */
+void
+worker_learn_incarnation(worker_t *worker, uint64_t born)
+{
+	worker_reset_incarnation(worker, born);
+	worker->info.born = born;
+	worker->info.draining = false;
+	worker->draining = false;
+	worker->registered = false;
+	worker_stop_runs(worker, "worker_restarted");
+}
+
+/*
+ * Whether an announcement was overtaken by what is known. A leader that read
+ * the worker from the ledger knows no sequence number, so that only the
+ * incarnation and the draining, which is final, tell.
+ */
 static bool
 is_stale(const worker_t *worker, const fleet_announcement_t *announcement)
 {
-	if (announcement->worker.born != worker->info.born)
-		return announcement->worker.born < worker->info.born;
-	return announcement->sequence <= worker->announcement_sequence;
+	const fleet_worker_t *info = &announcement->worker;
+
+	if (info->born != worker->info.born)
+		return info->born < worker->info.born;
+	if (worker->info.draining && !info->draining)
+		return true;
+	return worker->announcement_sequence > 0 &&
+	       announcement->sequence <= worker->announcement_sequence;
 }
 
 static void
@@ -254,6 +281,38 @@
 	       (departing != NULL && info->born <= *departing);
 }
 
+static bool
+is_service(const fleet_config_t *config, const char *name)
+{
+	for (u_int i = 0; i < config->services.services_len; i++) {
+		if (strcmp(config->services.services_val[i].name, name) == 0)
+			return true;
+	}
+	for (u_int i = 0; i < config->queues.queues_len; i++) {
+		if (strcmp(config->queues.queues_val[i].service, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Whether an announcement names a service that is not configured, and so is not
+ * from a worker of this fleet. A worker keeps a service that was removed from
+ * the configuration, so that its draining is still recorded. Before the first
+ * configuration every service counts.
+ */
+static bool
+is_foreign(
+    const fleet_t *fleet, const worker_t *worker, const fleet_worker_t *info)
+{
+	const fleet_config_t *config = ledger_config(fleet_ledger(fleet));
+
+	if (config->number == 0 || is_service(config, info->service))
+		return false;
+	return worker == NULL ||
+	       strcmp(worker->info.service, info->service) != 0;
+}
+
 /*
  * Processes an announcement. done is called once the resulting change is
  * committed; a stale announcement changes nothing.
@@ -272,12 +331,16 @@
 		return;
 	}
 	worker = fleet_find_worker(fleet, info->id);
-	if (worker != NULL && worker->announcement_sequence > 0 &&
-	    is_stale(worker, announcement)) {
+	if (worker != NULL && is_stale(worker, announcement)) {
+		done(ctx, FLEET_OK);
+		return;
+	}
+	if (is_foreign(fleet, worker, info)) {
+		counter_add(fleet->foreign_announcements, 1);
 		done(ctx, FLEET_OK);
 		return;
 	}
-	if (worker == NULL && has_departed(fleet, info)) {
+	if (has_departed(fleet, info)) {
 		evlog("announcement_late", "{s:s,s:I}", "worker", info->id,
 		    "born", (json_int_t)info->born);
 		done(ctx, FLEET_OK);
--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -232,14 +232,21 @@
 {
 	running_task_t running[MAX_LISTED] = {0};
 	ended_task_t ended[MAX_LISTED] = {0};
+	guint max_ends =
+	    worker->max_listed_ends != 0 ? worker->max_listed_ends : MAX_LISTED;
 	order_answer_t answer = {
 	    .outcome = ORDER_OK,
 	    .clock_ms = worker_now_ms(worker),
 	    .born = worker->info.born,
 	    .running = running,
 	    .ended = ended,
+	    .more_ends = worker->ends->len >= max_ends,
 	};
 
+	if (worker->forged_poll != NULL) {
+		order->done(order->ctx, worker->forged_poll);
+		return;
+	}
 	if (order->snapshot != NULL) {
 		answer.running =
 		    (const running_task_t *)(void *)order->snapshot->data;
@@ -249,7 +256,7 @@
 			  i < MAX_LISTED;
 	     i++)
 		running[answer.running_count++] = describe_task(worker, i);
-	for (guint i = 0; i < worker->ends->len && i < MAX_LISTED; i++) {
+	for (guint i = 0; i < MIN(worker->ends->len, max_ends); i++) {
 		const bed_end_t *end =
 		    &g_array_index(worker->ends, bed_end_t, i);
 
@@ -319,6 +326,9 @@
 	bed_worker_t *worker = find_worker(bed, order->worker);
 	order_outcome_t outcome = ORDER_OK;
 
+	if (worker != NULL && worker->loses_starts &&
+	    order->kind == ORDER_START)
+		order->lost = true;
 	if (worker == NULL || worker->unreachable || order->lost) {
 		if (clock_mono_ms() < order->until_ms)
 			return false;
@@ -527,17 +537,24 @@
 }
 
 void
-bed_announce(bed_t *bed, size_t worker)
+bed_announce_as(bed_t *bed, const fleet_worker_t *info, uint64_t sequence)
 {
+	const bed_worker_t *worker = find_worker(bed, info->id);
 	fleet_announcement_t announcement = {
-	    .worker = bed->workers[worker].info,
-	    .sequence = ++bed->sequence,
-	    .clock_ms = worker_now_ms(&bed->workers[worker]),
+	    .worker = *info,
+	    .sequence = sequence,
+	    .clock_ms = worker_now_ms(worker != NULL ? worker : bed->workers),
 	};
 
 	fleet_announce(bed->fleet, &announcement, on_announced, bed);
 }
 
+void
+bed_announce(bed_t *bed, size_t worker)
+{
+	bed_announce_as(bed, &bed->workers[worker].info, ++bed->sequence);
+}
+
 static bool
 all_announced(void *ctx)
 {
@@ -582,12 +599,18 @@
 }
 
 void
-bed_restart_fleet(bed_t *bed)
+bed_restart_fleet_unannounced(bed_t *bed)
 {
 	bed_drop_orders(bed);
 	fleet_destroy(bed->fleet);
 	bed->fleet = NULL;
 	start_fleet(bed);
+}
+
+void
+bed_restart_fleet(bed_t *bed)
+{
+	bed_restart_fleet_unannounced(bed);
 	for (size_t i = 0; i < bed->worker_count; i++)
 		bed_announce(bed, i);
 }
@@ -730,7 +753,7 @@
 }
 
 void
-bed_reset_worker(bed_t *bed, size_t i)
+bed_restart_worker_unannounced(bed_t *bed, size_t i)
 {
 	bed_worker_t *worker = &bed->workers[i];
 
@@ -746,7 +769,7 @@
 void
 bed_restart_worker(bed_t *bed, size_t i)
 {
-	bed_reset_worker(bed, i);
+	bed_restart_worker_unannounced(bed, i);
 	bed_announce(bed, i);
 }
 
--- a/tests/unit/fleet_bed.h
+++ b/tests/unit/fleet_bed.h
@@ -39,8 +39,11 @@
 	/* Orders get ORDER_OTHER_INCARNATION. */
 	bool answers_as_other_incarnation;
 	bool drops_start_answers; /* starts are executed, their answers lost */
-	int delayed_starts; /* so many starts wait for bed_deliver_delayed */
-	bool fails_tasks;   /* each task fails as soon as it starts */
+	bool loses_starts;        /* starts neither arrive nor are answered */
+	int delayed_starts;       /* so many wait for bed_deliver_delayed */
+	bool fails_tasks;         /* each task fails as soon as it starts */
+	const order_answer_t *forged_poll; /* if set, answers polls */
+	guint max_listed_ends; /* in the answer of a poll; 0: no limit */
 	int starts;
 	int stops;
 	int wrong_incarnation_starts; /* starts for an ended incarnation */
@@ -72,6 +75,8 @@
  * and announcements.
  */
 void bed_restart_fleet(bed_t *bed);
+/* Same, but no worker announces itself to the new leader. */
+void bed_restart_fleet_unannounced(bed_t *bed);
 /* Discards the orders in flight without an answer. */
 void bed_drop_orders(bed_t *bed);
 void bed_configure(bed_t *bed);
@@ -88,13 +93,12 @@
 void bed_submit_long_running(bed_t *bed, const char *id, int accelerators);
 void bed_cancel(bed_t *bed, const char *id);
 void bed_announce(bed_t *bed, size_t worker);
-/*
- * The worker crashes and starts again under its ID; its clock starts anew. It
- * does not announce itself.
- */
-void bed_reset_worker(bed_t *bed, size_t worker);
-/* Same, and it announces itself. */
+/* Announces info in place of what the worker is. */
+void bed_announce_as(bed_t *bed, const fleet_worker_t *info, uint64_t sequence);
+/* The worker crashes and starts again under its ID; its clock starts anew. */
 void bed_restart_worker(bed_t *bed, size_t worker);
+/* Same, but the worker does not announce itself yet. */
+void bed_restart_worker_unannounced(bed_t *bed, size_t worker);
 /* The workers execute the delayed starts, each in its present incarnation. */
 void bed_deliver_delayed(bed_t *bed);
 /*
--- a/tests/unit/test_fleet_restarts.c
+++ b/tests/unit/test_fleet_restarts.c
@@ -120,7 +120,7 @@
 	submit_with_delayed_starts(&bed, 1);
 	worker = last_busy_worker(&bed);
 	bed.workers[worker].info.draining = true;
-	bed_reset_worker(&bed, worker);
+	bed_restart_worker_unannounced(&bed, worker);
 	bed_restart_fleet(&bed);
 	WAIT(&bed, job_has_1_task);
 	bed_deliver_delayed(&bed);
