sched: the fencing token rises with each restart of a worker

A poll that was sent to an earlier incarnation and executed late by the next one, which has the same id, acknowledged ends that nobody had read: the leader took the task for lost and started it again after it was done. It also renewed the lease of the new incarnation by the clock of the old one.

A worker keeps the highest fencing token that it has seen and does nothing for a lower one. The token was the term alone; now it also counts the restarts under the worker's id that the leader has seen, so the first order after a restart makes all earlier ones void, of whatever kind.

--- a/sched/fleet_pace.c
+++ b/sched/fleet_pace.c
@@ -23,8 +23,8 @@
 send_pace(member_t *member, int percent)
 {
 	fleet_t *fleet = member->run->fleet;
-	order_target_t target = {
-	    &member->worker->info, fleet->term, ORDER_ANSWER_TIMEOUT_MS};
+	order_target_t target = {&member->worker->info,
+	    worker_fence(member->worker), ORDER_ANSWER_TIMEOUT_MS};
 	task_name_t task = member_task(member);
 	member_order_t *order = member_order_begin(member);
 
--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -108,7 +108,8 @@
 stop_stray(worker_t *worker, const running_task_t *task)
 {
 	fleet_t *fleet = worker->fleet;
-	order_target_t target = {&worker->info, fleet->term, POLL_TIMEOUT_MS};
+	order_target_t target = {
+	    &worker->info, worker_fence(worker), POLL_TIMEOUT_MS};
 
 	/* A later poll lists it again. */
 	if (!fleet_leads(fleet))
@@ -463,7 +464,8 @@
 	fleet_t *fleet = worker->fleet;
 	bool busy = has_committed_member(worker);
 	poll_order_t order = {.acknowledged = advance_ackable_end(worker)};
-	order_target_t target = {&worker->info, fleet->term, POLL_TIMEOUT_MS};
+	order_target_t target = {
+	    &worker->info, worker_fence(worker), POLL_TIMEOUT_MS};
 
 	if (busy && worker->reachable) {
 		order.lease_end_ms = worker_grant_lease(worker, now_ms);
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -34,6 +34,7 @@
 	fleet_worker_t info; /* owned copy */
 	/* This incarnation was announced, or read from the ledger. */
 	bool registered;
+	uint64_t restarts; /* under its ID, seen by this leader */
 	int64_t last_announced_ms;
 	uint64_t announcement_sequence; /* of the last announcement */
 	worker_clock_t clock;
@@ -218,6 +219,7 @@
 void worker_learn_incarnation(worker_t *worker, uint64_t born);
 void worker_depart(worker_t *worker, fleet_done_t *done, void *ctx);
 void pending_end_free(void *data);
+uint64_t worker_fence(const worker_t *worker);
 int64_t worker_grant_lease(worker_t *worker, int64_t now_ms);
 void worker_update_from_answer(worker_t *worker, const order_answer_t *answer);
 bool worker_is_usable(const worker_t *worker, int64_t now_ms);
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -519,8 +519,8 @@
 	fleet_t *fleet = run->fleet;
 	const body_t *payload;
 	char *step = NULL;
-	order_target_t target = {
-	    &member->worker->info, fleet->term, ORDER_ANSWER_TIMEOUT_MS};
+	order_target_t target = {&member->worker->info,
+	    worker_fence(member->worker), ORDER_ANSWER_TIMEOUT_MS};
 	start_order_t order = {
 	    .task = member_task(member),
 	    .run = run->number,
@@ -574,8 +574,8 @@
 {
 	run_t *run = member->run;
 	fleet_t *fleet = run->fleet;
-	order_target_t target = {
-	    &member->worker->info, fleet->term, ORDER_ANSWER_TIMEOUT_MS};
+	order_target_t target = {&member->worker->info,
+	    worker_fence(member->worker), ORDER_ANSWER_TIMEOUT_MS};
 	task_name_t task = member_task(member);
 
 	/* Without a lease another instance may lead; run_tick tries again. */
--- a/sched/fleet_workers.c
+++ b/sched/fleet_workers.c
@@ -7,6 +7,9 @@
 #include "sched/fleet_private.h"
 
 #define MAX_MISSED_ANNOUNCEMENTS 3
+/* Bits of a fencing token that count the restarts of a worker in a term. */
+#define FENCE_RESTART_BITS 16
+#define MAX_FENCE_RESTARTS ((UINT64_C(1) << FENCE_RESTART_BITS) - 1)
 /* Departures that may be waiting for their commit. */
 #define MAX_DEPARTING 1024
 
@@ -100,6 +103,18 @@
 	}
 }
 
+/*
+ * Returns the fencing token for orders to the worker. It rises with the term
+ * and with each restart under the worker's ID, so that an incarnation that has
+ * got one order refuses late ones that were meant for an earlier incarnation.
+ */
+uint64_t
+worker_fence(const worker_t *worker)
+{
+	return worker->fleet->term << FENCE_RESTART_BITS |
+	       MIN(worker->restarts, MAX_FENCE_RESTARTS);
+}
+
 /* ---- time and health ---- */
 
 /*
@@ -177,8 +192,10 @@
 	    (json_int_t)worker->info.born, "members", (int)worker->members->len,
 	    "acknowledged", (json_int_t)worker->ackable_end, "ends_pending",
 	    (int)worker->pending_ends.length);
+	worker->restarts++;
 	/* The counts of an incarnation start anew. */
 	worker->announcement_sequence = 0;
+	worker->sent_ack = 0;
 	worker->last_end_number = 0;
 	worker->ackable_end = 0;
 	worker->confirmed_ack = 0;
--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -29,6 +29,7 @@
 	char *job;
 	task_name_t task;
 	uint32_t run;
+	uint64_t fence;
 	int64_t lease_end_ms;
 	uint64_t acknowledged;
 	int64_t until_ms; /* a poll waits, or an order times out, until then */
@@ -216,6 +217,14 @@
 	}
 }
 
+/* Renews the lease and forgets what the poll acknowledges. */
+static void
+execute_poll(bed_worker_t *worker, const order_t *order)
+{
+	extend_lease(worker, order->lease_end_ms);
+	forget_ends(worker, order->acknowledged);
+}
+
 static running_task_t
 describe_task(const bed_worker_t *worker, guint i)
 {
@@ -314,11 +323,31 @@
 		bed_worker_t *worker = find_worker(bed, order->worker);
 
 		end_tasks_if_lease_expired(worker);
-		start_task(worker, order);
+		if (order->fence < worker->fence)
+			bed->fenced_orders++;
+		else if (order->kind == ORDER_START)
+			start_task(worker, order);
+		else
+			execute_poll(worker, order);
 		free_order(order);
 	}
 }
 
+/* Whether an order of the kind is to be delayed; counts it. */
+static bool
+takes_delay(bed_worker_t *worker, order_kind_t kind)
+{
+	int none = 0;
+	int *left = kind == ORDER_START  ? &worker->delayed_starts
+		    : kind == ORDER_POLL ? &worker->delayed_polls
+					 : &none;
+
+	if (*left <= 0)
+		return false;
+	(*left)--;
+	return true;
+}
+
 /* Executes an order; returns false if its answer is still due. */
 static bool
 deliver_order(bed_t *bed, order_t *order)
@@ -343,21 +372,24 @@
 		answer(order, worker, ORDER_OTHER_INCARNATION);
 		return true;
 	}
+	if (order->fence < worker->fence) {
+		answer(order, worker, ORDER_FENCED);
+		return true;
+	}
+	if (takes_delay(worker, order->kind)) {
+		delay_order(bed, order);
+		order->lost = true;
+		return false;
+	}
+	worker->fence = order->fence;
 	if (order->kind == ORDER_POLL) {
-		extend_lease(worker, order->lease_end_ms);
-		forget_ends(worker, order->acknowledged);
+		execute_poll(worker, order);
 		if ((worker->ends->len == 0 || order->snapshot != NULL) &&
 		    clock_mono_ms() < order->until_ms)
 			return false;
 		answer_poll(worker, order);
 		return true;
 	}
-	if (order->kind == ORDER_START && worker->delayed_starts > 0) {
-		worker->delayed_starts--;
-		delay_order(bed, order);
-		order->lost = true;
-		return false;
-	}
 	if (order->kind == ORDER_START)
 		outcome = start_task(worker, order);
 	else
@@ -400,6 +432,7 @@
 		order->task = *task;
 		order->task.job = order->job;
 	}
+	order->fence = target->fence;
 	order->until_ms = clock_mono_ms() + ORDER_TIMEOUT_MS;
 	order->done = done;
 	order->ctx = ctx;
@@ -762,6 +795,7 @@
 	g_hash_table_remove_all(worker->refused);
 	worker->next_end = 1;
 	worker->lease_end_ms = 0;
+	worker->fence = 0;
 	worker->clock_base_ms -= CLOCK_RESTART_MS;
 	worker->info.born++;
 }
@@ -789,6 +823,12 @@
 	}
 }
 
+void
+bed_end_task(bed_t *bed, size_t worker, run_outcome_t how)
+{
+	end_task(&bed->workers[worker], 0, how);
+}
+
 int
 bed_running(const bed_t *bed, const char *job)
 {
--- a/tests/unit/fleet_bed.h
+++ b/tests/unit/fleet_bed.h
@@ -30,6 +30,7 @@
 	fleet_worker_t info;
 	int64_t
 	    clock_base_ms;    /* offset of its clock, new in each incarnation */
+	uint64_t fence;       /* the highest token seen */
 	int64_t lease_end_ms; /* on the worker's clock */
 	uint64_t next_end;
 	GHashTable *refused; /* task -> highest run that ended or was stopped */
@@ -41,6 +42,7 @@
 	bool drops_start_answers; /* starts are executed, their answers lost */
 	bool loses_starts;        /* starts neither arrive nor are answered */
 	int delayed_starts;       /* so many wait for bed_deliver_delayed */
+	int delayed_polls;        /* same */
 	bool fails_tasks;         /* each task fails as soon as it starts */
 	const order_answer_t *forged_poll; /* if set, answers polls */
 	guint max_listed_ends; /* in the answer of a poll; 0: no limit */
@@ -64,6 +66,7 @@
 	ev_timer delivery_timer;
 	bool stale_polls;       /* a poll shows what ran when it was sent */
 	bool duplicate_run;     /* one task ran twice at the same time */
+	int fenced_orders;      /* delayed orders with an outdated token */
 	int announcements_done; /* announcements that were acknowledged */
 	uint64_t sequence;
 } bed_t;
@@ -99,13 +102,15 @@
 void bed_restart_worker(bed_t *bed, size_t worker);
 /* Same, but the worker does not announce itself yet. */
 void bed_restart_worker_unannounced(bed_t *bed, size_t worker);
-/* The workers execute the delayed starts, each in its present incarnation. */
+/* The workers execute the delayed orders, each in its present incarnation. */
 void bed_deliver_delayed(bed_t *bed);
 /*
  * Ends every task of the job, or of all jobs when job is NULL, on its worker;
  * the leader learns of it by a poll.
  */
 void bed_end_tasks(bed_t *bed, const char *job, run_outcome_t how);
+/* Ends the first task on a worker. */
+void bed_end_task(bed_t *bed, size_t worker, run_outcome_t how);
 int bed_running(const bed_t *bed, const char *job);
 int bed_starts(const bed_t *bed);
 /* Number of jobs that can still be read, ended ones included. */
--- a/tests/unit/test_fleet_restarts.c
+++ b/tests/unit/test_fleet_restarts.c
@@ -13,6 +13,7 @@
 
 #define TEST_TIMEOUT_S 40
 #define JOB "00000000000000a1"
+#define OTHER "00000000000000a2"
 #define WAIT(bed, condition) ck_assert(system_wait((bed)->loop, condition, bed))
 
 static bool
@@ -131,6 +132,60 @@
 }
 END_TEST
 
+static bool
+poll_is_delayed(void *ctx)
+{
+	return ((bed_t *)ctx)->delayed_orders.length > 0;
+}
+
+static bool
+other_has_1_task(void *ctx)
+{
+	return bed_running(ctx, OTHER) == 1;
+}
+
+static bool
+other_is_completed(void *ctx)
+{
+	return bed_state(ctx, OTHER) == BATCH_STATE_COMPLETED;
+}
+
+/*
+ * Guards against a task that runs again after it was done: a poll that was sent
+ * to an earlier incarnation acknowledges an end of the next one, which the
+ * leader has not read.
+ */
+START_TEST(delayed_poll_in_next_incarnation)
+{
+	bed_worker_t *worker;
+	int starts;
+	bed_t bed;
+
+	bed_open(&bed, 1, 8);
+	worker = &bed.workers[0];
+	bed_submit(&bed, JOB, "batch", 2, 1, false);
+	WAIT(&bed, job_has_2_tasks);
+	bed_end_task(&bed, 0, RUN_DONE);
+	WAIT(&bed, job_has_1_task);
+	bed_run_for(&bed, 50);
+	worker->delayed_polls = 1;
+	WAIT(&bed, poll_is_delayed);
+	bed_restart_worker(&bed, 0);
+	bed_cancel(&bed, JOB);
+	bed_submit(&bed, OTHER, "batch", 1, 8, false);
+	WAIT(&bed, other_has_1_task);
+	starts = bed_starts(&bed);
+	worker->unreachable = true;
+	bed_end_tasks(&bed, OTHER, RUN_DONE);
+	bed_deliver_delayed(&bed);
+	ck_assert_int_eq(bed.fenced_orders, 1);
+	worker->unreachable = false;
+	WAIT(&bed, other_is_completed);
+	ck_assert_int_eq(bed_starts(&bed), starts);
+	bed_close(&bed);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -141,6 +196,7 @@
 	tcase_add_test(tcase, delayed_start_in_next_incarnation);
 	tcase_add_test(tcase, delayed_start_of_gang_in_next_incarnation);
 	tcase_add_test(tcase, delayed_start_after_leader_change);
+	tcase_add_test(tcase, delayed_poll_in_next_incarnation);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_FORK);
 }
