sched: a worker that deregisters keeps its tasks until it stops answering

A deregistration ended the worker's tasks at once, before it was acknowledged. The platform's page says that a worker without the acknowledgement ends only some seconds later, so a task was started elsewhere while it ran on.

Such a worker gets no more starts and is polled until it stops answering; then its tasks are given up. If it had not answered for more than a second before, it may be cut off and the acknowledgement lost, and its tasks are kept until the lease ends.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -282,7 +282,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		worker_t *worker = value;
 
-		if (worker->retire_pending) {
+		if (worker->retire_pending ||
+		    (worker->leaving && worker->members->len == 0)) {
 			g_hash_table_iter_steal(&iter);
 			worker_retire(worker);
 		} else {
--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -329,6 +329,10 @@
 static void
 on_unreachable(worker_t *worker, int64_t now_ms)
 {
+	if (worker->reachable)
+		worker->unreachable_ms = now_ms;
+	if (worker->reachable && worker->leaving)
+		worker_lose_members(worker, "worker_left");
 	if (worker->reachable)
 		evlog("worker_lost", "{s:s,s:I,s:i}", "worker", worker->info.id,
 		    "heard_ms_ago",
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -41,7 +41,10 @@
 	int64_t lease_expiry_ms; /* local time by which its lease has expired */
 	/* The last poll was answered; initially false if it is unknown. */
 	bool reachable;
+	int64_t unreachable_ms; /* since when reachable is false */
 	bool draining;
+	/* Deregistered; its tasks end when it stops answering. */
+	bool leaving;
 	bool polling;
 	/* Poll soon and without waiting; run_tick sends no start until then. */
 	bool needs_poll;
--- a/sched/fleet_workers.c
+++ b/sched/fleet_workers.c
@@ -10,6 +10,8 @@
 /* Bits of a fencing token that count the restarts of a worker in a term. */
 #define FENCE_RESTART_BITS 16
 #define MAX_FENCE_RESTARTS ((UINT64_C(1) << FENCE_RESTART_BITS) - 1)
+/* Between the end of a worker's connections and its deregistration. */
+#define END_NOTICE_MS 1000
 /* Departures that may be waiting for their commit. */
 #define MAX_DEPARTING 1024
 
@@ -159,7 +161,7 @@
 worker_is_usable(const worker_t *worker, int64_t now_ms)
 {
 	return worker->registered && !worker->draining && worker->reachable &&
-	       !worker->retire_pending &&
+	       !worker->retire_pending && !worker->leaving &&
 	       worker_clock_is_known(&worker->clock) &&
 	       now_ms - worker->last_announced_ms <
 		   worker->fleet->timing.worker_announce_interval_ms *
@@ -382,7 +384,20 @@
 		done(ctx, FLEET_OK);
 }
 
-/* Removes a worker that shuts down; its tasks end with it. */
+/* Whether the worker has just stopped answering, as one does that ends. */
+static bool
+has_just_ended(const worker_t *worker)
+{
+	return !worker->reachable &&
+	       fleet_now_ms() - worker->unreachable_ms <= END_NOTICE_MS;
+}
+
+/*
+ * Removes a worker that shuts down. One with tasks is kept until it stops
+ * answering polls: without the acknowledgement it runs on for some time. If it
+ * has not answered for longer, it may be cut off, so that the acknowledgement
+ * does not arrive either, and its tasks are kept until the lease ends.
+ */
 void
 fleet_deregister(fleet_t *fleet, const char *id, fleet_done_t *done, void *ctx)
 {
@@ -399,7 +414,11 @@
 	}
 	evlog("worker_gone", "{s:s,s:s,s:i}", "worker", id, "reason",
 	    "deregistered", "members", (int)worker->members->len);
-	worker_lose_members(worker, "worker_left");
+	worker->leaving = true;
+	worker->draining = true;
+	if (has_just_ended(worker))
+		worker_lose_members(worker, "worker_left");
 	worker_depart(worker, done, ctx);
-	worker_retire(worker);
+	if (worker->members->len == 0)
+		worker_retire(worker);
 }
