tests: a simulation in virtual time counts the runs at the workers

The checks are made at the workers, over all incarnations: two runs of a unit at the same time, a start after a success that was acknowledged, and a start that is not committed.

The program replaces the clocks, libev's timers, the replica and the event log, so its parts are linked into it alone (ONCE_OBJ in the Makefile).

--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,9 @@
 # Code shared by unit tests; not a test program itself.
 UNIT_LIB_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(sort $(filter-out \
 	$(UNIT_SRC),$(wildcard tests/unit/*.c))))
+# The simulation of test_once replaces the clocks, the timers and the replica, so
+# that it is linked into this program only.
+ONCE_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard tests/unit/once/*.c)))
 BENCH_SRC = $(sort $(wildcard bench/bench_*.c))
 BENCHES = $(BENCH_SRC:bench/%.c=$(BUILD)/bench/%)
 # Baselines that the benchmarks compare with.
@@ -38,7 +41,8 @@
 
 GENERATED = rpc/protocol.h rpc/protocol_xdr.c
 FORMATTED = $(filter-out $(GENERATED),$(sort $(wildcard $(addsuffix /*.[ch], \
-	$(LIB_DIRS) daemon cli tests/unit tests/standin tests/fuzz bench))))
+	$(LIB_DIRS) daemon cli tests/unit \
+	tests/unit/once tests/standin tests/fuzz bench))))
 
 all: $(PROGRAMS) $(STANDINS)
 
@@ -75,6 +79,10 @@
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(ALL_CFLAGS) -o $@ $^ $(shell pkg-config --libs check) $(LIBS)
 
+$(BUILD)/unit/test_once: $(BUILD)/tests/unit/test_once.o $(ONCE_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	$(Q)$(CC) $(ALL_CFLAGS) -o $@ $^ $(shell pkg-config --libs check) $(LIBS)
+
 $(BUILD)/bench/%: $(BUILD)/bench/%.o $(BENCH_LIB_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
