sched: a refused copy of a start does not end a member that runs

A start got no answer and was repeated. While the second copy was under way, the first one was executed and a poll listed the task; that cleared the note that a start was unanswered. The worker, busy by then, refused the second copy with 503, and the leader took this as final: it gave up a member that ran and started its unit elsewhere. A new leader did the same to a healthy run, as it repeats the starts of the runs that it takes over, without any fault of the network.

The note is gone; what counts is how many starts got no answer (never forgotten while the member lives) and whether the member is known to run.

The other new cases guard against late starts after an end and after a stop, and against stops of sound runs by a new leader; they passed before.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -84,7 +84,6 @@
 
 		/* The previous leader may have sent the start. */
 		member->state = MEMBER_SENT;
-		member->start_unanswered = true;
 		member->starts_unanswered = 1;
 		if (member->worker->info.born != unit->places[i].born)
 			restarted = true;
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -92,8 +92,7 @@
 	int index;        /* of the task in its step */
 	member_state_t state;
 	member_stop_t stop;
-	bool order_in_flight;  /* a start or a stop is in flight */
-	bool start_unanswered; /* a start without an answer may still arrive */
+	bool order_in_flight; /* a start or a stop is in flight */
 	/*
 	 * Starts that got no answer. A copy of one may arrive at any later
 	 * time, also at a later incarnation of the worker.
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -333,7 +333,6 @@
 {
 	if (member->state == MEMBER_UNSENT || member->state == MEMBER_SENT)
 		member->state = MEMBER_RUNNING;
-	member->start_unanswered = false;
 	if (task->percent > member->percent || member->percent_ms == 0) {
 		member->percent = task->percent;
 		member->percent_ms = now_ms;
@@ -423,8 +422,9 @@
 }
 
 /*
- * Handles a refused start. The refusal is final unless an earlier start of the
- * run that got no answer may still arrive; then the run is stopped.
+ * Handles a refused start. The refusal is final unless another start of the run
+ * was executed, or got no answer and may still be; in the second case the run
+ * is stopped.
  */
 static void
 handle_refused_start(member_t *member, const char *reason)
@@ -435,7 +435,9 @@
 	    "step", run->name.step, "index", member->index, "run",
 	    (int)run->number, "worker", member->worker->info.id, "reason",
 	    reason);
-	if (member->start_unanswered) {
+	if (member->state == MEMBER_RUNNING)
+		return;
+	if (member->starts_unanswered > 0) {
 		run_stop(run, reason);
 		return;
 	}
@@ -471,13 +473,11 @@
 	switch (answer->outcome) {
 	case ORDER_OK:
 		member->state = MEMBER_RUNNING;
-		member->start_unanswered = false;
 		member->answer_sequence =
 		    fleet_next_sequence(member->run->fleet);
 		member->percent_ms = now_ms;
 		break;
 	case ORDER_NO_ANSWER:
-		member->start_unanswered = true;
 		note_unanswered_start(member);
 		break;
 	case ORDER_STALE_RUN:
--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -376,6 +376,12 @@
 		answer(order, worker, ORDER_FENCED);
 		return true;
 	}
+	if (order->kind == ORDER_START && worker->slow_refusals) {
+		if (clock_mono_ms() < order->until_ms)
+			return false;
+		answer(order, worker, ORDER_UNHEALTHY);
+		return true;
+	}
 	if (takes_delay(worker, order->kind)) {
 		delay_order(bed, order);
 		order->lost = true;
@@ -492,6 +498,8 @@
 		order->until_ms = clock_mono_ms();
 	if (order->bed->stale_polls)
 		order->until_ms = clock_mono_ms() + STALE_POLL_MS;
+	if (order->bed->poll_delay_ms > 0)
+		order->until_ms = clock_mono_ms() + order->bed->poll_delay_ms;
 	if (order->bed->stale_polls)
 		snapshot_tasks(order);
 }
--- a/tests/unit/fleet_bed.h
+++ b/tests/unit/fleet_bed.h
@@ -41,6 +41,7 @@
 	bool answers_as_other_incarnation;
 	bool drops_start_answers; /* starts are executed, their answers lost */
 	bool loses_starts;        /* starts neither arrive nor are answered */
+	bool slow_refusals;       /* starts are refused as busy, slowly */
 	int delayed_starts;       /* so many wait for bed_deliver_delayed */
 	int delayed_polls;        /* same */
 	bool fails_tasks;         /* each task fails as soon as it starts */
@@ -64,6 +65,7 @@
 	GQueue orders;         /* order_t in flight */
 	GQueue delayed_orders; /* order_t without an answer, not executed */
 	ev_timer delivery_timer;
+	int poll_delay_ms;      /* answers to polls take so long */
 	bool stale_polls;       /* a poll shows what ran when it was sent */
 	bool duplicate_run;     /* one task ran twice at the same time */
 	int fenced_orders;      /* delayed orders with an outdated token */
--- a/tests/unit/test_fleet_restarts.c
+++ b/tests/unit/test_fleet_restarts.c
@@ -186,6 +186,133 @@
 }
 END_TEST
 
+/*
+ * Guards against a refusal of a later copy of a start that ends a member which
+ * a poll has listed as running in the meantime.
+ */
+START_TEST(refused_copy_of_running_task)
+{
+	bed_t bed;
+
+	bed_open(&bed, 2, 8);
+	for (size_t i = 0; i < 2; i++)
+		bed.workers[i].delayed_starts = 1;
+	bed_submit(&bed, JOB, "batch", 1, 8, false);
+	while (bed.delayed_orders.length == 0)
+		bed_run_for(&bed, 1);
+	for (size_t i = 0; i < 2; i++) {
+		bed.workers[i].slow_refusals =
+		    bed.workers[i].delayed_starts == 0;
+		bed.workers[i].delayed_starts = 0;
+	}
+	/* The first copy times out after 120 ms; the second is in flight. */
+	bed_run_for(&bed, 200);
+	bed_deliver_delayed(&bed);
+	ck_assert_int_eq(bed_running(&bed, JOB), 1);
+	bed_run_for(&bed, 400);
+	ck_assert(!bed.duplicate_run);
+	ck_assert_int_eq(bed_starts(&bed), 1);
+	bed_close(&bed);
+}
+END_TEST
+
+/*
+ * Same for a new leader, whose first start of a run that the leader before has
+ * started is refused by a busy worker after a poll has listed the task.
+ */
+START_TEST(refused_start_of_new_leader)
+{
+	bed_t bed;
+
+	bed_open(&bed, 2, 8);
+	bed_submit(&bed, JOB, "batch", 1, 8, false);
+	WAIT(&bed, job_has_1_task);
+	bed_run_for(&bed, 50);
+	bed.workers[last_busy_worker(&bed)].slow_refusals = true;
+	bed.poll_delay_ms = 80;
+	bed_restart_fleet(&bed);
+	bed_run_for(&bed, 1000);
+	ck_assert(!bed.duplicate_run);
+	ck_assert_int_eq(bed_starts(&bed), 1);
+	bed_close(&bed);
+}
+END_TEST
+
+/*
+ * Guards against stops of sound runs after a leader change, because the ledger
+ * was not told of a restart that a poll showed first.
+ */
+START_TEST(leader_change_after_restart_shown_by_poll)
+{
+	bed_t bed;
+
+	bed_open(&bed, 1, 8);
+	bed_submit(&bed, OTHER, "batch", 1, 1, false);
+	while (bed_running(&bed, NULL) == 0)
+		bed_run_for(&bed, 1);
+	bed_restart_worker_unannounced(&bed, 0);
+	bed_run_for(&bed, 500);
+	bed_announce(&bed, 0);
+	bed_submit(&bed, JOB, "batch", 1, 1, false);
+	WAIT(&bed, job_has_1_task);
+	bed_run_for(&bed, 300);
+	bed.workers[0].stops = 0;
+	bed_restart_fleet(&bed);
+	bed_run_for(&bed, 500);
+	ck_assert_int_eq(bed.workers[0].stops, 0);
+	bed_close(&bed);
+}
+END_TEST
+
+/*
+ * Guards against a start without an answer that is executed by the next
+ * incarnation after the run has ended and the end was acknowledged.
+ */
+START_TEST(delayed_start_after_end)
+{
+	bed_t bed;
+	size_t worker;
+
+	bed_open(&bed, 2, 8);
+	submit_with_delayed_starts(&bed, 1);
+	worker = last_busy_worker(&bed);
+	bed_run_for(&bed, 50);
+	bed_end_tasks(&bed, JOB, RUN_DONE);
+	WAIT(&bed, is_completed);
+	bed_run_for(&bed, 100);
+	restart_and_drain(&bed, worker);
+	bed_run_for(&bed, 200);
+	bed_deliver_delayed(&bed);
+	ck_assert_int_eq(bed_running(&bed, JOB), 0);
+	bed_close(&bed);
+}
+END_TEST
+
+/* Same, stopped on its first worker and in progress on another one. */
+START_TEST(delayed_start_after_stop)
+{
+	bed_t bed;
+	size_t worker;
+
+	bed_open(&bed, 2, 8);
+	submit_with_delayed_starts(&bed, 1);
+	worker = last_busy_worker(&bed);
+	bed_run_for(&bed, 50);
+	bed.workers[worker].info.draining = true;
+	bed_announce(&bed, worker);
+	bed_run_for(&bed, 50);
+	bed_end_tasks(&bed, JOB, RUN_STOPPED);
+	WAIT(&bed, job_has_1_task);
+	ck_assert_uint_ne(last_busy_worker(&bed), worker);
+	bed_run_for(&bed, 50);
+	bed_restart_worker(&bed, worker);
+	bed_run_for(&bed, 200);
+	bed_deliver_delayed(&bed);
+	ck_assert(!bed.duplicate_run);
+	bed_close(&bed);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -197,6 +324,11 @@
 	tcase_add_test(tcase, delayed_start_of_gang_in_next_incarnation);
 	tcase_add_test(tcase, delayed_start_after_leader_change);
 	tcase_add_test(tcase, delayed_poll_in_next_incarnation);
+	tcase_add_test(tcase, refused_copy_of_running_task);
+	tcase_add_test(tcase, refused_start_of_new_leader);
+	tcase_add_test(tcase, leader_change_after_restart_shown_by_poll);
+	tcase_add_test(tcase, delayed_start_after_end);
+	tcase_add_test(tcase, delayed_start_after_stop);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_FORK);
 }
