--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -309,7 +309,10 @@
 	return true;
 }
 
-/* An answer of an earlier incarnation proves nothing about this one. */
+/*
+ * An answer of an earlier incarnation, or with garbled numbers of ends, proves
+ * nothing about this incarnation and counts as none.
+ */
 static order_outcome_t
 poll_outcome(const worker_t *worker, const order_answer_t *answer)
 {
