--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -76,6 +76,7 @@
 recover_run(fleet_t *fleet, ledger_unit_t *unit)
 {
 	run_t *run = run_create(fleet, unit, unit->run, unit->places);
+	bool restarted = false;
 
 	run->start_committed = true;
 	for (int i = 0; i < run->member_count; i++) {
@@ -84,15 +85,14 @@
 		/* The previous leader may have sent the start. */
 		member->state = MEMBER_SENT;
 		member->start_unanswered = true;
-		/*
-		 * The worker has restarted: as running, the task is lost once a
-		 * poll does not list it.
-		 */
+		member->starts_unanswered = 1;
 		if (member->worker->info.born != unit->places[i].born)
-			member->state = MEMBER_RUNNING;
+			restarted = true;
 	}
 	if (ledger_job_has_ended(unit->job))
 		run_stop(run, "job_ended");
+	else if (restarted)
+		run_stop(run, "worker_restarted");
 }
 
 static void
@@ -459,6 +459,14 @@
 	fleet->ends_failed =
 	    counter_get("fleet_ends_total{how=\"failed\"}", "");
 	fleet->ends_lost = counter_get("fleet_ends_total{how=\"lost\"}", "");
+	fleet->starts_unanswered = counter_get("fleet_starts_unanswered_total",
+	    "starts that the worker may still carry out");
+	fleet->strays = counter_get("fleet_strays_total",
+	    "tasks found on a worker without a run of the leader");
+	fleet->overlaps = counter_get("fleet_overlaps_total",
+	    "strays whose unit had another run in progress");
+	fleet->ends_uncounted = counter_get("fleet_ends_uncounted_total",
+	    "successful ends acknowledged without being counted");
 	fleet->foreign_announcements =
 	    counter_get("fleet_foreign_announcements_total",
 		"announcements that name a service that is not configured");
--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -78,6 +78,31 @@
 	worker->orders_in_flight--;
 }
 
+/* Logs a stray with what the ledger says of its unit. */
+static void
+log_stray(const worker_t *worker, const running_task_t *stray)
+{
+	static const char *const states[] = {
+	    "waiting", "placed", "done", "failed"};
+	fleet_t *fleet = worker->fleet;
+	const task_name_t *task = &stray->task;
+	const ledger_job_t *job = ledger_job(fleet_ledger(fleet), task->job);
+	const ledger_unit_t *unit = NULL;
+
+	if (job != NULL)
+		unit = ledger_unit_of_task(
+		    job, task->occurrence, task->step, task->index);
+	counter_add(fleet->strays, 1);
+	if (unit != NULL && unit->state == UNIT_PLACED &&
+	    unit->run != stray->run)
+		counter_add(fleet->overlaps, 1);
+	evlog("stray", "{s:s,s:I,s:s,s:i,s:i,s:i,s:s,s:i}", "worker",
+	    worker->info.id, "born", (json_int_t)worker->info.born, "job",
+	    task->job, "step", task->step, "index", task->index, "run",
+	    (int)stray->run, "unit", unit != NULL ? states[unit->state] : "",
+	    "unit_run", unit != NULL ? (int)unit->run : 0);
+}
+
 /* Stops a task that a worker runs without a matching run here. */
 static void
 stop_stray(worker_t *worker, const running_task_t *task)
@@ -88,8 +113,7 @@
 	/* A later poll lists it again. */
 	if (!fleet_leads(fleet))
 		return;
-	evlog("stray", "{s:s,s:s,s:i}", "worker", worker->info.id, "job",
-	    task->task.job, "run", (int)task->run);
+	log_stray(worker, task);
 	worker->orders_in_flight++;
 	fleet->orders.stop(fleet->orders.ctx, &target, &task->task, task->run,
 	    on_stray_stopped, worker);
@@ -153,6 +177,19 @@
 	return worker->ackable_end;
 }
 
+/* Logs an end of an open job that is acknowledged without being counted. */
+static void
+log_uncounted_end(
+    const worker_t *worker, const ended_task_t *end, const ledger_unit_t *unit)
+{
+	counter_add(worker->fleet->ends_uncounted, 1);
+	evlog("end_uncounted", "{s:s,s:I,s:s,s:i,s:i,s:i,s:i}", "worker",
+	    worker->info.id, "born", (json_int_t)worker->info.born, "job",
+	    end->task.job, "step", end->task.step, "index", end->task.index,
+	    "run", (int)end->run, "unit_run",
+	    unit != NULL ? (int)unit->run : 0);
+}
+
 /*
  * Processes the end of a run that is no longer tracked. A completed task counts
  * even if it was treated as lost in the meantime. The end is the last of
@@ -171,8 +208,10 @@
 	unit = ledger_unit_of_task(
 	    job, end->task.occurrence, end->task.step, end->task.index);
 	if (unit == NULL || unit->state == UNIT_DONE || end->run > unit->run ||
-	    ledger_step(unit)->long_running)
+	    ledger_step(unit)->long_running) {
+		log_uncounted_end(worker, end, unit);
 		return;
+	}
 	pending->job = g_strdup(end->task.job);
 	pending->unit = (unit_name_t){
 	    pending->job, unit->occurrence, unit->step, unit->first};
@@ -218,10 +257,28 @@
 }
 
 /*
- * Treats a member as lost if the worker lists it neither as running nor as
- * ended and answered no order about it after the poll was sent: the member will
- * not start any more. A list of ends that was cut off proves nothing, since the
- * member may have ended beyond it.
+ * Handles a member that the worker lists neither as running nor as ended. It is
+ * lost unless a start may still be executed; then the run is stopped first.
+ */
+static void
+process_unlisted(member_t *member)
+{
+	if (member->state == MEMBER_RUNNING && member_may_still_start(member)) {
+		member->state = MEMBER_SENT;
+		run_stop(member->run, "not_listed");
+	} else if (member->state == MEMBER_RUNNING ||
+		   (member->state == MEMBER_SENT &&
+		       member->stop == STOP_ANSWERED)) {
+		member_lost(member, "not_listed");
+	} else {
+		member_not_started(member);
+	}
+}
+
+/*
+ * Handles the members that the worker does not list and about which it answered
+ * no order after the poll was sent. A list of ends that was cut off proves
+ * nothing, since a member may have ended beyond it.
  */
 static void
 process_missing(worker_t *worker, const order_answer_t *answer)
@@ -235,15 +292,9 @@
 		if (i >= worker->members->len)
 			continue;
 		member = g_ptr_array_index(worker->members, i);
-		if (member->answer_sequence > worker->poll_sequence ||
-		    is_listed(member, answer))
-			continue;
-		if (member->state == MEMBER_RUNNING ||
-		    (member->state == MEMBER_SENT &&
-			member->stop == STOP_ANSWERED))
-			member_lost(member, "not_listed");
-		else
-			member_not_started(member);
+		if (member->answer_sequence <= worker->poll_sequence &&
+		    !is_listed(member, answer))
+			process_unlisted(member);
 	}
 }
 
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -90,6 +90,11 @@
 	member_stop_t stop;
 	bool order_in_flight;  /* a start or a stop is in flight */
 	bool start_unanswered; /* a start without an answer may still arrive */
+	/*
+	 * Starts that got no answer. A copy of one may arrive at any later
+	 * time, also at a later incarnation of the worker.
+	 */
+	int starts_unanswered;
 	/* fleet_next_sequence when a start or stop was last answered */
 	uint64_t answer_sequence;
 	int64_t retry_ms;
@@ -165,6 +170,10 @@
 	counter_t *ends_done;
 	counter_t *ends_failed;
 	counter_t *ends_lost;
+	counter_t *starts_unanswered;
+	counter_t *strays;
+	counter_t *overlaps; /* strays whose unit has another run in progress */
+	counter_t *ends_uncounted;
 	counter_t *foreign_announcements; /* of services not configured */
 	counter_t *refused_no_room;
 	counter_t *preempted;
@@ -217,6 +226,7 @@
 typedef struct {
 	run_t *run;
 	worker_t *worker;
+	uint64_t born; /* incarnation of the worker that the order is for */
 	int member;
 	int percent; /* of a pace order */
 	int64_t sent_us;
@@ -245,6 +255,8 @@
     member_t *member, const running_task_t *task, int64_t now_ms);
 void member_ended(member_t *member, run_outcome_t how, const char *checkpoint);
 void member_lost(member_t *member, const char *why);
+void member_forget_stop(member_t *member);
+bool member_may_still_start(const member_t *member);
 void member_not_started(member_t *member);
 task_name_t member_task(const member_t *member);
 
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -278,19 +278,55 @@
 	after_member_end(run, names[how]);
 }
 
+/* Logs what the leader knows of a member that it gives up. */
+static void
+log_lost(const member_t *member, const char *why)
+{
+	static const char *const states[] = {
+	    "unsent", "sent", "running", "ended"};
+	const run_t *run = member->run;
+	const worker_t *worker = member->worker;
+
+	evlog("task_lost", "{s:s,s:i,s:i,s:i,s:s,s:s,s:I,s:s,s:i,s:b,s:b,s:I}",
+	    "job", run->job, "step", run->name.step, "index", member->index,
+	    "run", (int)run->number, "worker", worker->info.id, "reason", why,
+	    "born", (json_int_t)worker->info.born, "state",
+	    states[member->state], "starts_unanswered",
+	    member->starts_unanswered, "stop_answered",
+	    (int)(member->stop == STOP_ANSWERED), "reachable",
+	    (int)worker->reachable, "lease_left_ms",
+	    (json_int_t)(worker->lease_expiry_ms - fleet_now_ms()));
+}
+
 /* Handles a member that will not run any more and whose end is unknown. */
 void
 member_lost(member_t *member, const char *why)
 {
 	run_t *run = member->run;
 
-	evlog("task_lost", "{s:s,s:i,s:i,s:i,s:s,s:s}", "job", run->job, "step",
-	    run->name.step, "index", member->index, "run", (int)run->number,
-	    "worker", member->worker->info.id, "reason", why);
+	log_lost(member, why);
 	member_detach(member);
 	after_member_end(run, why);
 }
 
+/* Discards the answer to a stop, which a later incarnation has not seen. */
+void
+member_forget_stop(member_t *member)
+{
+	member->stop = STOP_NONE;
+	member->retry_ms = 0;
+}
+
+/*
+ * Whether a start without an answer may still be executed.  The worker refuses
+ * it once it has answered a stop of the run.
+ */
+bool
+member_may_still_start(const member_t *member)
+{
+	return member->starts_unanswered > 0 && member->stop != STOP_ANSWERED;
+}
+
 void
 member_reported_running(
     member_t *member, const running_task_t *task, int64_t now_ms)
@@ -319,6 +355,7 @@
 
 	order->run = member->run;
 	order->worker = member->worker;
+	order->born = member->worker->info.born;
 	order->member = (int)(member - member->run->members);
 	order->sent_us = clock_mono_us();
 	order->run->orders_in_flight++;
@@ -368,6 +405,23 @@
 		    ->orders_in_flight = 0;
 }
 
+/*
+ * Records that the worker refuses later starts of the member's run, unless it
+ * has restarted since the order was sent.
+ */
+static void
+note_stop_answered(member_t *member, const member_order_t *order)
+{
+	worker_t *worker = member->worker;
+
+	member->answer_sequence = fleet_next_sequence(member->run->fleet);
+	worker->needs_poll = true;
+	if (order->born == worker->info.born)
+		member->stop = STOP_ANSWERED;
+	else
+		member_forget_stop(member);
+}
+
 /*
  * Handles a refused start. The refusal is final unless an earlier start of the
  * run that got no answer may still arrive; then the run is stopped.
@@ -389,6 +443,21 @@
 	after_member_end(run, reason);
 }
 
+/* Logs a start that the worker may still carry out. */
+static void
+note_unanswered_start(member_t *member)
+{
+	const run_t *run = member->run;
+	const worker_t *worker = member->worker;
+
+	member->starts_unanswered++;
+	counter_add(run->fleet->starts_unanswered, 1);
+	evlog("start_unanswered", "{s:s,s:i,s:i,s:i,s:s,s:I,s:i}", "job",
+	    run->job, "step", run->name.step, "index", member->index, "run",
+	    (int)run->number, "worker", worker->info.id, "born",
+	    (json_int_t)worker->info.born, "count", member->starts_unanswered);
+}
+
 static void
 on_started(void *ctx, const order_answer_t *answer)
 {
@@ -409,15 +478,13 @@
 		break;
 	case ORDER_NO_ANSWER:
 		member->start_unanswered = true;
+		note_unanswered_start(member);
 		break;
 	case ORDER_STALE_RUN:
 		/*
 		 * The task was stopped or has ended; the next poll tells which.
 		 */
-		member->stop = STOP_ANSWERED;
-		member->answer_sequence =
-		    fleet_next_sequence(member->run->fleet);
-		member->worker->needs_poll = true;
+		note_stop_answered(member, order);
 		break;
 	case ORDER_NO_ROOM:
 		counter_add(order->run->fleet->refused_no_room, 1);
@@ -495,12 +562,8 @@
 	if (member == NULL)
 		goto done;
 	member->retry_ms = now_ms + STOP_RETRY_MS;
-	if (answer->outcome == ORDER_OK) {
-		member->stop = STOP_ANSWERED;
-		member->answer_sequence =
-		    fleet_next_sequence(member->run->fleet);
-		member->worker->needs_poll = true;
-	}
+	if (answer->outcome == ORDER_OK)
+		note_stop_answered(member, order);
 	fleet_schedule_work(order->run->fleet);
 done:
 	member_order_end(order);
--- a/sched/fleet_workers.c
+++ b/sched/fleet_workers.c
@@ -166,14 +166,17 @@
 }
 
 /*
- * Resets the state of a worker that restarted under its ID. Its members are
- * kept until a poll shows which tasks run.
+ * Resets the state of a worker that restarted under its ID; born is its new
+ * incarnation. Its members are kept, as it may still execute their starts.
  */
 static void
-worker_reset_incarnation(worker_t *worker)
+worker_reset_incarnation(worker_t *worker, uint64_t born)
 {
-	evlog("worker_restarted", "{s:s,s:i}", "worker", worker->info.id,
-	    "members", (int)worker->members->len);
+	evlog("worker_restarted", "{s:s,s:I,s:I,s:i,s:I,s:i}", "worker",
+	    worker->info.id, "born", (json_int_t)born, "born_before",
+	    (json_int_t)worker->info.born, "members", (int)worker->members->len,
+	    "acknowledged", (json_int_t)worker->ackable_end, "ends_pending",
+	    (int)worker->pending_ends.length);
 	/* The counts of an incarnation start anew. */
 	worker->announcement_sequence = 0;
 	worker->last_end_number = 0;
@@ -183,6 +186,21 @@
 	worker->suspicion = (suspicion_t){0};
 	worker->needs_poll = true;
 	g_queue_clear_full(&worker->pending_ends, pending_end_free);
+	for (guint i = 0; i < worker->members->len; i++)
+		member_forget_stop(g_ptr_array_index(worker->members, i));
+}
+
+/* Stops the runs that have a member on the worker. */
+static void
+worker_stop_runs(worker_t *worker, const char *reason)
+{
+	GPtrArray *members = g_ptr_array_copy(worker->members, NULL, NULL);
+
+	/* run_stop may detach members, but frees no run. */
+	for (guint i = 0; i < members->len; i++)
+		run_stop(((const member_t *)g_ptr_array_index(members, i))->run,
+		    reason);
+	g_ptr_array_unref(members);
 }
 
 /*
@@ -192,11 +210,12 @@
 void
 worker_learn_incarnation(worker_t *worker, uint64_t born)
 {
+	worker_reset_incarnation(worker, born);
 	worker->info.born = born;
 	worker->info.draining = false;
 	worker->draining = false;
 	worker->registered = false;
-	worker_reset_incarnation(worker);
+	worker_stop_runs(worker, "worker_restarted");
 }
 
 /*
@@ -220,14 +239,18 @@
 static void
 update_worker(worker_t *worker, const fleet_worker_t *info)
 {
-	if (info->born != worker->info.born)
-		worker_reset_incarnation(worker);
+	bool restarted = info->born != worker->info.born;
+
+	if (restarted)
+		worker_reset_incarnation(worker, info->born);
 	g_hash_table_steal(worker->fleet->workers, worker->info.id);
 	codec_free((xdrproc_t)xdr_fleet_worker_t, &worker->info);
 	fleet_worker_copy(&worker->info, info);
 	g_hash_table_insert(worker->fleet->workers, worker->info.id, worker);
 	worker->draining = info->draining;
 	worker->registered = true;
+	if (restarted)
+		worker_stop_runs(worker, "worker_restarted");
 }
 
 /* Records durably that an incarnation of a worker has ended. */
