sched: an answer to an earlier incarnation tells nothing about this one

The clock of an earlier incarnation, taken from a late answer to a start or a stop, made the leases of the next one longer than the leader counts.

Each order and each poll now remember the incarnation that they were sent to; answers to an earlier one are ignored.

--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -381,6 +381,19 @@
 	return ORDER_NO_ANSWER;
 }
 
+/*
+ * Whether a poll that was sent to an earlier incarnation, perhaps at another
+ * address, was not answered by the present one. It tells nothing about that
+ * one.
+ */
+static bool
+is_for_earlier_incarnation(const worker_t *worker, const order_answer_t *answer)
+{
+	return worker->poll_born != worker->info.born &&
+	       (answer->outcome != ORDER_OK ||
+		   answer->born != worker->info.born);
+}
+
 static void
 on_poll_answer(void *ctx, const order_answer_t *answer)
 {
@@ -392,6 +405,11 @@
 	worker->poll_done_ms = now_ms;
 	if (worker->retired)
 		return;
+	if (is_for_earlier_incarnation(worker, answer)) {
+		worker->needs_poll = true;
+		fleet_schedule_work(worker->fleet);
+		return;
+	}
 	switch (poll_outcome(worker, answer)) {
 	case ORDER_NO_ANSWER:
 		/* This process was paused: the answer may have come. */
@@ -487,6 +505,7 @@
 	worker->polling = true;
 	worker->poll_sent_ms = now_ms;
 	worker->poll_sequence = fleet_next_sequence(fleet);
+	worker->poll_born = worker->info.born;
 	worker->orders_in_flight++;
 	counter_add(fleet->polls, 1);
 	fleet->orders.poll(
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -49,6 +49,7 @@
 	/* Poll soon and without waiting; run_tick sends no start until then. */
 	bool needs_poll;
 	uint64_t poll_sequence; /* fleet_next_sequence when the poll was sent */
+	uint64_t poll_born;     /* incarnation that the poll was sent to */
 	int64_t poll_sent_ms;
 	int64_t poll_done_ms;
 	int64_t next_poll_ms;
@@ -223,7 +224,8 @@
 void pending_end_free(void *data);
 uint64_t worker_fence(const worker_t *worker);
 int64_t worker_grant_lease(worker_t *worker, int64_t now_ms);
-void worker_update_from_answer(worker_t *worker, const order_answer_t *answer);
+void worker_update_from_answer(
+    worker_t *worker, uint64_t born, const order_answer_t *answer);
 bool worker_is_usable(const worker_t *worker, int64_t now_ms);
 
 /* An order in flight that concerns one member. */
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -378,7 +378,7 @@
 		histogram_record(order->run->fleet->order_latency,
 		    clock_mono_us() - order->sent_us);
 	if (!order->worker->retired)
-		worker_update_from_answer(order->worker, answer);
+		worker_update_from_answer(order->worker, order->born, answer);
 	if (order->run->retired || order->worker->retired ||
 	    member->state == MEMBER_ENDED)
 		return NULL;
--- a/sched/fleet_workers.c
+++ b/sched/fleet_workers.c
@@ -136,24 +136,31 @@
 }
 
 /*
- * Updates clock and suspicion from an answer, and requests a poll if the answer
- * is missing or the worker has restarted.
+ * Updates clock and suspicion from the answer to an order that was sent to the
+ * incarnation born, and requests a poll if the answer is missing or the worker
+ * has restarted. An order to an earlier incarnation tells nothing about this
+ * one, whose clock has started anew.
  */
 void
-worker_update_from_answer(worker_t *worker, const order_answer_t *answer)
+worker_update_from_answer(
+    worker_t *worker, uint64_t born, const order_answer_t *answer)
 {
 	int64_t now_ms = fleet_now_ms();
 
+	if (born != worker->info.born)
+		return;
 	if (answer->outcome == ORDER_NO_ANSWER) {
 		if (worker->reachable && worker->members->len > 0)
 			worker->needs_poll = true;
 		return;
 	}
+	if (answer->outcome == ORDER_OTHER_INCARNATION) {
+		worker->needs_poll = true;
+		return;
+	}
 	worker_clock_update(&worker->clock, answer->clock_ms, now_ms);
 	if (answer->outcome == ORDER_UNHEALTHY)
 		suspicion_record_unhealthy(&worker->suspicion, now_ms);
-	if (answer->outcome == ORDER_OTHER_INCARNATION)
-		worker->needs_poll = true;
 }
 
 /* Whether units may be placed on the worker. */
