--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -327,11 +327,11 @@
 }
 
 static void
-on_unreachable(worker_t *worker, int64_t now_ms)
+on_unreachable(worker_t *worker, const order_answer_t *answer, int64_t now_ms)
 {
 	if (worker->reachable)
-		worker->unreachable_ms = now_ms;
-	if (worker->reachable && worker->leaving)
+		worker->disconnected_ms = answer->disconnected ? now_ms : 0;
+	if (worker->leaving && worker_has_just_ended(worker, now_ms))
 		worker_lose_members(worker, "worker_left");
 	if (worker->reachable)
 		evlog("worker_lost", "{s:s,s:I,s:i}", "worker", worker->info.id,
@@ -416,7 +416,7 @@
 		if (loop_watch_resumed_ms() >= worker->poll_sent_ms)
 			worker->needs_poll = true;
 		else
-			on_unreachable(worker, now_ms);
+			on_unreachable(worker, answer, now_ms);
 		break;
 	case ORDER_OTHER_INCARNATION:
 		evlog("worker_gone", "{s:s,s:s}", "worker", worker->info.id,
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -41,7 +41,7 @@
 	int64_t lease_expiry_ms; /* local time by which its lease has expired */
 	/* The last poll was answered; initially false if it is unknown. */
 	bool reachable;
-	int64_t unreachable_ms; /* since when reachable is false */
+	int64_t disconnected_ms; /* when its connections ended, 0: silent */
 	bool draining;
 	/* Deregistered; its tasks end when it stops answering. */
 	bool leaving;
@@ -222,6 +222,7 @@
 void worker_learn_incarnation(worker_t *worker, uint64_t born);
 void worker_depart(worker_t *worker, fleet_done_t *done, void *ctx);
 void pending_end_free(void *data);
+bool worker_has_just_ended(const worker_t *worker, int64_t now_ms);
 uint64_t worker_fence(const worker_t *worker);
 int64_t worker_grant_lease(worker_t *worker, int64_t now_ms);
 void worker_update_from_answer(
--- a/sched/fleet_workers.c
+++ b/sched/fleet_workers.c
@@ -391,19 +391,21 @@
 		done(ctx, FLEET_OK);
 }
 
-/* Whether the worker has just stopped answering, as one does that ends. */
-static bool
-has_just_ended(const worker_t *worker)
+/*
+ * Whether the worker's connections have just ended, as those of a process that
+ * exits do. One that is cut off falls silent.
+ */
+bool
+worker_has_just_ended(const worker_t *worker, int64_t now_ms)
 {
-	return !worker->reachable &&
-	       fleet_now_ms() - worker->unreachable_ms <= END_NOTICE_MS;
+	return worker->disconnected_ms != 0 &&
+	       now_ms - worker->disconnected_ms <= END_NOTICE_MS;
 }
 
 /*
- * Removes a worker that shuts down. One with tasks is kept until it stops
- * answering polls: without the acknowledgement it runs on for some time. If it
- * has not answered for longer, it may be cut off, so that the acknowledgement
- * does not arrive either, and its tasks are kept until the lease ends.
+ * Removes a worker that shuts down. One with tasks is kept until its
+ * connections end, as without the acknowledgement it runs on for some time. One
+ * that falls silent may be cut off; its tasks are kept until the lease ends.
  */
 void
 fleet_deregister(fleet_t *fleet, const char *id, fleet_done_t *done, void *ctx)
@@ -423,7 +425,7 @@
 	    "deregistered", "members", (int)worker->members->len);
 	worker->leaving = true;
 	worker->draining = true;
-	if (has_just_ended(worker))
+	if (!worker->reachable && worker_has_just_ended(worker, fleet_now_ms()))
 		worker_lose_members(worker, "worker_left");
 	worker_depart(worker, done, ctx);
 	if (worker->members->len == 0)
