sched: a member whose start got no answer is stopped once its unit is done

A gang was done before the start of one member had been answered. Nothing was sent to that member any more: it held its resources for good, and between the end and its commit the start could be sent once more, after the unit was done. It now gets a stop, after which a poll that does not list it ends it.

lost_start_of_done_gang failed before: no stop was sent.

--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -680,7 +680,8 @@
 
 	if (member->order_in_flight || now_ms < member->retry_ms)
 		return;
-	if (run->stopping) {
+	/* Once the unit is done, no further member is started. */
+	if (run->stopping || (run->any_done && member->state == MEMBER_SENT)) {
 		if (member->stop != STOP_ANSWERED)
 			send_stop(member);
 		return;
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -326,6 +326,28 @@
 }
 END_TEST
 
+/*
+ * Guards against a member that holds resources for good: its start is lost, and
+ * another member of the gang ends "done". It gets no further start but a stop.
+ */
+START_TEST(lost_start_of_done_gang)
+{
+	bed_t bed;
+
+	bed_open(&bed, 2, 8);
+	bed.workers[1].loses_starts = true;
+	bed_submit(&bed, JOB, "batch", 2, 8, true);
+	WAIT(&bed, job_has_1_task);
+	bed_end_tasks(&bed, JOB, RUN_DONE);
+	WAIT(&bed, is_completed);
+	bed.workers[1].loses_starts = false;
+	bed_run_for(&bed, 400);
+	ck_assert_int_eq(bed.workers[1].starts, 0);
+	ck_assert_int_eq(bed.workers[1].stops, 1);
+	bed_close(&bed);
+}
+END_TEST
+
 /* Guards against more attempts than the queue allows. */
 START_TEST(attempts_are_limited)
 {
@@ -615,6 +637,7 @@
 	tcase_add_test(tcase, restarted_worker_gets_new_run);
 	tcase_add_test(tcase, new_leader_adopts_runs);
 	tcase_add_test(tcase, new_leader_reads_ends);
+	tcase_add_test(tcase, lost_start_of_done_gang);
 	tcase_add_test(tcase, attempts_are_limited);
 	tcase_add_test(tcase, failing_worker_with_room);
 	tcase_add_test(tcase, cancel_stops_tasks);
