sched: a poll acknowledges only what is not confirmed yet

Each poll carried the whole cursor of acknowledged ends. When the worker had restarted under its id and the leader did not know it yet, the cursor reached the next incarnation and acknowledged ends that nobody had read; the task was started again after it was done. The cursor is now sent only until the worker has confirmed it.

--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -455,6 +455,19 @@
 	fleet_schedule_work(worker->fleet);
 }
 
+/*
+ * Returns the end to acknowledge, 0 for none. What was confirmed is not sent
+ * again: if the worker has restarted, it would acknowledge ends of the next
+ * incarnation.
+ */
+static uint64_t
+next_acknowledgement(worker_t *worker)
+{
+	uint64_t end = advance_ackable_end(worker);
+
+	return end > worker->confirmed_ack ? end : 0;
+}
+
 static bool
 has_committed_member(const worker_t *worker)
 {
@@ -488,7 +501,7 @@
 {
 	fleet_t *fleet = worker->fleet;
 	bool busy = has_committed_member(worker);
-	poll_order_t order = {.acknowledged = advance_ackable_end(worker)};
+	poll_order_t order = {.acknowledged = next_acknowledgement(worker)};
 	order_target_t target = {
 	    &worker->info, worker_fence(worker), POLL_TIMEOUT_MS};
 
