sched: the fencing token also rises when an id comes back

The token now counts all ends of incarnations in the term, and a worker whose id was used before is polled at once.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -117,6 +117,8 @@
 	gpointer info;
 
 	fleet->leading = true;
+	if (fleet->term != raft_term(replica_raft(fleet->replica)))
+		fleet->fence_epoch = 0;
 	fleet->term = raft_term(replica_raft(fleet->replica));
 	fleet->leading_since_ms = now_ms;
 	g_hash_table_iter_init(&iter, ledger_workers(ledger));
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -34,7 +34,7 @@
 	fleet_worker_t info; /* owned copy */
 	/* This incarnation was announced, or read from the ledger. */
 	bool registered;
-	uint64_t restarts; /* under its ID, seen by this leader */
+	uint64_t fence_epoch; /* of fleet_t when this incarnation was learned */
 	int64_t last_announced_ms;
 	uint64_t announcement_sequence; /* of the last announcement */
 	worker_clock_t clock;
@@ -145,6 +145,7 @@
 	uint64_t last_event_sequence; /* see fleet_next_sequence */
 	bool leading;
 	uint64_t term;
+	uint64_t fence_epoch; /* incarnations whose end was seen in the term */
 	int64_t leading_since_ms;
 	GHashTable *workers; /* id -> worker_t */
 	GPtrArray *retired_workers;
--- a/sched/fleet_workers.c
+++ b/sched/fleet_workers.c
@@ -7,9 +7,9 @@
 #include "sched/fleet_private.h"
 
 #define MAX_MISSED_ANNOUNCEMENTS 3
-/* Bits of a fencing token that count the restarts of a worker in a term. */
-#define FENCE_RESTART_BITS 16
-#define MAX_FENCE_RESTARTS ((UINT64_C(1) << FENCE_RESTART_BITS) - 1)
+/* Bits of a fencing token that count ended incarnations within a term. */
+#define FENCE_EPOCH_BITS 16
+#define MAX_FENCE_EPOCH ((UINT64_C(1) << FENCE_EPOCH_BITS) - 1)
 /* Between the end of a worker's connections and its deregistration. */
 #define END_NOTICE_MS 1000
 /* Departures that may be waiting for their commit. */
@@ -52,6 +52,7 @@
 	worker->fleet = fleet;
 	fleet_worker_copy(&worker->info, info);
 	worker->last_announced_ms = now_ms;
+	worker->fence_epoch = fleet->fence_epoch;
 	worker->reachable = true;
 	worker->draining = info->draining;
 	/* The previous leader may have granted a lease just now. */
@@ -86,6 +87,7 @@
 worker_retire(worker_t *worker)
 {
 	worker->retired = true;
+	worker->fleet->fence_epoch++;
 	g_hash_table_remove(worker->fleet->workers, worker->info.id);
 	g_ptr_array_add(worker->fleet->retired_workers, worker);
 }
@@ -107,14 +109,14 @@
 
 /*
  * Returns the fencing token for orders to the worker. It rises with the term
- * and with each restart under the worker's ID, so that an incarnation that has
- * got one order refuses late ones that were meant for an earlier incarnation.
+ * and with each end of an incarnation, so that an incarnation that has got one
+ * order refuses late ones that were meant for an earlier one of the same ID.
  */
 uint64_t
 worker_fence(const worker_t *worker)
 {
-	return worker->fleet->term << FENCE_RESTART_BITS |
-	       MIN(worker->restarts, MAX_FENCE_RESTARTS);
+	return worker->fleet->term << FENCE_EPOCH_BITS |
+	       MIN(worker->fence_epoch, MAX_FENCE_EPOCH);
 }
 
 /* ---- time and health ---- */
@@ -201,7 +203,7 @@
 	    (json_int_t)worker->info.born, "members", (int)worker->members->len,
 	    "acknowledged", (json_int_t)worker->ackable_end, "ends_pending",
 	    (int)worker->pending_ends.length);
-	worker->restarts++;
+	worker->fence_epoch = ++worker->fleet->fence_epoch;
 	/* The counts of an incarnation start anew. */
 	worker->announcement_sequence = 0;
 	worker->sent_ack = 0;
@@ -374,8 +376,13 @@
 	}
 	changed = worker == NULL || !worker->registered ||
 		  has_info_changed(worker, info);
-	if (worker == NULL)
+	if (worker == NULL) {
 		worker = worker_create(fleet, info);
+		/* Its first order makes those to an earlier incarnation void.
+		 */
+		worker->needs_poll =
+		    ledger_worker(fleet_ledger(fleet), info->id) != NULL;
+	}
 	if (changed) {
 		evlog("worker", "{s:s,s:s,s:I,s:b,s:s,s:i}", "worker", info->id,
 		    "address", info->address, "born", (json_int_t)info->born,
