--- a/state/replica_proposals.c
+++ b/state/replica_proposals.c
@@ -92,7 +92,8 @@
 static void
 give_up(replica_t *replica, proposal_t *proposal, const char *text)
 {
-	if (proposal->maybe_proposed)
+	/* A forwarded proposal may be committed though no answer came yet. */
+	if (proposal->maybe_proposed || proposal->state == PROPOSAL_FORWARDED)
 		fail_proposal(replica, proposal, -ETIMEDOUT, text);
 	else if (replica->storage_code != 0)
 		fail_proposal(replica, proposal, replica->storage_code, text);
--- a/tests/unit/test_replica.c
+++ b/tests/unit/test_replica.c
@@ -871,6 +871,37 @@
 }
 END_TEST
 
+/*
+ * Guards against "never applied" for a proposal that was forwarded and not
+ * answered at its deadline, which is 1 to 3 ms here.
+ */
+START_TEST(outcome_of_forwarded_at_deadline)
+{
+	enum { PUTS = 300 };
+	put_t puts[PUTS];
+	char names[PUTS][16];
+	int wrong = 0;
+	int follower;
+	bed_t bed;
+
+	bed_open(&bed, 3, "");
+	start_all(&bed);
+	WAIT(&bed, all_confirmed, &bed);
+	follower = other_than(&bed, leader_of(&bed));
+	for (int i = 0; i < PUTS; i++) {
+		g_snprintf(names[i], sizeof(names[i]), "short%d", i);
+		put_start(&bed, follower, &puts[i], names[i], 1 + i % 3);
+		WAIT(&bed, put_ended, &puts[i]);
+	}
+	put(&bed, follower, "last");
+	for (int i = 0; i < PUTS; i++)
+		wrong +=
+		    puts[i].code == -ENOTCONN && has(&bed, follower, names[i]);
+	ck_assert_int_eq(wrong, 0);
+	bed_close(&bed);
+}
+END_TEST
+
 /* Number of the instance whose disk is full; 0 for none. */
 static atomic_int full_disk;
 static int (*real_sync)(int fd);
@@ -946,6 +977,7 @@
 	tcase_add_test(tcase, no_second_bootstrap);
 	tcase_add_test(tcase, bootstrap_asks_first);
 	tcase_add_test(tcase, outcome_without_quorum);
+	tcase_add_test(tcase, outcome_of_forwarded_at_deadline);
 	tcase_add_test(tcase, full_disk_of_the_leader);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_FORK_GETENV);
