--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -43,7 +43,7 @@
 	bool reachable;
 	int64_t disconnected_ms; /* when its connections ended, 0: silent */
 	bool draining;
-	/* Deregistered; its tasks end when it stops answering. */
+	/* Deregistered; its tasks are lost once its connections end. */
 	bool leaving;
 	bool polling;
 	/* Poll soon and without waiting; run_tick sends no start until then. */
