--- a/Makefile
+++ b/Makefile
@@ -28,8 +28,8 @@
 # Code shared by unit tests; not a test program itself.
 UNIT_LIB_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(sort $(filter-out \
 	$(UNIT_SRC),$(wildcard tests/unit/*.c))))
-# The simulation of test_once replaces the clocks, the timers and the replica, so
-# that it is linked into this program only.
+# The simulation of test_once* replaces the clocks, the timers and the replica, so
+# that it is linked into these programs only.
 ONCE_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard tests/unit/once/*.c)))
 BENCH_SRC = $(sort $(wildcard bench/bench_*.c))
 BENCHES = $(BENCH_SRC:bench/%.c=$(BUILD)/bench/%)
@@ -79,7 +79,8 @@
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(ALL_CFLAGS) -o $@ $^ $(shell pkg-config --libs check) $(LIBS)
 
-$(BUILD)/unit/test_once: $(BUILD)/tests/unit/test_once.o $(ONCE_OBJ) $(LIB)
+$(BUILD)/unit/test_once $(BUILD)/unit/test_once_restarts: \
+    $(BUILD)/unit/%: $(BUILD)/tests/unit/%.o $(ONCE_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	$(Q)$(CC) $(ALL_CFLAGS) -o $@ $^ $(shell pkg-config --libs check) $(LIBS)
 
--- a/tests/unit/once/once.h
+++ b/tests/unit/once/once.h
@@ -269,3 +269,15 @@
 
 once_result_t once_run_day(
     guint32 seed, const bool kinds[KIND_COUNT], bool recording);
+
+/* once_play.c */
+#define ONCE_NETWORK "loss,answer_lost,late,slow,cut,cut_one_way,late_announce"
+#define ONCE_LEADERS "freeze,isolate,kill"
+
+typedef struct {
+	const char *kinds;
+	guint32 seed; /* of the first day */
+	int days;
+} fixed_days_t;
+
+int once_play(const fixed_days_t *fixed, size_t count);
--- /dev/null
+++ b/tests/unit/test_once_restarts.c
@@ -0,0 +1,24 @@
+#include "tests/unit/once/once.h"
+
+/*
+ * Simulated days as in test_once, with workers that restart under their id
+ * while orders are executed late.  Orders name the id only, so a late start
+ * that comes before the leader's first order to the next incarnation is
+ * accepted there.
+ */
+
+static const fixed_days_t fixed_days[] = {
+    /* An order for the incarnation before is carried out by the next. */
+    {"late,rebirth", 1, 10},
+    /* The same, although the run had ended before the restart. */
+    {"late,rebirth", 78, 1},
+    {ONCE_NETWORK ",crash,rebirth,return,drain,late_deregister,"
+		  "lost_deregister,unhealthy,fail,cancel," ONCE_LEADERS,
+	1, 15},
+};
+
+int
+main(void)
+{
+	return once_play(fixed_days, G_N_ELEMENTS(fixed_days));
+}
