--- a/tests/unit/test_once_restarts.c
+++ b/tests/unit/test_once_restarts.c
@@ -15,6 +15,16 @@
     {ONCE_NETWORK ",crash,rebirth,return,drain,late_deregister,"
 		  "lost_deregister,unhealthy,fail,cancel," ONCE_LEADERS,
 	1, 15},
+    /* The run is given up with the lease, and its late start is executed by an
+     * incarnation behind a cut. */
+    {ONCE_NETWORK ",crash,rebirth,return,drain,late_deregister,"
+		  "lost_deregister,unhealthy,fail,cancel," ONCE_LEADERS,
+	6774, 1},
+    /* A worker lists an earlier run of a unit that waits, and the unit is
+     * started elsewhere. */
+    {ONCE_NETWORK ",crash,rebirth,return,drain,late_deregister,"
+		  "lost_deregister,unhealthy,fail,cancel," ONCE_LEADERS,
+	6989, 1},
 };
 
 int
