--- a/review/standin/proxy.c
+++ b/review/standin/proxy.c
@@ -242,20 +242,20 @@
 	if (connection->link->mode != MODE_PASS)
 		return true;
 	if (flow->len > 0) {
-		put = send(to, flow->bytes, flow->len,
-		    MSG_DONTWAIT | MSG_NOSIGNAL);
+		put = send(
+		    to, flow->bytes, flow->len, MSG_DONTWAIT | MSG_NOSIGNAL);
 		if (put < 0)
 			return errno == EAGAIN || errno == EINTR;
-		memmove(flow->bytes, flow->bytes + put,
-		    flow->len - (size_t)put);
+		memmove(
+		    flow->bytes, flow->bytes + put, flow->len - (size_t)put);
 		flow->len -= (size_t)put;
 	}
 	if (flow->len == 0 && flow->ended && !flow->shut_sent) {
 		shutdown(to, SHUT_WR);
 		flow->shut_sent = true;
 	}
-	return !(connection->flows[0].shut_sent &&
-		 connection->flows[1].shut_sent);
+	return !(
+	    connection->flows[0].shut_sent && connection->flows[1].shut_sent);
 }
 
 static void
@@ -304,8 +304,7 @@
 int
 main(int argc, char **argv)
 {
-	if (argc < 5 || (argc - 2) % 3 != 0 ||
-	    (argc - 2) / 3 > MAX_LINKS) {
+	if (argc < 5 || (argc - 2) % 3 != 0 || (argc - 2) / 3 > MAX_LINKS) {
 		fprintf(stderr, "usage: review-proxy RULES NAME LISTEN TARGET "
 				"[NAME LISTEN TARGET]...\n");
 		return 2;
