--- a/review/lib.sh
+++ b/review/lib.sh
@@ -1,7 +1,7 @@
 # Functions of the scripts review/N/run.sh.  A script sets CASE to its folder and
 # sources this file: a small deployment as processes on loopback addresses,
-# control instances 1 to 3 and an entry instance 4 (5 where asked for), started
-# as the deploy file says, with stand-ins for backend servers and clients.
+# control instances 1 to 3 and an entry instance 4, started as the deploy file
+# says, with stand-ins for backend servers and clients.
 # Exit codes: 1 the rule was broken, 0 it held, 2 the case could not run.
 # shellcheck shell=sh
 set -u
@@ -111,7 +111,7 @@
 }
 
 # http METHOD ADDRESS PATH [BODY [HEADER...]]: prints the body; the status goes
-# to WORK/status, 000 without an answer.
+# to WORK/status, 0 without an answer.
 http() {
 	method=$1
 	url=http://$2$3
