storage: a request that the disk refuses is tried again until it is taken

Cause: after one failed request the storage thread ignored all later ones, and raft ignored every message and tick; both waited for a start of the process that nothing brought about.

Meanwhile the instance hands leadership over, neither votes nor campaigns, says so, follows the leader and passes proposals on; a spare replica gets its vote after 2 s, as for a silent one. A start syncs the newest segment and the folder, as records of a process killed between a write and its sync counted as durable.

--- a/state/raft.c
+++ b/state/raft.c
@@ -137,8 +137,6 @@
 raft_tick(raft_t *raft, int64_t now_ms)
 {
 	raft->now_ms = MAX(raft->now_ms, now_ms);
-	if (raft->failed)
-		return;
 	if (raft->state == RAFT_LEADER)
 		raft_leader_tick(raft);
 	else
@@ -188,7 +186,7 @@
 raft_receive(raft_t *raft, const raft_message_t *message, int64_t now_ms)
 {
 	raft->now_ms = MAX(raft->now_ms, now_ms);
-	if (raft->failed || message->from == NULL || message->to == NULL ||
+	if (message->from == NULL || message->to == NULL ||
 	    strcmp(message->to, raft->id) != 0 ||
 	    strcmp(message->from, raft->id) == 0)
 		return;
@@ -220,23 +218,31 @@
 }
 
 /*
- * Called when the storage can no longer make writes durable.  Steps down, and
- * neither votes nor acknowledges until the process restarts.
+ * Called when the storage refuses writes.  Steps down, and neither votes nor
+ * campaigns until raft_storage_recovered.  Goes on following a leader; what it
+ * receives is acknowledged once it is durable.
  */
 void
-raft_storage_failed(raft_t *raft, int64_t now_ms)
+raft_storage_refused(raft_t *raft, int64_t now_ms)
 {
 	raft->now_ms = MAX(raft->now_ms, now_ms);
-	if (raft->failed)
-		return;
-	raft->failed = true;
-	g_array_set_size(raft->deferred, 0);
-	raft_become_follower(raft, raft->term, "");
+	raft->storage_refuses = true;
+	if (raft->state != RAFT_FOLLOWER && raft->state != RAFT_LEARNER_STATE)
+		raft_become_follower(raft, raft->term, "");
+}
+
+/* Called when the storage takes writes again. */
+void
+raft_storage_recovered(raft_t *raft, int64_t now_ms)
+{
+	raft->now_ms = MAX(raft->now_ms, now_ms);
+	raft->storage_refuses = false;
+	raft_reset_election(raft);
 }
 
 /*
  * Appends a command to the log; sets its index and term.  -ENOTCONN: not the
- * leader; -EROFS: the storage failed; -EMSGSIZE: longer than BODY_MAX_LEN;
+ * leader; -EROFS: the storage refuses; -EMSGSIZE: longer than BODY_MAX_LEN;
  * -EAGAIN: RAFT_MAX_UNCOMMITTED entries are uncommitted.
  */
 int
@@ -248,7 +254,7 @@
 	    .kind = ENTRY_COMMAND,
 	    .data = {(u_int)len, (char *)data}};
 
-	if (raft->failed)
+	if (raft->storage_refuses)
 		return -EROFS;
 	if (raft->state != RAFT_LEADER)
 		return -ENOTCONN;
--- a/state/raft.h
+++ b/state/raft.h
@@ -71,7 +71,8 @@
 void raft_tick(raft_t *raft, int64_t now_ms);
 void raft_receive(raft_t *raft, const raft_message_t *message, int64_t now_ms);
 void raft_synced(raft_t *raft, uint64_t ticket, int64_t now_ms);
-void raft_storage_failed(raft_t *raft, int64_t now_ms);
+void raft_storage_refused(raft_t *raft, int64_t now_ms);
+void raft_storage_recovered(raft_t *raft, int64_t now_ms);
 int raft_propose(raft_t *raft, const uint8_t *data, size_t len, uint64_t *index,
     uint64_t *term);
 int raft_propose_members(raft_t *raft, const raft_members_t *members,
--- a/state/raft_election.c
+++ b/state/raft_election.c
@@ -142,7 +142,7 @@
 void
 raft_election_tick(raft_t *raft)
 {
-	if (raft->now_ms < raft->election_due_ms)
+	if (raft->now_ms < raft->election_due_ms || raft->storage_refuses)
 		return;
 	if (raft_may_lead(raft) || learner_may_campaign(raft))
 		become_pre_candidate(raft);
@@ -199,8 +199,8 @@
 	raft_message_t reply = {.kind = RAFT_VOTE_REPLY};
 	raft_deferred_reply_t deferred = {.kind = RAFT_VOTE_REPLY};
 
-	if (!may_vote(raft) || !candidate_has_disk(raft, message) ||
-	    raft->state == RAFT_LEADER ||
+	if (raft->storage_refuses || !may_vote(raft) ||
+	    !candidate_has_disk(raft, message) || raft->state == RAFT_LEADER ||
 	    raft->now_ms - raft->contact_ms < raft->election_timeout_ms)
 		return;
 	if (message->kind == RAFT_PREVOTE) {
--- a/state/raft_internal.h
+++ b/state/raft_internal.h
@@ -38,10 +38,11 @@
 	member_role_t role;
 	uint64_t disk_id;      /* from the membership; 0: not recorded */
 	uint64_t seen_disk_id; /* from its last message */
-	bool claims_vote;      /* from its last reply */
+	bool claims_vote;      /* that it votes; from its last reply */
 	bool granted;          /* vote or pre-vote in this election */
 	peer_mode_t mode;
-	uint64_t match;
+	uint64_t match;    /* durable there */
+	uint64_t received; /* there, durable or not */
 	uint64_t next;
 	bool probe_sent;
 	uint64_t snapshot_index;
@@ -86,9 +87,9 @@
 	char leader[NAME_MAX_LEN + 1];
 	int64_t now_ms;
 	int64_t election_due_ms;
-	int64_t contact_ms;    /* last message from a leader of any term */
-	bool heard_leader;     /* the leader of the current term is known */
-	bool failed;           /* the storage failed */
+	int64_t contact_ms; /* last message from a leader of any term */
+	bool heard_leader;  /* the leader of the current term is known */
+	bool storage_refuses;
 	uint64_t vote_attempt; /* echoed in replies; rejects late pre-votes */
 
 	/* The log after base_index. */
--- a/state/raft_log.c
+++ b/state/raft_log.c
@@ -123,7 +123,7 @@
 void
 raft_persist_vote(raft_t *raft)
 {
-	if (raft->disk_id == 0 || raft->failed)
+	if (raft->disk_id == 0)
 		return;
 	raft->callbacks.save_vote(raft->ctx, raft->term, raft->vote);
 	raft->write_seq++;
@@ -141,7 +141,7 @@
 			continue;
 		}
 		g_array_remove_index(raft->deferred, i);
-		if (deferred.term == raft->term && !raft->failed) {
+		if (deferred.term == raft->term) {
 			raft_message_t message = {.kind = deferred.kind,
 			    .round = deferred.round,
 			    .success = true};
@@ -171,8 +171,6 @@
 void
 raft_flush(raft_t *raft)
 {
-	if (raft->failed)
-		return;
 	/* A repeated vote is already durable and waits for no sync. */
 	send_deferred_replies(raft);
 	if (raft->disk_id == 0) {
@@ -195,7 +193,7 @@
 raft_synced(raft_t *raft, uint64_t ticket, int64_t now_ms)
 {
 	raft->now_ms = MAX(raft->now_ms, now_ms);
-	if (raft->failed || raft->sync_seq == 0 || ticket != raft->sync_seq)
+	if (raft->sync_seq == 0 || ticket != raft->sync_seq)
 		return;
 	raft->durable_seq = raft->sync_seq;
 	raft->durable_index = MAX(raft->durable_index, raft->sync_index);
--- a/state/raft_members.c
+++ b/state/raft_members.c
@@ -372,7 +372,7 @@
 /*
  * Proposes a complete new membership, which must differ from the current one in
  * exactly one member.  A voter's disk id 0 stands for the disk it has now.
- * -ENOTCONN: not the leader; -EROFS: the storage failed; -EBUSY: a change or
+ * -ENOTCONN: not the leader; -EROFS: the storage refuses; -EBUSY: a change or
  * this term's no-op is not committed, or the disk of an initial voter is not
  * known yet; -EAGAIN: the new voter has not caught up, or too few voters are in
  * contact; -EINVAL: not a single valid change.
@@ -387,7 +387,7 @@
 	int voters = 0;
 	int code = 0;
 
-	if (raft->failed)
+	if (raft->storage_refuses)
 		return -EROFS;
 	if (raft->state != RAFT_LEADER)
 		return -ENOTCONN;
--- a/state/raft_replication.c
+++ b/state/raft_replication.c
@@ -12,9 +12,10 @@
 	if (message->term == 0)
 		message->term = raft->term;
 	message->disk_id = raft->disk_id;
-	/* In all other messages last_chunk means that the sender is a voter. */
+	/* In all other messages last_chunk means that the sender votes. */
 	if (message->kind != RAFT_SNAPSHOT)
-		message->last_chunk = raft_is_voter(raft);
+		message->last_chunk =
+		    raft_is_voter(raft) && !raft->storage_refuses;
 	raft->callbacks.send(raft->ctx, message);
 }
 
@@ -102,6 +103,19 @@
 	return n;
 }
 
+/*
+ * The last entry after which a partial batch may be sent: the last durable one,
+ * so that a sync covers many entries; from a voter whose storage refuses
+ * writes, the last received one, so that it goes on applying what is committed.
+ */
+static uint64_t
+batch_base(const raft_peer_t *peer)
+{
+	if (peer->role == MEMBER_VOTER && !peer->claims_vote)
+		return MAX(peer->match, peer->received);
+	return peer->match;
+}
+
 static void
 send_pipelined(raft_t *raft, raft_peer_t *peer)
 {
@@ -111,10 +125,9 @@
 		uint64_t waiting = raft_log_last(raft) + 1 - peer->next;
 		uint64_t in_flight = peer->next - 1 - peer->match;
 
-		/* A partial batch waits until nothing is in flight. */
-		if (waiting == 0 ||
-		    (in_flight > 0 && waiting < raft->max_batch) ||
-		    in_flight >= window)
+		if (waiting == 0 || in_flight >= window ||
+		    (waiting < raft->max_batch &&
+			peer->next - 1 > batch_base(peer)))
 			return;
 		peer->next += send_append(raft, peer, true);
 	}
@@ -209,6 +222,7 @@
 		peer->mode = PEER_PROBE;
 		peer->probe_sent = false;
 		peer->match = 0;
+		peer->received = 0;
 		peer->next = entry.index;
 		peer->acked_round = 0;
 		peer->sent_commit = 0;
@@ -317,6 +331,7 @@
 	peer->acked_round = MAX(peer->acked_round, message->round);
 	if (message->success) {
 		peer->match = MAX(peer->match, message->index);
+		peer->received = message->commit;
 		if (peer->mode == PEER_PROBE ||
 		    (peer->mode == PEER_SNAPSHOT &&
 			message->commit >= peer->snapshot_index)) {
@@ -357,12 +372,12 @@
 
 /*
  * Starts a linearizable read.  -ENOTCONN: not the leader; -EROFS: the storage
- * failed; -EAGAIN: the no-op of this term is not committed yet.
+ * refuses; -EAGAIN: the no-op of this term is not committed yet.
  */
 int
 raft_read_begin(raft_t *raft, uint64_t *ticket)
 {
-	if (raft->failed)
+	if (raft->storage_refuses)
 		return -EROFS;
 	if (raft->state != RAFT_LEADER)
 		return -ENOTCONN;
--- a/state/replica.c
+++ b/state/replica.c
@@ -350,6 +350,8 @@
 		"snapshots that had to wait for descriptors or space");
 	replica->snapshots_received = counter_get(
 	    "replica_snapshots_received_total", "snapshots received");
+	replica->storage_refuses = gauge_get("replica_storage_refuses",
+	    "1 while the disk refuses writes and this instance cannot vote");
 	replica->snapshot_time = histogram_get(
 	    "replica_snapshot_seconds", "time to serialize the state machine");
 	return replica;
@@ -441,6 +443,8 @@
 	peer_state->disk_id = message->disk_id;
 	if (message->kind != RAFT_SNAPSHOT)
 		peer_state->claims_vote = message->last_chunk;
+	if (peer_state->claims_vote)
+		peer_state->voting_ms = clock_mono_ms();
 	if (from_leader && !replica->has_first_commit &&
 	    message->term >= raft_term(replica->raft)) {
 		replica->has_first_commit = true;
--- a/state/replica_members.c
+++ b/state/replica_members.c
@@ -297,17 +297,29 @@
 	       disk != 0 && disk != member->disk_id;
 }
 
+/*
+ * Whether a voter has neither voted nor acknowledged for LOST_AFTER_MS: it is
+ * silent, or says that its storage refuses writes.
+ */
 static bool
-is_silent(const replica_t *replica, const char *id, int64_t now_ms)
+is_absent(replica_t *replica, const raft_member_t *member, int64_t now_ms)
 {
-	return strcmp(id, replica->settings->instance) != 0 &&
-	       raft_member_silent_ms(replica->raft, id, now_ms) >=
-		   LOST_AFTER_MS;
+	const peer_state_t *peer_state =
+	    replica_peer_state(replica, member->id);
+	int64_t since_ms = MAX(peer_state->voting_ms, replica->leader_since_ms);
+
+	if (strcmp(member->id, replica->settings->instance) == 0)
+		return false;
+	if (raft_member_silent_ms(replica->raft, member->id, now_ms) >=
+	    LOST_AFTER_MS)
+		return true;
+	/* A voter without a recorded disk may be one that never voted. */
+	return member->disk_id != 0 && now_ms - since_ms >= LOST_AFTER_MS;
 }
 
-/* Counts the voters, and those of them that are in contact. */
+/* Counts the voters, and those of them that are not absent. */
 static void
-count_voters(const replica_t *replica, int64_t now_ms, int *all, int *present)
+count_voters(replica_t *replica, int64_t now_ms, int *all, int *present)
 {
 	const raft_members_t *members = raft_members(replica->raft);
 
@@ -319,16 +331,16 @@
 		if (member->role != MEMBER_VOTER)
 			continue;
 		(*all)++;
-		*present += !is_silent(replica, member->id, now_ms);
+		*present += !is_absent(replica, member, now_ms);
 	}
 }
 
 /*
  * Whether a spare replica may become a voter: there are too few voters, or one
- * of them is silent and needs a substitute.
+ * of them is absent and needs a substitute.
  */
 static bool
-can_add_voter(const replica_t *replica, int64_t now_ms)
+can_add_voter(replica_t *replica, int64_t now_ms)
 {
 	int wanted = (int)replica->settings->voters;
 	int all;
@@ -340,10 +352,10 @@
 	return all < wanted || (all == wanted && present < wanted);
 }
 
-/* Whether there are more voters than configured and this one is silent. */
+/* Whether there are more voters than configured and this one is absent. */
 static bool
 is_surplus_voter(
-    const replica_t *replica, const raft_member_t *member, int64_t now_ms)
+    replica_t *replica, const raft_member_t *member, int64_t now_ms)
 {
 	int wanted = (int)replica->settings->voters;
 	int all;
@@ -352,7 +364,7 @@
 	if (wanted == 0)
 		return false;
 	count_voters(replica, now_ms, &all, &present);
-	return all > wanted && is_silent(replica, member->id, now_ms);
+	return all > wanted && is_absent(replica, member, now_ms);
 }
 
 /*
@@ -556,6 +568,7 @@
 	silent_ms = raft_member_silent_ms(raft, id, now_ms);
 	/* Until a member answers, its silence counts from the election. */
 	return peer_state != NULL && peer_state->disk_id == member->disk_id &&
+	       (peer_state->claims_vote || member->disk_id == 0) &&
 	       silent_ms < LOST_AFTER_MS &&
 	       silent_ms < now_ms - replica->leader_since_ms &&
 	       raft_member_match(raft, id) + MAX_LAG_ENTRIES >=
--- a/state/replica_private.h
+++ b/state/replica_private.h
@@ -38,6 +38,7 @@
 typedef struct {
 	uint64_t disk_id;
 	bool claims_vote;
+	int64_t voting_ms;         /* last message that claims a vote */
 	int64_t empty_reply_ms;    /* last reply that it has no log or leader */
 	bool has_change_in_flight; /* a COMMAND_INSTANCE about it */
 	bool replace_wanted;
@@ -78,7 +79,7 @@
 	bool snapshot_load_failed; /* nothing more is applied */
 
 	storage_t *storage; /* NULL without a disk */
-	int storage_code;   /* why the storage failed, or 0 */
+	int storage_code;   /* why the storage refuses writes, or 0 */
 	GBytes *snapshot;   /* newest one; NULL without a disk */
 	uint64_t snapshot_index;
 	uint64_t snapshot_term;
@@ -115,6 +116,7 @@
 	counter_t *snapshots;
 	counter_t *snapshots_postponed;
 	counter_t *snapshots_received;
+	counter_t *storage_refuses;
 	histogram_t *snapshot_time;
 };
 
--- a/state/replica_proposals.c
+++ b/state/replica_proposals.c
@@ -265,10 +265,9 @@
 	} else if (proposal->command->len > BODY_MAX_LEN) {
 		fail_proposal(
 		    replica, proposal, -EMSGSIZE, "command is too long");
-	} else if (replica->storage_code != 0) {
-		/* Raft stays inactive until the next start. */
-		give_up(
-		    replica, proposal, "the storage of this instance failed");
+	} else if (replica->storage_code != 0 && leader[0] == '\0') {
+		give_up(replica, proposal,
+		    "the storage of this instance refuses writes");
 	} else if (is_from_earlier_term(replica, proposal)) {
 		give_up(replica, proposal,
 		    "this instance no longer leads the term");
--- a/state/replica_storage.c
+++ b/state/replica_storage.c
@@ -210,11 +210,19 @@
 	case STORAGE_SNAPSHOT_POSTPONED:
 		snapshot_postponed(replica, event);
 		break;
-	case STORAGE_FAILED:
+	case STORAGE_REFUSED:
 		log_err(LOG_CRIT, &event->err);
 		replica->storage_code =
 		    event->err.code == -ENOSPC ? -ENOSPC : -EROFS;
-		raft_storage_failed(replica->raft, now_ms);
+		counter_set(replica->storage_refuses, 1);
+		raft_storage_refused(replica->raft, now_ms);
+		break;
+	case STORAGE_RECOVERED:
+		log_line(LOG_NOTICE, "storage: %s takes writes again",
+		    replica->settings->data_folder);
+		replica->storage_code = 0;
+		counter_set(replica->storage_refuses, 0);
+		raft_storage_recovered(replica->raft, now_ms);
 		break;
 	}
 	replica_deliver(replica);
--- a/state/storage.c
+++ b/state/storage.c
@@ -7,6 +7,9 @@
 #include "common/log.h"
 #include "common/task.h"
 
+/* Interval of tries while the disk refuses a request. */
+#define RETRY_MS 100
+
 typedef enum {
 	REQUEST_VOTE,
 	REQUEST_APPEND,
@@ -34,8 +37,10 @@
 	task_t *events;       /* on the owner's loop */
 	storage_handler_t *handler;
 	void *ctx;
-	bool failed; /* used by the thread only */
+	gint stopping;    /* atomic */
+	bool is_refusing; /* used by the thread only */
 	counter_t *syncs;
+	counter_t *refused;
 };
 
 /* Copies a membership; the caller frees it with storage_members_clear. */
@@ -118,31 +123,57 @@
 	return 0;
 }
 
+/*
+ * Carries a request out, again and again while the disk refuses it: a later
+ * sync must not report as durable what an earlier request failed to write.
+ * Returns -EAGAIN for a snapshot that was postponed, -ECANCELED if the storage
+ * is stopped meanwhile.
+ */
+static int
+persist(storage_t *storage, request_kind_t kind, const request_t *request,
+    err_t *err)
+{
+	storage_event_t event = {.kind = STORAGE_REFUSED};
+	int code;
+
+	while ((code = execute_request(storage, kind, request, err)) != 0) {
+		if (code == -EAGAIN && kind == REQUEST_SNAPSHOT)
+			return code;
+		/* The request contradicts the log; the disk knows better. */
+		if (code == -EINVAL)
+			g_error("storage: %s: %s", err->step, err->text);
+		counter_add(storage->refused, 1);
+		if (!storage->is_refusing) {
+			storage->is_refusing = true;
+			event.err = *err;
+			post_event(storage, &event);
+		}
+		if (g_atomic_int_get(&storage->stopping))
+			return -ECANCELED;
+		g_usleep(RETRY_MS * G_TIME_SPAN_MILLISECOND);
+	}
+	if (storage->is_refusing && kind != REQUEST_STOP) {
+		storage->is_refusing = false;
+		event.kind = STORAGE_RECOVERED;
+		post_event(storage, &event);
+	}
+	return 0;
+}
+
 static void
 on_request(void *ctx, task_message_t *message)
 {
 	storage_t *storage = ctx;
 	const request_t *request = message->body;
-	storage_event_t event = {.kind = STORAGE_FAILED};
-	int code;
+	storage_event_t event = {0};
+	int code = persist(storage, message->kind, request, &event.err);
 
-	if (storage->failed && message->kind != REQUEST_STOP)
-		return;
-	code = execute_request(storage, message->kind, request, &event.err);
-	if (code == -EAGAIN && message->kind == REQUEST_SNAPSHOT) {
+	if (code == -EAGAIN) {
 		event.kind = STORAGE_SNAPSHOT_POSTPONED;
 		post_event(storage, &event);
-		return;
 	}
-	if (code != 0) {
-		/*
-		 * A later sync must not report as durable what this request
-		 * failed to write.
-		 */
-		storage->failed = true;
-		post_event(storage, &event);
+	if (code != 0)
 		return;
-	}
 	if (message->kind == REQUEST_SYNC) {
 		event.kind = STORAGE_SYNCED;
 		event.ticket = request->ticket;
@@ -186,6 +217,8 @@
 	storage->ctx = ctx;
 	storage->syncs =
 	    counter_get("storage_syncs_total", "syncs of the replica's log");
+	storage->refused = counter_get("storage_refused_total",
+	    "requests that the disk refused, each try counted");
 	storage->loop = ev_loop_new(EVFLAG_AUTO);
 	storage->requests =
 	    task_create(storage->loop, "storage", on_request, storage);
@@ -201,12 +234,16 @@
 	task_post(storage->requests, (int)kind, request, request_free);
 }
 
-/* Completes all pending requests, ends the thread and closes the wal. */
+/*
+ * Completes all pending requests, except those that the disk refuses, ends the
+ * thread and closes the wal.
+ */
 void
 storage_stop(storage_t *storage)
 {
 	if (storage == NULL)
 		return;
+	g_atomic_int_set(&storage->stopping, 1);
 	post_request(storage, REQUEST_STOP, g_new0(request_t, 1));
 	g_thread_join(storage->thread);
 	task_destroy(storage->requests);
--- a/state/storage.h
+++ b/state/storage.h
@@ -15,7 +15,8 @@
 	STORAGE_SYNCED,
 	STORAGE_SNAPSHOT_SAVED,
 	STORAGE_SNAPSHOT_POSTPONED, /* the log goes on without it */
-	STORAGE_FAILED,             /* all later requests are ignored */
+	STORAGE_REFUSED,   /* requests wait until the disk takes them */
+	STORAGE_RECOVERED, /* after STORAGE_REFUSED */
 } storage_event_kind_t;
 
 typedef struct {
@@ -23,7 +24,7 @@
 	uint64_t ticket; /* STORAGE_SYNCED */
 	uint64_t index;  /* STORAGE_SNAPSHOT_SAVED */
 	uint64_t term;
-	err_t err; /* STORAGE_FAILED, STORAGE_SNAPSHOT_POSTPONED */
+	err_t err; /* STORAGE_REFUSED, STORAGE_SNAPSHOT_POSTPONED */
 } storage_event_t;
 
 typedef void storage_handler_t(void *ctx, const storage_event_t *event);
--- a/state/wal.c
+++ b/state/wal.c
@@ -16,25 +16,6 @@
  */
 #define ROTATE_FRACTION 8
 
-/* Records the first failure, after which the folder is unusable. */
-static int
-record_failure(wal_t *wal, int code)
-{
-	if (code < 0 && wal->failed == 0)
-		wal->failed = code;
-	return code;
-}
-
-/* Fails if an earlier failure made the folder unusable. */
-static int
-check_usable(const wal_t *wal, err_t *err)
-{
-	if (wal->failed == 0)
-		return 0;
-	return err_set(err, wal->failed, "storage", NULL,
-	    "%s: unusable after an earlier failure", wal->folder);
-}
-
 static int
 create_folder(const char *folder, err_t *err)
 {
@@ -275,37 +256,38 @@
 int
 wal_save_vote(wal_t *wal, uint64_t term, const char *vote, err_t *err)
 {
-	int code = check_usable(wal, err);
+	int code;
 
-	if (code < 0)
-		return code;
 	if (strlen(vote) > NAME_MAX_LEN)
 		return err_set(err, -EINVAL, "vote", NULL, "name is too long");
+	code = wal_repair(wal, err);
+	if (code < 0)
+		return code;
 	wal->vote.term = term;
 	memset(wal->vote.vote, 0, sizeof(wal->vote.vote));
 	g_strlcpy(wal->vote.vote, vote, sizeof(wal->vote.vote));
 	wal->vote.synced_index =
 	    MIN(wal->written_index, wal->synced_index_limit);
-	return record_failure(wal, wal_write_vote(wal, err));
+	return wal_write_vote(wal, err);
 }
 
 /* Adds an entry after the last one; durable after wal_sync. */
 int
 wal_append(wal_t *wal, const raft_entry_t *entry, err_t *err)
 {
-	int code = check_usable(wal, err);
 	uint64_t term = entry->term;
+	int code = 0;
 
-	if (code < 0)
-		return code;
 	if (entry->index != wal_last_index(wal) + 1)
 		return err_set(err, -EINVAL, "append", NULL,
 		    "entry %" PRIu64 " does not follow %" PRIu64,
 		    (uint64_t)entry->index, wal_last_index(wal));
+	if (wal->buffer->len >= WAL_BUFFER_BYTES)
+		code = wal_sync(wal, err);
+	if (code < 0)
+		return code;
 	wal_encode_entry(wal->buffer, entry);
 	g_array_append_val(wal->terms, term);
-	if (wal->buffer->len >= WAL_BUFFER_BYTES)
-		return record_failure(wal, wal_segment_write(wal, err));
 	return 0;
 }
 
@@ -313,19 +295,20 @@
 int
 wal_truncate(wal_t *wal, uint64_t from_index, err_t *err)
 {
-	int code = check_usable(wal, err);
+	int code;
 
-	if (code < 0 || from_index > wal_last_index(wal))
-		return code;
+	if (from_index > wal_last_index(wal))
+		return 0;
 	if (from_index < wal->first_index)
 		return err_set(err, -EINVAL, "truncate", NULL,
 		    "entry %" PRIu64 " is covered by the snapshot", from_index);
-	if (from_index <= wal->vote.synced_index) {
+	code = wal_repair(wal, err);
+	if (code == 0 && from_index <= wal->vote.synced_index) {
 		wal->vote.synced_index = from_index - 1;
 		code = wal_write_vote(wal, err);
-		if (code < 0)
-			return record_failure(wal, code);
 	}
+	if (code < 0)
+		return code;
 	wal->synced_index_limit = MIN(wal->synced_index_limit, from_index - 1);
 	wal_encode_truncation(wal->buffer, from_index);
 	g_array_set_size(wal->terms, (guint)(from_index - wal->first_index));
@@ -336,16 +319,14 @@
 int
 wal_sync(wal_t *wal, err_t *err)
 {
-	int code = check_usable(wal, err);
+	int code = wal_repair(wal, err);
 
-	if (code < 0)
-		return code;
-	return record_failure(wal, wal_segment_write(wal, err));
+	return code < 0 ? code : wal_segment_write(wal, err);
 }
 
 /* Removes the segments whose entries are all in the snapshot. */
-static int
-remove_covered(wal_t *wal, err_t *err)
+static void
+remove_covered(wal_t *wal)
 {
 	uint64_t keep_from = 0;
 
@@ -356,7 +337,7 @@
 		if (info->start_index <= wal->snapshot_index)
 			keep_from = info->sequence;
 	}
-	return wal_segments_remove(wal, keep_from, err);
+	wal_segments_remove(wal, keep_from);
 }
 
 /* Drops the entries up to a snapshot whose last entry is in the log. */
@@ -367,40 +348,51 @@
 	    MIN(wal->snapshot_index + 1 - wal->first_index, wal->terms->len);
 	const wal_segment_info_t *newest = &g_array_index(
 	    wal->segments, wal_segment_info_t, wal->segments->len - 1);
-	int code = 0;
 
 	if (drop > 0)
 		g_array_remove_range(wal->terms, 0, (guint)drop);
 	wal->first_index = wal->snapshot_index + 1;
-	if (newest->size > wal_segment_bytes / ROTATE_FRACTION)
-		code = wal_segment_create(
-		    wal, false, wal->written_index, wal->written_term, err);
-	return code < 0 ? code : remove_covered(wal, err);
+	if (newest->size <= wal_segment_bytes / ROTATE_FRACTION)
+		return 0;
+	return wal_segment_create(
+	    wal, false, wal->written_index, wal->written_term, err);
 }
 
 /* Discards the log, which conflicts with the snapshot or ends before it. */
 static int
 discard_log(wal_t *wal, err_t *err)
 {
-	int code;
-
 	g_byte_array_set_size(wal->buffer, 0);
 	wal->synced_index_limit = UINT64_MAX;
 	g_array_set_size(wal->terms, 0);
 	wal->first_index = wal->snapshot_index + 1;
-	code = wal_segment_create(
+	return wal_segment_create(
 	    wal, true, wal->snapshot_index, wal->snapshot_term, err);
-	if (code < 0)
-		return code;
-	return wal_segments_remove(wal, wal->vote.newest_segment, err);
 }
 
-/* Whether a resource that may be free again later was missing. */
-static bool
-is_shortage(int code)
+/* Writes the snapshot file and drops the entries that it covers. */
+static int
+replace_snapshot(wal_t *wal, bool in_log, uint64_t index, uint64_t term,
+    const raft_members_t *members, const uint8_t *data, size_t len, err_t *err)
 {
-	return code == -EMFILE || code == -ENFILE || code == -ENOMEM ||
-	       code == -ENOSPC;
+	int code = 0;
+
+	/*
+	 * Lowered before the log gets shorter: a crash in between must not
+	 * look like a loss.
+	 */
+	if (!in_log && index < wal->vote.synced_index) {
+		wal->vote.synced_index = index;
+		code = wal_write_vote(wal, err);
+	}
+	if (code == 0)
+		code = wal_write_snapshot(
+		    wal, index, term, members, data, len, err);
+	if (code < 0)
+		return in_log ? -EAGAIN : code;
+	wal->snapshot_index = index;
+	wal->snapshot_term = term;
+	return in_log ? compact_log(wal, err) : discard_log(wal, err);
 }
 
 /*
@@ -408,8 +400,8 @@
  * that it covers.  If the log does not contain the snapshot's last entry, as
  * with a snapshot received from the leader, the whole log is discarded.
  *
- * Returns -EAGAIN if descriptors, memory or space are missing for a snapshot
- * whose entries are in the log: the log is as before and stays usable.
+ * Returns -EAGAIN if a snapshot whose entries are in the log cannot be written:
+ * the log is as before and stays usable.
  */
 int
 wal_save_snapshot(wal_t *wal, uint64_t index, uint64_t term,
@@ -417,33 +409,21 @@
 {
 	uint64_t own_term = 0;
 	bool in_log = wal_term_at(wal, index, &own_term) && own_term == term;
-	int code = check_usable(wal, err);
+	bool written =
+	    index == wal->snapshot_index && term == wal->snapshot_term;
+	int code;
 
-	if (code < 0)
-		return code;
-	if (index <= wal->snapshot_index)
+	if (index <= wal->snapshot_index && !written)
 		return err_set(err, -EINVAL, "snapshot", NULL,
 		    "index %" PRIu64 " is not after %" PRIu64, index,
 		    wal->snapshot_index);
-	/*
-	 * Lowered before the log gets shorter: a crash in between must not
-	 * look like a loss.
-	 */
-	if (!in_log && index < wal->vote.synced_index) {
-		wal->vote.synced_index = index;
-		code = wal_write_vote(wal, err);
-	}
+	code = wal_repair(wal, err);
+	if (code == 0 && !written)
+		code = replace_snapshot(
+		    wal, in_log, index, term, members, data, len, err);
 	if (code == 0)
-		code = wal_write_snapshot(
-		    wal, index, term, members, data, len, err);
-	if (in_log && is_shortage(code))
-		return -EAGAIN;
-	if (code == 0) {
-		wal->snapshot_index = index;
-		wal->snapshot_term = term;
-		code = in_log ? compact_log(wal, err) : discard_log(wal, err);
-	}
-	return record_failure(wal, code);
+		remove_covered(wal);
+	return code;
 }
 
 /* Reads the snapshot back; *index is 0 when there is none. */
--- a/state/wal_file.c
+++ b/state/wal_file.c
@@ -15,7 +15,26 @@
 #define SNAPSHOT_MAGIC 0x4e574843u /* "CHWN" */
 #define NUMBER_BYTES sizeof(uint64_t)
 
-wal_ops_t wal_ops = {.write = write, .sync = fdatasync, .sync_folder = fsync};
+static int
+create_file(int folder, const char *name)
+{
+	return openat(folder, name,
+	    O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
+}
+
+static int
+rename_file(int folder, const char *from, const char *to)
+{
+	return renameat(folder, from, folder, to);
+}
+
+wal_ops_t wal_ops = {
+    .create = create_file,
+    .rename = rename_file,
+    .write = write,
+    .sync = fdatasync,
+    .sync_folder = fsync,
+};
 
 /* Makes names created, renamed or removed in the folder durable. */
 int
@@ -64,8 +83,7 @@
 	int fd;
 
 	snprintf(temporary, sizeof(temporary), "%s.tmp", name);
-	fd = openat(wal->folder_fd, temporary,
-	    O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+	fd = wal_ops.create(wal->folder_fd, temporary);
 	if (fd < 0)
 		return err_set(err, -errno, "create", NULL, "%s/%s: %s",
 		    wal->folder, temporary, strerror(errno));
@@ -82,7 +100,7 @@
 		unlinkat(wal->folder_fd, temporary, 0);
 		return code;
 	}
-	if (renameat(wal->folder_fd, temporary, wal->folder_fd, name) < 0)
+	if (wal_ops.rename(wal->folder_fd, temporary, name) < 0)
 		return err_set(err, -errno, "rename", NULL, "%s/%s: %s",
 		    wal->folder, name, strerror(errno));
 	return wal_sync_folder(wal, err);
@@ -203,13 +221,14 @@
 	return code;
 }
 
-/* Writes the vote file from wal->vote. */
+/* Writes the vote file from wal->vote; wal_repair tries again. */
 int
 wal_write_vote(wal_t *wal, err_t *err)
 {
 	GByteArray *out = g_byte_array_new();
 	int code;
 
+	wal->vote_differs = true;
 	put_u64(out, VOTE_MAGIC);
 	put_u64(out, wal->vote.term);
 	put_u64(out, wal->vote.newest_segment);
@@ -218,6 +237,7 @@
 	    out, (const guint8 *)wal->vote.vote, sizeof(wal->vote.vote));
 	put_u64(out, XXH64(out->data, out->len, 0));
 	code = wal_replace_file(wal, "vote", out, NULL, 0, err);
+	wal->vote_differs = code < 0;
 	g_byte_array_unref(out);
 	return code;
 }
--- a/state/wal_internal.h
+++ b/state/wal_internal.h
@@ -4,8 +4,13 @@
 
 #include "state/wal.h"
 
-/* The system calls that make data durable; tests replace them. */
+/*
+ * The system calls that make data durable; tests replace them.  The names are
+ * relative to the folder fd.
+ */
 typedef struct {
+	int (*create)(int folder, const char *name); /* empty, to append to */
+	int (*rename)(int folder, const char *from, const char *to);
 	ssize_t (*write)(int fd, const void *data, size_t len);
 	int (*sync)(int fd);        /* data and size of a file */
 	int (*sync_folder)(int fd); /* names; fdatasync may skip them */
@@ -69,10 +74,19 @@
 	char *folder;
 	int folder_fd;
 	int lock_fd;
-	int failed; /* negative errno of the first failure */
 	uint64_t disk_id;
 	wal_vote_t vote;
 
+	/* What a refused request has left to do, see wal_repair. */
+	bool vote_differs; /* from the vote file */
+	bool tail_unknown; /* bytes may follow the newest segment's size */
+	struct {
+		bool due;
+		bool reset;
+		uint64_t start_index;
+		uint64_t start_term;
+	} next_segment;
+
 	uint64_t snapshot_index;
 	uint64_t snapshot_term;
 	uint64_t snapshot_size;
@@ -118,7 +132,8 @@
 int wal_segment_create(wal_t *wal, bool reset, uint64_t start_index,
     uint64_t start_term, err_t *err);
 int wal_segment_write(wal_t *wal, err_t *err);
-int wal_segments_remove(wal_t *wal, uint64_t before, err_t *err);
+int wal_repair(wal_t *wal, err_t *err);
+void wal_segments_remove(wal_t *wal, uint64_t before);
 uint64_t wal_last_index(const wal_t *wal);
 bool wal_term_at(const wal_t *wal, uint64_t index, uint64_t *term);
 void wal_encode_entry(GByteArray *out, const raft_entry_t *entry);
--- a/state/wal_replay.c
+++ b/state/wal_replay.c
@@ -418,6 +418,24 @@
 	return 0;
 }
 
+/*
+ * Opens the newest segment.  Syncs it: a process that was killed between a
+ * write and its sync left records that are read back, and would otherwise count
+ * as durable.
+ */
+static int
+open_newest(wal_t *wal, const char *name, err_t *err)
+{
+	wal->fd = openat(wal->folder_fd, name, O_RDWR | O_APPEND | O_CLOEXEC);
+	if (wal->fd < 0)
+		return err_set(err, -errno, "open", NULL, "%s/%s: %s",
+		    wal->folder, name, strerror(errno));
+	if (wal_ops.sync(wal->fd) < 0)
+		return err_set(err, -errno, "sync", NULL, "%s/%s: %s",
+		    wal->folder, name, strerror(errno));
+	return wal_sync_folder(wal, err);
+}
+
 /*
  * Reads the log from the segment files and removes those that are no longer
  * needed.  Fills wal->segments and wal->last_header_sum and opens the newest
@@ -445,12 +463,7 @@
 			const segment_file_t *file =
 			    g_ptr_array_index(files, files->len - 1);
 
-			wal->fd = openat(wal->folder_fd, file->name,
-			    O_RDWR | O_APPEND | O_CLOEXEC);
-			if (wal->fd < 0)
-				code = err_set(err, -errno, "open", NULL,
-				    "%s/%s: %s", wal->folder, file->name,
-				    strerror(errno));
+			code = open_newest(wal, file->name, err);
 		}
 		for (guint i = 0; code == 0 && i < start; i++) {
 			const segment_file_t *file =
--- a/state/wal_segment.c
+++ b/state/wal_segment.c
@@ -7,6 +7,8 @@
 #include <unistd.h>
 #include <xxhash.h>
 
+#include "common/log.h"
+
 uint64_t wal_segment_bytes = 8 * 1024 * 1024;
 
 char *
@@ -96,14 +98,13 @@
 	    wal->segments, wal_segment_info_t, wal->segments->len - 1);
 }
 
-/*
- * Creates the next segment and records it in the vote file, so that its loss is
- * detected.  With reset, earlier segments are ignored when the log is read.
- */
-int
-wal_segment_create(wal_t *wal, bool reset, uint64_t start_index,
-    uint64_t start_term, err_t *err)
+/* Creates the segment that is due and records it in the vote file. */
+static int
+create_next(wal_t *wal, err_t *err)
 {
+	bool reset = wal->next_segment.reset;
+	uint64_t start_index = wal->next_segment.start_index;
+	uint64_t start_term = wal->next_segment.start_term;
 	wal_segment_info_t info = {.start_index = start_index};
 	wal_segment_header_t header = {
 	    .magic = GUINT32_TO_LE(WAL_SEGMENT_MAGIC)};
@@ -122,8 +123,7 @@
 	    GUINT64_TO_LE(reset ? 0 : wal->last_header_sum);
 	header.header_sum = GUINT64_TO_LE(wal_segment_header_sum(&header));
 	name = wal_segment_name(info.sequence);
-	fd = openat(wal->folder_fd, name,
-	    O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
+	fd = wal_ops.create(wal->folder_fd, name);
 	if (fd < 0) {
 		code = err_set(err, -errno, "create", NULL, "%s/%s: %s",
 		    wal->folder, name, strerror(errno));
@@ -144,6 +144,7 @@
 	if (wal->fd >= 0)
 		close(wal->fd);
 	wal->fd = fd;
+	wal->next_segment.due = false;
 	wal->last_header_sum = GUINT64_FROM_LE(header.header_sum);
 	wal->written_index = start_index;
 	wal->written_term = start_term;
@@ -153,9 +154,61 @@
 	return wal_write_vote(wal, err);
 }
 
+/*
+ * Creates the next segment and records it in the vote file, so that its loss is
+ * detected.  With reset, earlier segments are ignored when the log is read.  If
+ * that is refused, wal_repair tries again.
+ */
+int
+wal_segment_create(wal_t *wal, bool reset, uint64_t start_index,
+    uint64_t start_term, err_t *err)
+{
+	wal->next_segment.due = true;
+	wal->next_segment.reset = reset;
+	wal->next_segment.start_index = start_index;
+	wal->next_segment.start_term = start_term;
+	return create_next(wal, err);
+}
+
+/*
+ * Cuts what a refused write or sync may have left after the last record.  The
+ * record is written again as a whole: after a failed sync the kernel may have
+ * dropped its pages, and a second sync would report success without them.
+ */
+static int
+cut_tail(wal_t *wal, err_t *err)
+{
+	off_t size = (off_t)newest(wal)->size;
+
+	if (ftruncate(wal->fd, size) < 0 || wal_ops.sync(wal->fd) < 0)
+		return err_set(err, -errno, "cut", NULL, "%s: %s", wal->folder,
+		    strerror(errno));
+	wal->tail_unknown = false;
+	return 0;
+}
+
+/*
+ * Completes what an earlier request, refused by the disk, has left half done.
+ * Called before every request, so that each may be tried again until the disk
+ * takes it.
+ */
+int
+wal_repair(wal_t *wal, err_t *err)
+{
+	int code = 0;
+
+	if (wal->tail_unknown)
+		code = cut_tail(wal, err);
+	if (code == 0 && wal->next_segment.due)
+		code = create_next(wal, err);
+	if (code == 0 && wal->vote_differs)
+		code = wal_write_vote(wal, err);
+	return code;
+}
+
 /*
  * Writes the buffer as one record and syncs it.  Starts a new segment when this
- * one has reached its size limit.
+ * one has reached its size limit.  If a call is refused, the buffer is kept.
  */
 int
 wal_segment_write(wal_t *wal, err_t *err)
@@ -168,25 +221,31 @@
 
 	if (wal->buffer->len == 0)
 		return 0;
-	g_byte_array_append(wal->buffer, (guint8 *)&end, sizeof(end));
-	record.len = GUINT32_TO_LE(wal->buffer->len);
+	record.len = GUINT32_TO_LE(wal->buffer->len + (guint)sizeof(end));
 	record.prev_header_sum = GUINT64_TO_LE(wal->last_header_sum);
-	record.payload_sum =
-	    GUINT64_TO_LE(XXH64(wal->buffer->data, wal->buffer->len, 0));
-	record.header_sum = GUINT64_TO_LE(wal_record_header_sum(&record));
-	out = g_byte_array_sized_new((guint)sizeof(record) + wal->buffer->len);
-	g_byte_array_append(out, (guint8 *)&record, sizeof(record));
+	out = g_byte_array_sized_new(
+	    (guint)(sizeof(record) + wal->buffer->len + sizeof(end)));
+	g_byte_array_set_size(out, sizeof(record));
 	g_byte_array_append(out, wal->buffer->data, wal->buffer->len);
+	g_byte_array_append(out, (guint8 *)&end, sizeof(end));
+	record.payload_sum = GUINT64_TO_LE(
+	    XXH64(out->data + sizeof(record), out->len - sizeof(record), 0));
+	record.header_sum = GUINT64_TO_LE(wal_record_header_sum(&record));
+	memcpy(out->data, &record, sizeof(record));
 	name = wal_segment_name(newest(wal)->sequence);
+	wal->tail_unknown = true;
 	code = wal_write_all(wal->fd, out->data, out->len, name, err);
 	if (code == 0 && wal_ops.sync(wal->fd) < 0)
 		code = err_set(err, -errno, "sync", NULL, "%s/%s: %s",
 		    wal->folder, name, strerror(errno));
 	g_free(name);
+	if (code < 0) {
+		g_byte_array_unref(out);
+		return code;
+	}
+	wal->tail_unknown = false;
 	newest(wal)->size += out->len;
 	g_byte_array_unref(out);
-	if (code < 0)
-		return code;
 	wal->last_header_sum = GUINT64_FROM_LE(record.header_sum);
 	g_byte_array_set_size(wal->buffer, 0);
 	wal->synced_index_limit = UINT64_MAX;
@@ -199,30 +258,37 @@
 	    wal, false, wal->written_index, wal->written_term, err);
 }
 
-/* Removes the segments with a sequence below before, but never the last one. */
-int
-wal_segments_remove(wal_t *wal, uint64_t before, err_t *err)
+/*
+ * Removes the segments with a sequence below before, but never the last one.
+ * What cannot be removed stays until the next call or the next start; the log
+ * does not need it to be gone.
+ */
+void
+wal_segments_remove(wal_t *wal, uint64_t before)
 {
 	bool removed = false;
+	err_t err = {0};
 
 	while (wal->segments->len > 1) {
 		uint64_t sequence =
 		    g_array_index(wal->segments, wal_segment_info_t, 0)
 			.sequence;
 		char *name;
-		int code = 0;
 
 		if (sequence >= before)
 			break;
 		name = wal_segment_name(sequence);
 		if (unlinkat(wal->folder_fd, name, 0) < 0 && errno != ENOENT)
-			code = err_set(err, -errno, "remove", NULL, "%s/%s: %s",
+			err_set(&err, -errno, "remove", NULL, "%s/%s: %s",
 			    wal->folder, name, strerror(errno));
 		g_free(name);
-		if (code < 0)
-			return code;
+		if (err.code != 0)
+			break;
 		g_array_remove_index(wal->segments, 0);
 		removed = true;
 	}
-	return removed ? wal_sync_folder(wal, err) : 0;
+	if (removed)
+		wal_sync_folder(wal, &err);
+	if (err.code != 0)
+		log_err(LOG_WARNING, &err);
 }
