fleet: a refused connection is no longer taken for the end of a worker

Cause: on_unreachable gave the tasks of a deregistered worker up as soon as a poll was refused or reset. A cut refuses connections too.

Change: a deregistration stops the tasks that are left while the worker can still be asked, and is acknowledged once they have ended, after 0.7 s at the latest; the rest is kept until the end of the lease, which is not renewed any more. The transport does not report any more how a connection ended. What concerns departures is a module of its own (fleet_leave.c). A worker that starts again while its earlier incarnation leaves does not count as leaving.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -180,6 +180,7 @@
 		worker_retire(worker);
 	}
 	g_hash_table_remove_all(fleet->departing);
+	fleet_leaves_clear(fleet);
 	detach_runs(ledger_open_jobs(ledger));
 	detach_runs(ledger_ended_jobs(ledger));
 	fleet_events_clear(fleet, FLEET_NO_ANSWER);
@@ -291,6 +292,7 @@
 			worker_tick(worker, now_ms);
 		}
 	}
+	fleet_acknowledge_leaves(fleet, now_ms);
 	loop_watch_leave();
 }
 
@@ -437,6 +439,7 @@
 	fleet->runs = g_ptr_array_new();
 	fleet->retired_runs = g_ptr_array_new();
 	fleet->retired_workers = g_ptr_array_new();
+	g_queue_init(&fleet->leaves);
 	g_queue_init(&fleet->member_orders);
 	fleet->proposal_waiters = g_ptr_array_new_with_free_func(g_free);
 	g_queue_init(&fleet->pending_calls);
--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -317,7 +317,7 @@
 }
 
 /* Treats every task on the worker as lost. */
-void
+static void
 worker_lose_members(worker_t *worker, const char *why)
 {
 	while (worker->members->len > 0)
@@ -327,12 +327,8 @@
 }
 
 static void
-on_unreachable(worker_t *worker, const order_answer_t *answer, int64_t now_ms)
+on_unreachable(worker_t *worker, int64_t now_ms)
 {
-	if (worker->reachable)
-		worker->disconnected_ms = answer->disconnected ? now_ms : 0;
-	if (worker->leaving && worker_has_just_ended(worker, now_ms))
-		worker_lose_members(worker, "worker_left");
 	if (worker->reachable)
 		evlog("worker_lost", "{s:s,s:I,s:i}", "worker", worker->info.id,
 		    "heard_ms_ago",
@@ -416,7 +412,7 @@
 		if (loop_watch_resumed_ms() >= worker->poll_sent_ms)
 			worker->needs_poll = true;
 		else
-			on_unreachable(worker, answer, now_ms);
+			on_unreachable(worker, now_ms);
 		break;
 	case ORDER_OTHER_INCARNATION:
 		evlog("worker_gone", "{s:s,s:s}", "worker", worker->info.id,
@@ -506,7 +502,9 @@
 	    &worker->info, worker_fence(worker), POLL_TIMEOUT_MS};
 
 	if (busy && worker->reachable) {
-		order.lease_end_ms = worker_grant_lease(worker, now_ms);
+		/* What a worker that leaves still runs is being stopped. */
+		if (!worker->leaving)
+			order.lease_end_ms = worker_grant_lease(worker, now_ms);
 		if (!worker->needs_poll)
 			order.wait_ms = poll_wait_ms(worker);
 		target.timeout_ms += order.wait_ms;
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -41,10 +41,8 @@
 	int64_t lease_expiry_ms; /* local time by which its lease has expired */
 	/* The last poll was answered; initially false if it is unknown. */
 	bool reachable;
-	int64_t disconnected_ms; /* when its connections ended, 0: silent */
 	bool draining;
-	/* Deregistered; its tasks are lost once its connections end. */
-	bool leaving;
+	bool leaving; /* deregistered, its tasks have not ended yet */
 	bool polling;
 	/* Poll soon and without waiting; run_tick sends no start until then. */
 	bool needs_poll;
@@ -153,6 +151,7 @@
 	    *departing;  /* id -> born, until the departure is committed */
 	GPtrArray *runs; /* run_t that are not retired */
 	GPtrArray *retired_runs;
+	GQueue leaves;               /* leave_t, see fleet_leave.c */
 	GQueue member_orders;        /* member_order_t in flight */
 	fleet_events_t events;       /* to be proposed */
 	GPtrArray *proposal_waiters; /* waiters for the next proposal */
@@ -213,7 +212,6 @@
 /* fleet_polls.c */
 void worker_poll(worker_t *worker, int64_t now_ms);
 void worker_tick(worker_t *worker, int64_t now_ms);
-void worker_lose_members(worker_t *worker, const char *why);
 
 /* fleet_workers.c */
 worker_t *fleet_find_worker(const fleet_t *fleet, const char *id);
@@ -221,15 +219,20 @@
 void worker_retire(worker_t *worker);
 void fleet_reap_workers(fleet_t *fleet);
 void worker_learn_incarnation(worker_t *worker, uint64_t born);
-void worker_depart(worker_t *worker, fleet_done_t *done, void *ctx);
+void worker_stop_runs(worker_t *worker, const char *reason);
 void pending_end_free(void *data);
-bool worker_has_just_ended(const worker_t *worker, int64_t now_ms);
 uint64_t worker_fence(const worker_t *worker);
 int64_t worker_grant_lease(worker_t *worker, int64_t now_ms);
 void worker_update_from_answer(
     worker_t *worker, uint64_t born, const order_answer_t *answer);
 bool worker_is_usable(const worker_t *worker, int64_t now_ms);
 
+/* fleet_leave.c */
+void worker_depart(worker_t *worker, fleet_done_t *done, void *ctx);
+bool fleet_has_departed(const fleet_t *fleet, const fleet_worker_t *info);
+void fleet_acknowledge_leaves(fleet_t *fleet, int64_t now_ms);
+void fleet_leaves_clear(fleet_t *fleet);
+
 /* An order in flight that concerns one member. */
 typedef struct {
 	run_t *run;
--- a/sched/fleet_workers.c
+++ b/sched/fleet_workers.c
@@ -10,10 +10,6 @@
 /* Bits of a fencing token that count ended incarnations within a term. */
 #define FENCE_EPOCH_BITS 16
 #define MAX_FENCE_EPOCH ((UINT64_C(1) << FENCE_EPOCH_BITS) - 1)
-/* Between the end of a worker's connections and its deregistration. */
-#define END_NOTICE_MS 1000
-/* Departures that may be waiting for their commit. */
-#define MAX_DEPARTING 1024
 
 /* ---- table ---- */
 
@@ -204,6 +200,7 @@
 	    "acknowledged", (json_int_t)worker->ackable_end, "ends_pending",
 	    (int)worker->pending_ends.length);
 	worker->fence_epoch = ++worker->fleet->fence_epoch;
+	worker->leaving = false;
 	/* The counts of an incarnation start anew. */
 	worker->announcement_sequence = 0;
 	worker->sent_ack = 0;
@@ -219,7 +216,7 @@
 }
 
 /* Stops the runs that have a member on the worker. */
-static void
+void
 worker_stop_runs(worker_t *worker, const char *reason)
 {
 	GPtrArray *members = g_ptr_array_copy(worker->members, NULL, NULL);
@@ -281,34 +278,6 @@
 		worker_stop_runs(worker, "worker_restarted");
 }
 
-/* Records durably that an incarnation of a worker has ended. */
-void
-worker_depart(worker_t *worker, fleet_done_t *done, void *ctx)
-{
-	fleet_t *fleet = worker->fleet;
-
-	/* The ledger has the ones before by now. */
-	if (g_hash_table_size(fleet->departing) >= MAX_DEPARTING)
-		g_hash_table_remove_all(fleet->departing);
-	g_hash_table_replace(fleet->departing, g_strdup(worker->info.id),
-	    g_memdup2(&worker->info.born, sizeof(worker->info.born)));
-	worker->info.gone = TRUE;
-	fleet_event_worker(fleet, &worker->info, done, ctx);
-}
-
-/* Whether that incarnation, or a later one, is known to have ended. */
-static bool
-has_departed(const fleet_t *fleet, const fleet_worker_t *info)
-{
-	const fleet_worker_t *known =
-	    ledger_worker(fleet_ledger(fleet), info->id);
-	const uint64_t *departing =
-	    g_hash_table_lookup(fleet->departing, info->id);
-
-	return (known != NULL && known->gone && info->born <= known->born) ||
-	       (departing != NULL && info->born <= *departing);
-}
-
 static bool
 is_service(const fleet_config_t *config, const char *name)
 {
@@ -368,7 +337,7 @@
 		done(ctx, FLEET_OK);
 		return;
 	}
-	if (has_departed(fleet, info)) {
+	if (fleet_has_departed(fleet, info)) {
 		evlog("announcement_late", "{s:s,s:I}", "worker", info->id,
 		    "born", (json_int_t)info->born);
 		done(ctx, FLEET_OK);
@@ -397,44 +366,3 @@
 	if (!changed)
 		done(ctx, FLEET_OK);
 }
-
-/*
- * Whether the worker's connections have just ended, as those of a process that
- * exits do. One that is cut off falls silent.
- */
-bool
-worker_has_just_ended(const worker_t *worker, int64_t now_ms)
-{
-	return worker->disconnected_ms != 0 &&
-	       now_ms - worker->disconnected_ms <= END_NOTICE_MS;
-}
-
-/*
- * Removes a worker that shuts down. One with tasks is kept until its
- * connections end, as without the acknowledgement it runs on for some time. One
- * that falls silent may be cut off; its tasks are kept until the lease ends.
- */
-void
-fleet_deregister(fleet_t *fleet, const char *id, fleet_done_t *done, void *ctx)
-{
-	worker_t *worker;
-
-	if (!fleet->leading) {
-		done(ctx, FLEET_NOT_LEADER);
-		return;
-	}
-	worker = fleet_find_worker(fleet, id);
-	if (worker == NULL) {
-		done(ctx, FLEET_OK);
-		return;
-	}
-	evlog("worker_gone", "{s:s,s:s,s:i}", "worker", id, "reason",
-	    "deregistered", "members", (int)worker->members->len);
-	worker->leaving = true;
-	worker->draining = true;
-	if (!worker->reachable && worker_has_just_ended(worker, fleet_now_ms()))
-		worker_lose_members(worker, "worker_left");
-	worker_depart(worker, done, ctx);
-	if (worker->members->len == 0)
-		worker_retire(worker);
-}
--- a/sched/orders.h
+++ b/sched/orders.h
@@ -71,9 +71,6 @@
 
 typedef struct {
 	order_outcome_t outcome;
-	/* Without an answer: the connection was closed or refused, not silent.
-	 */
-	bool disconnected;
 	int64_t clock_ms; /* the worker's monotonic clock, 0: unknown */
 	/* The fields below are set for polls only. */
 	uint64_t born; /* incarnation of the worker, 0: unknown */
--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -358,8 +358,10 @@
 	if (worker != NULL && worker->loses_starts &&
 	    order->kind == ORDER_START)
 		order->lost = true;
-	if (worker == NULL || worker->unreachable || order->lost) {
-		if (clock_mono_ms() < order->until_ms)
+	if (worker == NULL || worker->unreachable || worker->refuses ||
+	    order->lost) {
+		if ((worker == NULL || !worker->refuses) &&
+		    clock_mono_ms() < order->until_ms)
 			return false;
 		if (worker != NULL && order->kind == ORDER_POLL)
 			worker->unanswered_polls++;
--- a/tests/unit/fleet_bed.h
+++ b/tests/unit/fleet_bed.h
@@ -37,6 +37,7 @@
 	GPtrArray *tasks;    /* bed_task_t */
 	GArray *ends;        /* bed_end_t, not acknowledged */
 	bool unreachable;    /* orders neither arrive nor are answered */
+	bool refuses;        /* same, and the sender learns it at once */
 	/* Orders get ORDER_OTHER_INCARNATION. */
 	bool answers_as_other_incarnation;
 	bool drops_start_answers; /* starts are executed, their answers lost */
