tests: a refused vote that is forgotten is noticed

The mutant wal-refused-vote-forgotten was not caught: later writes of the vote made up for the missing one. The folder is read back before them.

--- a/tests/unit/test_wal.c
+++ b/tests/unit/test_wal.c
@@ -805,6 +805,11 @@
 	ck_assert(was_refused || refused > 0);
 	calls_left = -1;
 	ck_assert_int_eq(changes[kind].change(wal), 0);
+	/* Before any later write makes up for one that is missing. */
+	wal_close(wal);
+	wal = open_or_fail();
+	ck_assert_uint_eq(wal_disk_id(wal), disk_id);
+	ck_assert_uint_eq(restored->len, last + 1 - changes[kind].first);
 	fill(wal, last + 1, last + 2, 3);
 	ck_assert_int_eq(wal_save_vote(wal, 7, "b", &error), 0);
 	wal_ops = real_ops;
