ledger: accepted jobs keep the terms of a queue that is removed

The second step was never started, with all servers idle.

Cause: a job keeps the name of its queue only, and a job whose queue the present configuration does not have was skipped by planning, had no guarantee and no limit of attempts.

A job that is committed after its queue is gone altogether is refused as not accepted.

--- a/rpc/protocol.h
+++ b/rpc/protocol.h
@@ -443,6 +443,14 @@
 };
 typedef struct fleet_snapshot_t fleet_snapshot_t;
 
+struct retired_queues_t {
+	struct {
+		u_int queues_len;
+		fleet_queue_t *queues_val;
+	} queues;
+};
+typedef struct retired_queues_t retired_queues_t;
+
 struct command_t {
 	command_kind_t kind;
 	union {
@@ -870,6 +878,7 @@
 extern  bool_t xdr_unit_record_t (XDR *, unit_record_t*);
 extern  bool_t xdr_batch_record_t (XDR *, batch_record_t*);
 extern  bool_t xdr_fleet_snapshot_t (XDR *, fleet_snapshot_t*);
+extern  bool_t xdr_retired_queues_t (XDR *, retired_queues_t*);
 extern  bool_t xdr_command_t (XDR *, command_t*);
 extern  bool_t xdr_command_result_t (XDR *, command_result_t*);
 extern  bool_t xdr_raft_kind_t (XDR *, raft_kind_t*);
@@ -942,6 +951,7 @@
 extern bool_t xdr_unit_record_t ();
 extern bool_t xdr_batch_record_t ();
 extern bool_t xdr_fleet_snapshot_t ();
+extern bool_t xdr_retired_queues_t ();
 extern bool_t xdr_command_t ();
 extern bool_t xdr_command_result_t ();
 extern bool_t xdr_raft_kind_t ();
--- a/rpc/protocol.x
+++ b/rpc/protocol.x
@@ -361,6 +361,11 @@
 	batch_record_t jobs<BODY_MAX_LEN>;
 };
 
+/* Follows fleet_snapshot_t where there are any. */
+struct retired_queues_t {
+	fleet_queue_t queues<BODY_MAX_LEN>;
+};
+
 union command_t switch (command_kind_t kind) {
 case COMMAND_NOOP:
 	void;
--- a/rpc/protocol_xdr.c
+++ b/rpc/protocol_xdr.c
@@ -994,6 +994,17 @@
 	return TRUE;
 }
 
+bool_t
+xdr_retired_queues_t (XDR *xdrs, retired_queues_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->queues.queues_val, (u_int *) &objp->queues.queues_len, BODY_MAX_LEN,
+		sizeof (fleet_queue_t), (xdrproc_t) xdr_fleet_queue_t))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_command_t (XDR *xdrs, command_t *objp)
 {
--- a/sched/fleet_calls.c
+++ b/sched/fleet_calls.c
@@ -73,6 +73,9 @@
 		send_code(call->request, BATCH_REFUSED, err->text);
 	} else if (result->code == -ENOENT) {
 		send_code(call->request, BATCH_UNKNOWN_JOB, "no such job");
+	} else if (result->code == -ESTALE) {
+		send_code(call->request, BATCH_REFUSED,
+		    "the queue was removed meanwhile");
 	} else if (result->code != 0) {
 		send_code(call->request, BATCH_INVALID, "the job is not valid");
 	} else {
--- a/sched/fleet_workers.c
+++ b/sched/fleet_workers.c
@@ -278,20 +278,6 @@
 		worker_stop_runs(worker, "worker_restarted");
 }
 
-static bool
-is_service(const fleet_config_t *config, const char *name)
-{
-	for (u_int i = 0; i < config->services.services_len; i++) {
-		if (strcmp(config->services.services_val[i].name, name) == 0)
-			return true;
-	}
-	for (u_int i = 0; i < config->queues.queues_len; i++) {
-		if (strcmp(config->queues.queues_val[i].service, name) == 0)
-			return true;
-	}
-	return false;
-}
-
 /*
  * Whether an announcement names a service that is not configured, and so is not
  * from a worker of this fleet. A worker keeps a service that was removed from
@@ -302,9 +288,10 @@
 is_foreign(
     const fleet_t *fleet, const worker_t *worker, const fleet_worker_t *info)
 {
-	const fleet_config_t *config = ledger_config(fleet_ledger(fleet));
+	const ledger_t *ledger = fleet_ledger(fleet);
 
-	if (config->number == 0 || is_service(config, info->service))
+	if (ledger_config(ledger)->number == 0 ||
+	    ledger_has_service(ledger, info->service))
 		return false;
 	return worker == NULL ||
 	       strcmp(worker->info.service, info->service) != 0;
--- a/sched/ledger.c
+++ b/sched/ledger.c
@@ -11,88 +11,6 @@
  * old. */
 #define MAX_DEPARTED 1024
 
-/* ---- configuration ---- */
-
-/* The first of several queues of one name counts. */
-static void
-index_queues(ledger_t *ledger)
-{
-	for (u_int i = ledger->config.queues.queues_len; i-- > 0;) {
-		fleet_queue_t *queue = &ledger->config.queues.queues_val[i];
-
-		g_hash_table_insert(ledger->queues, queue->name, queue);
-	}
-}
-
-/*
- * Replaces the configuration if the new number is higher.  Otherwise returns 0
- * without a change, so that a client that resends a command gets success again.
- */
-int
-ledger_apply_config(ledger_t *ledger, fleet_config_t *command)
-{
-	if (command->number <= ledger->config.number)
-		return 0;
-	g_hash_table_remove_all(ledger->queues);
-	codec_free((xdrproc_t)xdr_fleet_config_t, &ledger->config);
-	ledger->config = *command;
-	memset(command, 0, sizeof(*command));
-	index_queues(ledger);
-	return 0;
-}
-
-const fleet_config_t *
-ledger_config(const ledger_t *ledger)
-{
-	return &ledger->config;
-}
-
-/* Returns the queue with that name, or NULL. */
-const fleet_queue_t *
-ledger_queue(const ledger_t *ledger, const char *name)
-{
-	return g_hash_table_lookup(ledger->queues, name);
-}
-
-/* Returns the queue of host with the longest prefix of path, or NULL. */
-const fleet_queue_t *
-ledger_route(const ledger_t *ledger, str_t host, str_t path)
-{
-	const fleet_queue_t *best = NULL;
-	size_t best_len = 0;
-
-	for (u_int i = 0; i < ledger->config.queues.queues_len; i++) {
-		const fleet_queue_t *queue =
-		    &ledger->config.queues.queues_val[i];
-		str_t prefix = str_from(queue->path_prefix);
-
-		if (!str_equal(str_from(queue->host), host) ||
-		    !str_starts(path, prefix))
-			continue;
-		if (best == NULL || prefix.len > best_len) {
-			best = queue;
-			best_len = prefix.len;
-		}
-	}
-	return best;
-}
-
-/* Returns the tenant with that API key, or NULL. */
-const fleet_tenant_t *
-ledger_tenant_of_key(const ledger_t *ledger, const char *key)
-{
-	for (u_int i = 0; i < ledger->config.tenants.tenants_len; i++) {
-		const fleet_tenant_t *tenant =
-		    &ledger->config.tenants.tenants_val[i];
-
-		for (u_int k = 0; k < tenant->keys.keys_len; k++) {
-			if (strcmp(tenant->keys.keys_val[k], key) == 0)
-				return tenant;
-		}
-	}
-	return NULL;
-}
-
 /* ---- jobs ---- */
 
 static int
@@ -292,7 +210,10 @@
 				      : BATCH_STATE_PENDING;
 }
 
-/* Adds a job.  Returns 0 without a change if its id exists already. */
+/*
+ * Adds a job.  Returns 0 without a change if its id exists already, -ESTALE if
+ * its queue was removed from the configuration before the job was committed.
+ */
 int
 ledger_apply_submit(ledger_t *ledger, batch_submit_t *command)
 {
@@ -300,6 +221,9 @@
 
 	if (ledger_job(ledger, command->id) != NULL)
 		return 0;
+	if (ledger->config.number > 0 &&
+	    ledger_queue(ledger, command->queue) == NULL)
+		return -ESTALE;
 	if (ledger_validate_spec(&command->spec, &reason) != 0)
 		return -EINVAL;
 	ledger_job_create(ledger, command);
@@ -602,6 +526,8 @@
 	ledger_t *ledger = g_new0(ledger_t, 1);
 
 	ledger->queues = g_hash_table_new(g_str_hash, g_str_equal);
+	ledger->retired_queues = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, ledger_queue_free);
 	ledger->jobs = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, (GDestroyNotify)ledger_job_free);
 	ledger->workers =
@@ -620,6 +546,7 @@
 	g_hash_table_unref(ledger->jobs);
 	g_hash_table_unref(ledger->workers);
 	g_hash_table_unref(ledger->queues);
+	g_hash_table_unref(ledger->retired_queues);
 	codec_free((xdrproc_t)xdr_fleet_config_t, &ledger->config);
 	g_free(ledger);
 }
--- a/sched/ledger.h
+++ b/sched/ledger.h
@@ -75,6 +75,7 @@
 
 const fleet_config_t *ledger_config(const ledger_t *ledger);
 const fleet_queue_t *ledger_queue(const ledger_t *ledger, const char *name);
+bool ledger_has_service(const ledger_t *ledger, const char *name);
 const fleet_queue_t *ledger_route(
     const ledger_t *ledger, str_t host, str_t path);
 const fleet_tenant_t *ledger_tenant_of_key(
--- a/sched/ledger_private.h
+++ b/sched/ledger_private.h
@@ -5,13 +5,19 @@
 /* Private to sched/ledger*.c. */
 struct ledger_t {
 	fleet_config_t config;
-	GHashTable *queues;  /* name -> fleet_queue_t of config */
+	GHashTable *queues; /* name -> fleet_queue_t of config */
+	/* name -> fleet_queue_t, removed from the configuration */
+	GHashTable *retired_queues;
 	GHashTable *jobs;    /* id -> ledger_job_t */
 	GHashTable *workers; /* id -> fleet_worker_t */
 	GQueue open;
 	GQueue ended;
 };
 
+/* ledger_config.c */
+void ledger_queue_free(void *data);
+void ledger_retire_queue(ledger_t *ledger, const fleet_queue_t *queue);
+
 ledger_job_t *ledger_job_create(ledger_t *ledger, batch_submit_t *submit);
 void ledger_job_free(ledger_job_t *job);
 void ledger_move_if_ended(ledger_t *ledger, ledger_job_t *job, bool had_ended);
--- a/sched/ledger_snapshot.c
+++ b/sched/ledger_snapshot.c
@@ -78,6 +78,52 @@
 		    sizeof(fleet_worker_t), compare_workers);
 }
 
+static gint
+compare_queues(gconstpointer a, gconstpointer b)
+{
+	return strcmp(
+	    ((const fleet_queue_t *)a)->name, ((const fleet_queue_t *)b)->name);
+}
+
+/* Encodes the retired queues, sorted by name; nothing if there are none. */
+static bool_t
+save_retired_queues(XDR *xdr, ledger_t *ledger)
+{
+	u_int count = g_hash_table_size(ledger->retired_queues);
+	retired_queues_t retired = {{count, g_new0(fleet_queue_t, count)}};
+	GHashTableIter iter;
+	gpointer queue;
+	bool_t done;
+	u_int n = 0;
+
+	if (count == 0)
+		return TRUE;
+	g_hash_table_iter_init(&iter, ledger->retired_queues);
+	while (g_hash_table_iter_next(&iter, NULL, &queue))
+		retired.queues.queues_val[n++] = *(fleet_queue_t *)queue;
+	qsort(retired.queues.queues_val, count, sizeof(fleet_queue_t),
+	    compare_queues);
+	done = xdr_retired_queues_t(xdr, &retired);
+	g_free(retired.queues.queues_val);
+	return done;
+}
+
+/* Decodes the retired queues; an older snapshot ends before them. */
+static bool_t
+load_retired_queues(XDR *xdr, ledger_t *ledger)
+{
+	retired_queues_t retired = {0};
+	bool_t done;
+
+	if (xdr->x_handy == 0)
+		return TRUE;
+	done = xdr_retired_queues_t(xdr, &retired);
+	for (u_int i = 0; done && i < retired.queues.queues_len; i++)
+		ledger_retire_queue(ledger, &retired.queues.queues_val[i]);
+	codec_free((xdrproc_t)xdr_retired_queues_t, &retired);
+	return done;
+}
+
 /* Encodes the ledger; FALSE if the stream has no space left. */
 bool_t
 ledger_xdr_save(XDR *xdr, ledger_t *ledger)
@@ -87,7 +133,8 @@
 
 	record_workers(ledger, &snapshot);
 	record_jobs(ledger, &snapshot);
-	done = xdr_fleet_snapshot_t(xdr, &snapshot);
+	done = xdr_fleet_snapshot_t(xdr, &snapshot) &&
+	       save_retired_queues(xdr, ledger);
 	for (u_int i = 0; i < snapshot.jobs.jobs_len; i++)
 		g_free(snapshot.jobs.jobs_val[i].units.units_val);
 	g_free(snapshot.jobs.jobs_val);
@@ -167,5 +214,5 @@
 	for (u_int i = 0; done && i < snapshot.jobs.jobs_len; i++)
 		done = restore_job(ledger, &snapshot.jobs.jobs_val[i]);
 	codec_free((xdrproc_t)xdr_fleet_snapshot_t, &snapshot);
-	return done;
+	return done && load_retired_queues(xdr, ledger);
 }
--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -738,6 +738,17 @@
 	propose(bed, &command);
 }
 
+void
+bed_replace_queues(bed_t *bed, uint64_t number, const char *queue)
+{
+	fleet_queue_t queues[] = {make_queue(queue, 1)};
+	command_t command = {.kind = COMMAND_FLEET_CONFIG};
+
+	command.command_t_u.fleet_config = (fleet_config_t){
+	    .number = number, .queues = {G_N_ELEMENTS(queues), queues}};
+	propose(bed, &command);
+}
+
 void
 bed_submit(bed_t *bed, const char *id, const char *queue, int tasks,
     int accelerators, bool gang)
--- a/tests/unit/fleet_bed.h
+++ b/tests/unit/fleet_bed.h
@@ -86,6 +86,8 @@
 /* Discards the orders in flight without an answer. */
 void bed_drop_orders(bed_t *bed);
 void bed_configure(bed_t *bed);
+/* Replaces the configuration by one with a single queue of priority 1. */
+void bed_replace_queues(bed_t *bed, uint64_t number, const char *queue);
 /*
  * Submits a job of one step of 1 s. queue is "urgent" (priority 0), "batch" (1)
  * or "prompt" (1, late 0.7 s after submission).
--- a/tests/unit/test_ledger.c
+++ b/tests/unit/test_ledger.c
@@ -236,6 +236,67 @@
 }
 END_TEST
 
+/* Replaces the configuration by one with a queue of that name only. */
+static void
+configure(ledger_t *ledger, uint64_t number, const char *name)
+{
+	fleet_queue_t *queue = g_new0(fleet_queue_t, 1);
+	fleet_config_t config = {.number = number, .queues = {1, queue}};
+
+	queue->name = g_strdup(name);
+	queue->host = g_strdup("h");
+	queue->path_prefix = g_strdup("/");
+	queue->service = g_strdup_printf("service-of-%s", name);
+	queue->max_attempts = (int)number;
+	ck_assert_int_eq(ledger_apply_config(ledger, &config), 0);
+}
+
+/*
+ * Guards against jobs that lose the terms of their queue when a configuration
+ * removes it, against terms that are lost in a snapshot or kept for ever, and
+ * against jobs that are accepted without any.
+ */
+START_TEST(removed_queue)
+{
+	static char bytes[SNAPSHOT_BYTES];
+	static char again[SNAPSHOT_BYTES];
+	ledger_t *ledger = ledger_create();
+	ledger_t *loaded = ledger_create();
+	batch_submit_t late = {.id = (char *)"00000000000000cc",
+	    .queue = (char *)"never",
+	    .tenant = (char *)""};
+	u_int len;
+	XDR xdr;
+
+	configure(ledger, 1, "q");
+	submit(ledger, JOB);
+	configure(ledger, 2, "q");
+	configure(ledger, 3, "q2");
+	ck_assert_int_eq(ledger_queue(ledger, "q")->max_attempts, 2);
+	ck_assert(ledger_has_service(ledger, "service-of-q"));
+	ck_assert_ptr_eq(ledger_route(ledger, STR_LIT("h"), STR_LIT("/x")),
+	    ledger_queue(ledger, "q2"));
+	/* Proposed before the change, committed after it. */
+	submit(ledger, "00000000000000bb");
+	ck_assert_int_eq(ledger_apply_submit(ledger, &late), -ESTALE);
+	len = save(ledger, bytes);
+	xdrmem_create(&xdr, bytes, len, XDR_DECODE);
+	ck_assert(ledger_xdr_load(&xdr, loaded));
+	xdr_destroy(&xdr);
+	ck_assert_uint_eq(save(loaded, again), len);
+	ck_assert_mem_eq(bytes, again, len);
+	configure(loaded, 4, "q3");
+	ck_assert_int_eq(ledger_queue(loaded, "q")->max_attempts, 2);
+	ledger_apply_cancel(loaded, JOB);
+	ledger_apply_cancel(loaded, "00000000000000bb");
+	configure(loaded, 5, "q3");
+	ck_assert_ptr_null(ledger_queue(loaded, "q"));
+	ck_assert_ptr_null(ledger_queue(loaded, "q2"));
+	ledger_destroy(ledger);
+	ledger_destroy(loaded);
+}
+END_TEST
+
 /* Guards against restarts after a final failure, and a job shown as completed.
  */
 START_TEST(final_failure)
@@ -268,6 +329,7 @@
 	tcase_add_test(tcase, cancelled);
 	tcase_add_test(tcase, highest_configuration);
 	tcase_add_test(tcase, snapshot);
+	tcase_add_test(tcase, removed_queue);
 	tcase_add_test(tcase, final_failure);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_NOFORK);
