--- a/tests/unit/test_fleet_leave.c
+++ b/tests/unit/test_fleet_leave.c
@@ -84,6 +84,7 @@
 	fleet_deregister(bed.fleet, worker->info.id, on_departed, &departed);
 	worker->refuses = true;
 	bed_run_for(&bed, BED_LEASE_MS / 2);
+	ck_assert(!departed);
 	ck_assert_int_eq(bed_starts(&bed), 1);
 	ck_assert_int_eq(bed_running(&bed, JOB), 1);
 	/* It does not wait for the tasks longer than the worker waits for it.
