fleet: reasons for waits, and a job that stands still gives up its preferences

Nothing said why a waiting unit is passed over, so the candidates could not be told apart.

Change: counters by reason (fleet_waits_total), a counter and a bounded event for a job of which nothing is at work for 3 s though half of its service is free (fleet_stills_total, unit_still). They showed that such jobs wait for their rack or avoid racks reserved for urgent work, for up to the target latency and twice the estimate. A job still for 2 s now gives these preferences up while half of its service is free.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -7,7 +7,7 @@
 #include "common/evlog.h"
 #include "common/loop_watch.h"
 #include "rpc/codec.h"
-#include "sched/fleet_private.h"
+#include "sched/fleet_round.h"
 
 /* Interval of leadership checks and, on the leader, resends and planning. */
 #define TICK_LEADER_S 0.05
@@ -147,6 +147,7 @@
 		ledger_job_t *job = at->data;
 
 		job->submitted_mono_ms = 0;
+		job->still_since_ms = 0;
 		job->ended_ms = 0;
 		job->removal_proposed_ms = 0;
 		for (size_t i = 0; i < job->unit_count; i++)
@@ -482,6 +483,7 @@
 	fleet->submitted = counter_get("fleet_jobs_total", "jobs accepted");
 	fleet->rejected =
 	    counter_get("fleet_jobs_rejected_total", "jobs refused");
+	waits_init(fleet);
 	ev_timer_init(&fleet->tick, on_tick, TICK_FOLLOWER_S, TICK_FOLLOWER_S);
 	fleet->tick.data = fleet;
 	ev_timer_init(&fleet->work_timer, on_work_timer, 0, 0);
--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -161,6 +161,10 @@
 
 	unit.may_spread = round->now_ms > item->may_spread_ms ||
 			  !plan_locality_is_possible(round->pool, &unit);
+	if (waits_in_vain(round, item, queue->service)) {
+		unit.may_spread = true;
+		unit.avoids_reserved = false;
+	}
 	return unit;
 }
 
@@ -172,8 +176,12 @@
 place_unit(round_t *round, const waiting_step_t *item, const plan_unit_t *plan,
     ledger_unit_t *unit)
 {
-	if (!leaves_headroom(round, item))
+	round->why = WAIT_ROOM;
+	if (!leaves_headroom(round, item)) {
+		if (waiting_accelerators(item) <= round->free_accelerators)
+			round->why = WAIT_HEADROOM;
 		return false;
+	}
 	if (plan->avoids_reserved)
 		round_choose_reserve(round, item);
 	if (try_plan(round, item, plan, PLAN_FREE)) {
@@ -184,6 +192,7 @@
 		return true;
 	}
 	if (try_plan(round, item, plan, PLAN_RELEASING)) {
+		round->why = WAIT_RELEASING;
 		round_subtract_chosen(round, plan->step);
 		return false;
 	}
@@ -245,6 +254,14 @@
 
 /* ---- rounds ---- */
 
+/* Notes that the rest of the step is passed over for the reason round->why. */
+static void
+pass_over(round_t *round, const waiting_step_t *item, const plan_unit_t *plan)
+{
+	waits_check(round, item, plan);
+	waits_record(round->fleet, round->why);
+}
+
 /* Starts as many waiting units of the step as possible. */
 static void
 place_step(round_t *round, const waiting_step_t *item)
@@ -254,15 +271,20 @@
 
 	round_prepare_step(round, item);
 	comparable = is_comparable(round, item, &plan);
-	if (comparable && is_blocked(round, &plan))
+	if (comparable && is_blocked(round, &plan)) {
+		round->why = WAIT_EARLIER;
+		pass_over(round, item, &plan);
 		return;
+	}
 	if (plan.needs_ticket)
 		apply_tickets(round, item, &plan);
 	for (ledger_unit_t *unit = item->unit; unit < item->end; unit++) {
 		if (!waiting_is_waiting(unit))
 			continue;
-		if (!place_unit(round, item, &plan, unit))
+		if (!place_unit(round, item, &plan, unit)) {
+			pass_over(round, item, &plan);
 			break;
+		}
 		if (round_is_over_budget(round))
 			return;
 	}
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -11,6 +11,8 @@
 
 /* Priority of urgent queues; a higher number is less important. */
 #define QUEUE_PRIORITY_URGENT 0
+/* At least as many as wait_reason_t has. */
+#define WAIT_REASONS_MAX 16
 /* Time for a worker to answer a start, stop or pace order. */
 #define ORDER_ANSWER_TIMEOUT_MS 700
 
@@ -180,6 +182,9 @@
 	counter_t *ends_uncounted;
 	counter_t *foreign_announcements; /* of services not configured */
 	counter_t *refused_no_room;
+	counter_t *waits[WAIT_REASONS_MAX]; /* by wait_reason_t */
+	counter_t *stills;
+	int64_t next_still_ms; /* when the next one may be logged */
 	counter_t *preempted;
 	counter_t *submitted;
 	counter_t *rejected;
--- a/sched/fleet_round.h
+++ b/sched/fleet_round.h
@@ -19,6 +19,20 @@
 	int64_t may_spread_ms; /* may leave its preferred rack from then on */
 } waiting_step_t;
 
+/* Why a step that waits was passed over in a planning round. */
+typedef enum {
+	WAIT_ROOM,      /* no free place that fits */
+	WAIT_HEADROOM,  /* the rest is kept free for urgent work */
+	WAIT_RESERVED,  /* fits in a rack that is reserved for urgent work */
+	WAIT_RACK,      /* fits, but not near its data or together */
+	WAIT_TICKET,    /* no ticket for a worker with room */
+	WAIT_EARLIER,   /* a step that needs no more was passed over */
+	WAIT_RELEASING, /* keeps places while others are being freed */
+	WAIT_NO_WORKER, /* no usable worker of its service and label */
+	WAIT_NO_QUEUE,  /* its queue is not known */
+	WAIT_REASONS,
+} wait_reason_t;
+
 /* State of one planning round: the workers and their free resources. */
 typedef struct {
 	fleet_t *fleet;
@@ -36,6 +50,11 @@
 	int releasing_accelerators; /* of runs being stopped */
 	int headroom_accelerators;  /* kept free for urgent work */
 	reserve_t *reserve;
+	wait_reason_t why; /* set when a step is passed over */
+	/* The service that waits_in_vain was last asked about. */
+	const char *service;
+	bool service_is_idle;
+	int still_checks;
 } round_t;
 
 /* fleet_waiting.c */
@@ -54,6 +73,14 @@
 void round_subtract_chosen(round_t *round, const step_spec_t *step);
 bool round_is_over_budget(const round_t *round);
 
+/* fleet_waits.c */
+void waits_init(fleet_t *fleet);
+bool waits_in_vain(
+    round_t *round, const waiting_step_t *item, const char *service);
+void waits_record(fleet_t *fleet, wait_reason_t why);
+void waits_check(
+    round_t *round, const waiting_step_t *item, const plan_unit_t *plan);
+
 /* fleet_preempt.c */
 bool round_preempt(
     round_t *round, const waiting_step_t *item, const plan_unit_t *unit);
--- a/sched/fleet_waiting.c
+++ b/sched/fleet_waiting.c
@@ -150,9 +150,16 @@
 	    ledger_queue(fleet_ledger(fleet), job->submit.queue);
 	int steps = (int)job->submit.spec.steps.steps_len;
 	job_times_t times = {.queue = queue};
+	guint before = waiting->len;
 
-	if (queue == NULL || job->units_waiting == 0)
+	if (job->units_waiting != job->units_left)
+		job->still_since_ms = 0;
+	if (job->units_waiting == 0)
 		return;
+	if (queue == NULL) {
+		waits_record(fleet, WAIT_NO_QUEUE);
+		return;
+	}
 	if (job->submitted_mono_ms == 0)
 		record_arrival(fleet, job, queue->priority, now_ms);
 	times.remaining_path_ms = g_newa(int64_t, steps);
@@ -169,6 +176,9 @@
 				    fleet, &times, unit, end, now_ms, waiting);
 		}
 	}
+	if (waiting->len > before && job->still_since_ms == 0 &&
+	    job->units_waiting == job->units_left)
+		job->still_since_ms = now_ms;
 }
 
 /* Marks the urgent jobs that the guarantees of their tenants cover. */
--- a/sched/ledger.h
+++ b/sched/ledger.h
@@ -51,8 +51,9 @@
 	size_t *step_first_unit;     /* by step, within an occurrence */
 	int *step_units_left; /* units not done, by occurrence and step */
 	/* Kept by the leader only; monotonic times, 0: not yet. */
-	int64_t submitted_mono_ms;   /* submitted */
-	int64_t ended_ms;            /* the leader noticed the end */
+	int64_t submitted_mono_ms; /* submitted */
+	int64_t still_since_ms;    /* a unit's turn has come, none is at work */
+	int64_t ended_ms;          /* the leader noticed the end */
 	int64_t removal_proposed_ms; /* its removal was last proposed */
 	bool covered; /* urgent and within its tenant's guarantee */
 	GList link;   /* in the list of open or of ended jobs */
--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -765,7 +765,8 @@
 
 	step.estimate_ms = 1000;
 	step.label = (char *)"";
-	step.data_rack = (char *)"";
+	if (step.data_rack == NULL)
+		step.data_rack = (char *)"";
 	step.image = (char *)"";
 	command.command_t_u.batch_submit = (batch_submit_t){
 	    .id = (char *)id,
@@ -787,6 +788,17 @@
 	submit_step(bed, tenant, id, queue, &step);
 }
 
+void
+bed_submit_near(bed_t *bed, const char *rack, const char *id, const char *queue,
+    int tasks, int accelerators)
+{
+	step_spec_t step = {.count = tasks,
+	    .shape = {1000, 1000, accelerators},
+	    .data_rack = (char *)rack};
+
+	submit_step(bed, "", id, queue, &step);
+}
+
 void
 bed_submit_long_running(bed_t *bed, const char *id, int accelerators)
 {
--- a/tests/unit/fleet_bed.h
+++ b/tests/unit/fleet_bed.h
@@ -97,6 +97,9 @@
 /* Same, for a tenant: "hall" is guaranteed 16 accelerators, others none. */
 void bed_submit_for(bed_t *bed, const char *tenant, const char *id,
     const char *queue, int tasks, int accelerators, bool gang);
+/* Same, with the data of its tasks in a rack; 4 workers make a rack. */
+void bed_submit_near(bed_t *bed, const char *rack, const char *id,
+    const char *queue, int tasks, int accelerators);
 /* Submits a long-running task to the queue "batch". */
 void bed_submit_long_running(bed_t *bed, const char *id, int accelerators);
 void bed_cancel(bed_t *bed, const char *id);
