fleet: a deregistration counts for the incarnation that it names

Cause: the body of a deregistration was not read, and fleet_deregister took the id only.

Change: an earlier incarnation's is acknowledged and changes nothing; a later one's is learned first. A call that names none counts only if the present incarnation drains.

--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -52,8 +52,8 @@
 void fleet_worker_copy(fleet_worker_t *copy, const fleet_worker_t *worker);
 void fleet_announce(fleet_t *fleet, fleet_announcement_t *announcement,
     fleet_done_t *done, void *ctx);
-void fleet_deregister(
-    fleet_t *fleet, const char *worker, fleet_done_t *done, void *ctx);
+void fleet_deregister(fleet_t *fleet, const char *worker, uint64_t born,
+    fleet_done_t *done, void *ctx);
 /* Takes ownership of the contents of config. */
 void fleet_replace_config(
     fleet_t *fleet, fleet_config_t *config, fleet_done_t *done, void *ctx);
--- a/sched/fleet_leave.c
+++ b/sched/fleet_leave.c
@@ -114,12 +114,25 @@
 }
 
 /*
- * Removes a worker that shuts down.  Its tasks are stopped; done is called once
- * they have ended, after TASKS_WAIT_MS at the latest.  Those that cannot be
- * stopped are kept until the end of their lease.
+ * Whether a deregistration is of an incarnation that has ended since, as one
+ * that was held up.  A worker drains before it leaves, so one that names no
+ * incarnation is of an earlier one if the present one does not drain.
+ */
+static bool
+is_of_earlier_incarnation(const worker_t *worker, uint64_t born)
+{
+	return born == 0 ? !worker->info.draining : born < worker->info.born;
+}
+
+/*
+ * Removes a worker that shuts down; born is its incarnation, 0 if it does not
+ * say.  Its tasks are stopped; done is called once they have ended, after
+ * TASKS_WAIT_MS at the latest.  Those that cannot be stopped are kept until the
+ * end of their lease.
  */
 void
-fleet_deregister(fleet_t *fleet, const char *id, fleet_done_t *done, void *ctx)
+fleet_deregister(fleet_t *fleet, const char *id, uint64_t born,
+    fleet_done_t *done, void *ctx)
 {
 	worker_t *worker;
 	leave_t *leave;
@@ -133,8 +146,19 @@
 		done(ctx, FLEET_OK);
 		return;
 	}
-	evlog("worker_gone", "{s:s,s:s,s:i}", "worker", id, "reason",
-	    "deregistered", "members", (int)worker->members->len);
+	if (is_of_earlier_incarnation(worker, born)) {
+		evlog("deregistration_late", "{s:s,s:I,s:I}", "worker", id,
+		    "born", (json_int_t)born, "present",
+		    (json_int_t)worker->info.born);
+		done(ctx, FLEET_OK);
+		return;
+	}
+	/* It started and leaves before an announcement of it arrived. */
+	if (born > worker->info.born)
+		worker_learn_incarnation(worker, born);
+	evlog("worker_gone", "{s:s,s:I,s:s,s:i}", "worker", id, "born",
+	    (json_int_t)worker->info.born, "reason", "deregistered", "members",
+	    (int)worker->members->len);
 	worker->leaving = true;
 	worker->draining = true;
 	leave = g_new0(leave_t, 1);
--- a/tests/unit/once/once_presence.c
+++ b/tests/unit/once/once_presence.c
@@ -222,7 +222,7 @@
 	story_add(life->world, NULL, life->id,
 	    "i%d takes the deregistration of %s (born %lu)", message->instance,
 	    life->id, (unsigned long)life->born % 1000000);
-	fleet_deregister(fleet, life->id, on_fleet_done, message);
+	fleet_deregister(fleet, life->id, life->born, on_fleet_done, message);
 }
 
 static void
--- a/tests/unit/test_fleet_leave.c
+++ b/tests/unit/test_fleet_leave.c
@@ -54,6 +54,13 @@
 	ck_abort_msg("no worker is busy");
 }
 
+static void
+leave(bed_t *bed, const bed_worker_t *worker, bool *departed)
+{
+	fleet_deregister(bed->fleet, worker->info.id, worker->info.born,
+	    on_departed, departed);
+}
+
 /* Opens two workers and starts a job on one of them, which is returned. */
 static bed_worker_t *
 open_with_job(bed_t *bed)
@@ -81,7 +88,7 @@
 	if (_i == 0)
 		bed_run_for(&bed, 50);
 	start_ms = clock_mono_ms();
-	fleet_deregister(bed.fleet, worker->info.id, on_departed, &departed);
+	leave(&bed, worker, &departed);
 	worker->refuses = true;
 	bed_run_for(&bed, BED_LEASE_MS / 2);
 	ck_assert(!departed);
@@ -109,7 +116,7 @@
 	bed_t bed;
 
 	worker = open_with_job(&bed);
-	fleet_deregister(bed.fleet, worker->info.id, on_departed, &departed);
+	leave(&bed, worker, &departed);
 	ck_assert(system_wait(bed.loop, is_set, &departed));
 	ck_assert_uint_eq(worker->tasks->len, 0);
 	worker->refuses = true;
@@ -136,7 +143,7 @@
 	worker = open_with_job(&bed);
 	number = (size_t)(worker - bed.workers);
 	worker->refuses = true;
-	fleet_deregister(bed.fleet, worker->info.id, on_departed, &departed);
+	leave(&bed, worker, &departed);
 	bed_run_for(&bed, 50);
 	worker->refuses = false;
 	bed_restart_worker(&bed, number);
@@ -152,6 +159,55 @@
 }
 END_TEST
 
+/*
+ * Guards against review/4: a deregistration that was held up strikes out the
+ * incarnation that has started under the ID since.
+ */
+START_TEST(late_deregistration_spares_the_next_incarnation)
+{
+	bool departed = false;
+	uint64_t born;
+	bed_t bed;
+
+	bed_open(&bed, 1, 8);
+	born = bed.workers[0].info.born;
+	bed_restart_worker(&bed, 0);
+	bed_run_for(&bed, 50);
+	/* It names the incarnation that has ended, or none. */
+	fleet_deregister(bed.fleet, bed.workers[0].info.id, _i == 0 ? born : 0,
+	    on_departed, &departed);
+	ck_assert(system_wait(bed.loop, is_set, &departed));
+	for (int i = 0; i < 5; i++) {
+		bed_announce(&bed, 0);
+		bed_run_for(&bed, 50);
+	}
+	bed_submit(&bed, JOB, "batch", 1, 8, false);
+	WAIT(&bed, job_runs);
+	bed_end_tasks(&bed, JOB, RUN_DONE);
+	WAIT(&bed, is_completed);
+	bed_close(&bed);
+}
+END_TEST
+
+/* Guards against a draining worker whose call names no incarnation. */
+START_TEST(unnamed_deregistration_of_a_draining_worker)
+{
+	bool departed = false;
+	bed_t bed;
+
+	bed_open(&bed, 1, 8);
+	bed.workers[0].info.draining = true;
+	bed_announce(&bed, 0);
+	bed_run_for(&bed, 50);
+	fleet_deregister(
+	    bed.fleet, bed.workers[0].info.id, 0, on_departed, &departed);
+	ck_assert(system_wait(bed.loop, is_set, &departed));
+	bed_run_for(&bed, 50);
+	ck_assert_uint_eq(g_hash_table_size(bed.fleet->workers), 0);
+	bed_close(&bed);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -162,6 +218,9 @@
 	tcase_add_loop_test(tcase, refused_connections_are_no_end, 0, 2);
 	tcase_add_test(tcase, tasks_are_stopped_before_the_acknowledgement);
 	tcase_add_test(tcase, next_incarnation_is_used);
+	tcase_add_loop_test(
+	    tcase, late_deregistration_spares_the_next_incarnation, 0, 2);
+	tcase_add_test(tcase, unnamed_deregistration_of_a_draining_worker);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_FORK_GETENV);
 }
--- a/tests/unit/test_fleet_view.c
+++ b/tests/unit/test_fleet_view.c
@@ -196,8 +196,8 @@
 	bed_t bed;
 
 	bed_open(&bed, 1, 8);
-	fleet_deregister(
-	    bed.fleet, bed.workers[0].info.id, on_departed, &departed);
+	fleet_deregister(bed.fleet, bed.workers[0].info.id,
+	    bed.workers[0].info.born, on_departed, &departed);
 	bed_announce(&bed, 0);
 	ck_assert(system_wait(bed.loop, is_set, &departed));
 	bed_announce(&bed, 0);
