fleet: a start without an answer outlives the lease of its worker

The task was given up with the lease and started elsewhere; then the first copy of its start, without an answer, reached the new incarnation: two runs of one task.

Cause: the end of the lease was taken as the end of every start. A new incarnation has seen no fencing token, no stop and no lease, and its clock starts anew.

Change: while the worker is unreachable, a task with an unanswered start is kept until 12 s after it was sent, also beyond the lease.

--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -316,6 +316,26 @@
 	process_missing(worker, answer);
 }
 
+/*
+ * Gives up the tasks of a worker whose lease has ended, except those of which a
+ * start may still arrive.
+ */
+static void
+worker_end_lease(worker_t *worker, int64_t now_ms)
+{
+	GPtrArray *members = g_ptr_array_copy(worker->members, NULL, NULL);
+
+	for (guint i = 0; i < members->len; i++) {
+		member_t *member = g_ptr_array_index(members, i);
+
+		/* member_lost may detach several members. */
+		if (member->worker == worker &&
+		    !member_may_start_later(member, now_ms))
+			member_lost(member, "lease_ended");
+	}
+	g_ptr_array_unref(members);
+}
+
 /* Treats every task on the worker as lost. */
 static void
 worker_lose_members(worker_t *worker, const char *why)
@@ -538,7 +558,7 @@
 worker_tick(worker_t *worker, int64_t now_ms)
 {
 	if (!worker->reachable && now_ms > worker->lease_expiry_ms)
-		worker_lose_members(worker, "lease_ended");
+		worker_end_lease(worker, now_ms);
 	if (worker->polling || now_ms < worker->next_poll_ms ||
 	    worker->info.address[0] == '\0')
 		return;
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -99,6 +99,7 @@
 	 * time, also at a later incarnation of the worker.
 	 */
 	int starts_unanswered;
+	int64_t unanswered_ms; /* the last of them was sent */
 	/* fleet_next_sequence when a start or stop was last answered */
 	uint64_t answer_sequence;
 	int64_t retry_ms;
@@ -273,6 +274,7 @@
 void member_lost(member_t *member, const char *why);
 void member_forget_stop(member_t *member);
 bool member_may_still_start(const member_t *member);
+bool member_may_start_later(const member_t *member, int64_t now_ms);
 void member_not_started(member_t *member);
 task_name_t member_task(const member_t *member);
 
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -9,6 +9,8 @@
 
 #define START_RETRY_MS 30
 #define STOP_RETRY_MS 200
+/* An order without an answer is not carried out any more after so long. */
+#define LATE_ORDER_MS 12000
 /* More than any number of attempts. */
 #define UNLIMITED_ATTEMPTS 1000000
 #define STOPPED_BY_DRAINING "worker_draining"
@@ -327,6 +329,19 @@
 	return member->starts_unanswered > 0 && member->stop != STOP_ANSWERED;
 }
 
+/*
+ * Whether a start that was sent may be carried out in a later incarnation of
+ * the worker, which has seen neither a stop nor a fencing token.  Only time
+ * tells, as long as nothing is heard of that incarnation.
+ */
+bool
+member_may_start_later(const member_t *member, int64_t now_ms)
+{
+	return member->order_in_flight ||
+	       (member->starts_unanswered > 0 &&
+		   now_ms - member->unanswered_ms < LATE_ORDER_MS);
+}
+
 void
 member_reported_running(
     member_t *member, const running_task_t *task, int64_t now_ms)
@@ -447,12 +462,13 @@
 
 /* Logs a start that the worker may still carry out. */
 static void
-note_unanswered_start(member_t *member)
+note_unanswered_start(member_t *member, const member_order_t *order)
 {
 	const run_t *run = member->run;
 	const worker_t *worker = member->worker;
 
 	member->starts_unanswered++;
+	member->unanswered_ms = order->sent_us / CLOCK_US_PER_MS;
 	counter_add(run->fleet->starts_unanswered, 1);
 	evlog("start_unanswered", "{s:s,s:i,s:i,s:i,s:s,s:I,s:i}", "job",
 	    run->job, "step", run->name.step, "index", member->index, "run",
@@ -478,7 +494,7 @@
 		member->percent_ms = now_ms;
 		break;
 	case ORDER_NO_ANSWER:
-		note_unanswered_start(member);
+		note_unanswered_start(member, order);
 		break;
 	case ORDER_STALE_RUN:
 		/*
--- a/tests/unit/test_fleet_restarts.c
+++ b/tests/unit/test_fleet_restarts.c
@@ -93,6 +93,40 @@
 }
 END_TEST
 
+/*
+ * Guards against review/5: a task is given up with the lease of its worker,
+ * which is cut off and restarts; its first start, without an answer, is carried
+ * out by the new incarnation while the task runs elsewhere.
+ */
+START_TEST(delayed_start_behind_a_cut)
+{
+	bed_worker_t *worker;
+	size_t number;
+	bed_t bed;
+
+	bed_open(&bed, 2, 8);
+	submit_with_delayed_starts(&bed, 1);
+	number = last_busy_worker(&bed);
+	worker = &bed.workers[number];
+	worker->unreachable = true;
+	bed_run_for(&bed, BED_LEASE_MS / 2);
+	bed_restart_worker_unannounced(&bed, number);
+	bed_run_for(&bed, 3 * BED_LEASE_MS);
+	bed_deliver_delayed(&bed);
+	ck_assert_int_eq(worker->starts, 2);
+	ck_assert_int_eq(bed_running(&bed, JOB), 1);
+	ck_assert(!bed.duplicate_run);
+	worker->unreachable = false;
+	bed_announce(&bed, number);
+	bed_run_for(&bed, BED_LEASE_MS);
+	WAIT(&bed, job_has_1_task);
+	ck_assert(!bed.duplicate_run);
+	bed_end_tasks(&bed, JOB, RUN_DONE);
+	WAIT(&bed, is_completed);
+	bed_close(&bed);
+}
+END_TEST
+
 /* Same for one member of a gang, whose other members are stopped. */
 START_TEST(delayed_start_of_gang_in_next_incarnation)
 {
@@ -321,6 +355,7 @@
 
 	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
 	tcase_add_test(tcase, delayed_start_in_next_incarnation);
+	tcase_add_test(tcase, delayed_start_behind_a_cut);
 	tcase_add_test(tcase, delayed_start_of_gang_in_next_incarnation);
 	tcase_add_test(tcase, delayed_start_after_leader_change);
 	tcase_add_test(tcase, delayed_poll_in_next_incarnation);
--- a/tests/unit/test_once_restarts.c
+++ b/tests/unit/test_once_restarts.c
@@ -25,6 +25,15 @@
     {ONCE_NETWORK ",crash,rebirth,return,drain,late_deregister,"
 		  "lost_deregister,unhealthy,fail,cancel," ONCE_LEADERS,
 	6989, 1},
+    /* A start without an answer is executed by an incarnation before the
+     * leader's first order to it. */
+    {"late,rebirth", 396, 1},
+    {ONCE_NETWORK ",crash,rebirth,return,drain,late_deregister,"
+		  "lost_deregister,unhealthy,fail,cancel," ONCE_LEADERS,
+	7169, 1},
+    {ONCE_NETWORK ",crash,rebirth,return,drain,late_deregister,"
+		  "lost_deregister,unhealthy,fail,cancel," ONCE_LEADERS,
+	7366, 1},
 };
 
 int
