fleet: nothing is acknowledged after a poll without an answer

A poll without an answer was repeated to a worker that had restarted under its id, and acknowledged ends of the new incarnation that nobody had read.

Change: after a poll without an answer nothing is acknowledged until the present incarnation has answered one.

--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -419,6 +419,7 @@
 	worker->orders_in_flight--;
 	worker->polling = false;
 	worker->poll_done_ms = now_ms;
+	worker->poll_confirmed = false;
 	if (worker->retired)
 		return;
 	if (is_for_earlier_incarnation(worker, answer)) {
@@ -454,6 +455,7 @@
 			worker_clock_update(
 			    &worker->clock, answer->clock_ms, now_ms);
 		}
+		worker->poll_confirmed = true;
 		worker->confirmed_ack =
 		    MAX(worker->confirmed_ack, worker->sent_ack);
 		process_poll_lists(worker, answer, now_ms);
@@ -472,16 +474,17 @@
 }
 
 /*
- * Returns the end to acknowledge, 0 for none. What was confirmed is not sent
- * again: if the worker has restarted, it would acknowledge ends of the next
- * incarnation.
+ * Returns the end to acknowledge, 0 for none. If the worker has restarted, it
+ * would acknowledge ends of the next incarnation, so what was confirmed is not
+ * sent again, and nothing is sent after a poll without an answer until the
+ * present incarnation has answered one.
  */
 static uint64_t
 next_acknowledgement(worker_t *worker)
 {
 	uint64_t end = advance_ackable_end(worker);
 
-	return end > worker->confirmed_ack ? end : 0;
+	return worker->poll_confirmed && end > worker->confirmed_ack ? end : 0;
 }
 
 static bool
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -43,6 +43,8 @@
 	int64_t lease_expiry_ms; /* local time by which its lease has expired */
 	/* The last poll was answered; initially false if it is unknown. */
 	bool reachable;
+	/* Same, by the present incarnation; initially false. */
+	bool poll_confirmed;
 	bool draining;
 	bool leaving; /* deregistered, its tasks have not ended yet */
 	bool polling;
--- a/tests/unit/test_once.c
+++ b/tests/unit/test_once.c
@@ -6,6 +6,11 @@
  * once_play for days chosen by hand.
  */
 
+#define ONCE_ALL_BUT_LATE                                                  \
+	"loss,answer_lost,slow,cut,cut_one_way,late_announce,crash,drain," \
+	"late_deregister,lost_deregister,unhealthy,fail,cancel,freeze,"    \
+	"isolate,kill,return,rebirth"
+
 static const fixed_days_t fixed_days[] = {
     {"-", 1, 5},
     {ONCE_NETWORK ",crash,unhealthy,fail,cancel," ONCE_LEADERS, 1, 15},
@@ -26,6 +31,11 @@
     {"late_announce,rebirth,kill", 244, 1},
     {"freeze,rebirth,isolate", 107, 1},
     {"return,late", 92, 1},
+    /* A poll without an answer is sent again and acknowledges ends of the next
+     * incarnation that nobody has read. */
+    {ONCE_ALL_BUT_LATE, 1001608, 1},
+    {ONCE_ALL_BUT_LATE, 3001207, 1},
+    {"loss,answer_lost,slow,cut,cut_one_way,rebirth", 994, 1},
 };
 
 int
