fleet: a job is pending until a task of it is at work

What callers saw: with two of eight servers cut off, pendingCount was 0 though two accepted jobs had not begun for over 5 s.

Cause: a job counted as begun when its start was decided.

Change: the leader counts it as begun once it has seen a task of it at work.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -148,6 +148,7 @@
 
 		job->submitted_mono_ms = 0;
 		job->still_since_ms = 0;
+		job->begun = false;
 		job->ended_ms = 0;
 		job->removal_proposed_ms = 0;
 		for (size_t i = 0; i < job->unit_count; i++)
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -251,6 +251,14 @@
 	retire_if_ended(run);
 }
 
+/* Records that a task of the job was seen at work. */
+static void
+note_begun(const run_t *run)
+{
+	if (run->unit != NULL)
+		run->unit->job->begun = true;
+}
+
 /* Handles an end that the worker listed. */
 void
 member_ended(member_t *member, run_outcome_t how, const char *checkpoint)
@@ -259,6 +267,7 @@
 	    "done", "failed", "stopped", "lapsed", "broken", "alone"};
 	run_t *run = member->run;
 
+	note_begun(run);
 	update_checkpoint(member, checkpoint);
 	if (how == RUN_FAILED)
 		evlog("task_failed", "{s:s,s:i,s:i,s:i,s:s}", "job", run->job,
@@ -346,6 +355,7 @@
 member_reported_running(
     member_t *member, const running_task_t *task, int64_t now_ms)
 {
+	note_begun(member->run);
 	if (member->state == MEMBER_UNSENT || member->state == MEMBER_SENT)
 		member->state = MEMBER_RUNNING;
 	if (task->percent > member->percent || member->percent_ms == 0) {
@@ -488,6 +498,7 @@
 	member->retry_ms = now_ms + START_RETRY_MS;
 	switch (answer->outcome) {
 	case ORDER_OK:
+		note_begun(member->run);
 		member->state = MEMBER_RUNNING;
 		member->answer_sequence =
 		    fleet_next_sequence(member->run->fleet);
--- a/sched/ledger.c
+++ b/sched/ledger.c
@@ -248,7 +248,10 @@
 	return 0;
 }
 
-/* Returns how many open jobs of a queue have no unit that was ever started. */
+/*
+ * Counts a job as begun once a task of it was seen at work, not when its start
+ * is decided: the start may not reach its worker for seconds.
+ */
 int
 ledger_pending_count(const ledger_t *ledger, const char *queue)
 {
@@ -257,7 +260,7 @@
 	for (const GList *at = ledger->open.head; at != NULL; at = at->next) {
 		const ledger_job_t *job = at->data;
 
-		if (job->units_started == 0 &&
+		if (!job->begun && job->units_left == job->unit_count &&
 		    strcmp(job->submit.queue, queue) == 0)
 			count++;
 	}
--- a/sched/ledger.h
+++ b/sched/ledger.h
@@ -56,6 +56,7 @@
 	int64_t ended_ms;          /* the leader noticed the end */
 	int64_t removal_proposed_ms; /* its removal was last proposed */
 	bool covered; /* urgent and within its tenant's guarantee */
+	bool begun;   /* a task of it was seen at work */
 	GList link;   /* in the list of open or of ended jobs */
 };
 
@@ -91,6 +92,7 @@
     const ledger_job_t *job, int occurrence, int step, int index);
 batch_state_t ledger_job_state(const ledger_job_t *job);
 bool ledger_job_has_ended(const ledger_job_t *job);
+/* On the leader: how many open jobs of a queue have not begun. */
 int ledger_pending_count(const ledger_t *ledger, const char *queue);
 const step_spec_t *ledger_step(const ledger_unit_t *unit);
 /* Returns the first unit of a step; the others of the step follow it. */
--- a/tests/unit/test_fleet_view.c
+++ b/tests/unit/test_fleet_view.c
@@ -215,6 +215,36 @@
 }
 END_TEST
 
+/*
+ * Guards against a job that is missing from the count of those that have not
+ * begun: its start is decided, but reaches no worker.
+ */
+START_TEST(job_without_a_task_at_work_is_pending)
+{
+	const ledger_t *ledger;
+	bed_t bed;
+
+	bed_open(&bed, 2, 8);
+	ledger = fleet_ledger(bed.fleet);
+	for (size_t i = 0; i < bed.worker_count; i++)
+		bed.workers[i].loses_starts = true;
+	bed_submit(&bed, JOB, "batch", 1, 8, false);
+	bed_run_for(&bed, 300);
+	ck_assert_int_eq(ledger_pending_count(ledger, "batch"), 1);
+	ck_assert_int_eq(ledger_pending_count(ledger, "urgent"), 0);
+	for (size_t i = 0; i < bed.worker_count; i++)
+		bed.workers[i].loses_starts = false;
+	ck_assert(system_wait(bed.loop, task_runs, &bed));
+	bed_run_for(&bed, 100);
+	ck_assert_int_eq(ledger_pending_count(ledger, "batch"), 0);
+	/* A new leader learns it from the worker. */
+	bed_restart_fleet(&bed);
+	bed_run_for(&bed, 300);
+	ck_assert_int_eq(ledger_pending_count(ledger, "batch"), 0);
+	bed_close(&bed);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -225,6 +255,7 @@
 	tcase_add_loop_test(tcase, counts_follow_changes, 0, 6);
 	tcase_add_test(tcase, pause_of_leader_blames_no_worker);
 	tcase_add_test(tcase, departed_worker_stays_away);
+	tcase_add_test(tcase, job_without_a_task_at_work_is_pending);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_FORK);
 }
