replica: the log is compacted by its bytes too

What the review saw: a configuration of 900 routes (186 KB) sent 300 times made 75 MB of log and 89 MB of memory in each instance, so that the product fills a disk of 128 MB by itself after some 510 changes.

Not measured: the largest size on disk meanwhile, several instances, acknowledgements within their bound.

--- a/common/settings.h
+++ b/common/settings.h
@@ -38,6 +38,7 @@
 	int64_t election_timeout_ms;
 	int64_t heartbeat_ms;
 	int64_t snapshot_entries;
+	int64_t snapshot_log_bytes;
 	int64_t ping_interval_ms;
 	int64_t silent_after_ms;
 	int64_t worker_lease_ms;
--- a/state/raft_internal.h
+++ b/state/raft_internal.h
@@ -15,6 +15,8 @@
  * no snapshot.
  */
 #define RAFT_KEPT_ENTRIES 256
+/* Bytes that these entries may take. */
+#define RAFT_KEPT_BYTES (4 * 1024 * 1024)
 /* A learner at most this many entries behind the commit may become a voter. */
 #define RAFT_CAUGHT_UP_ENTRIES 64
 /* Limit of uncommitted entries; further proposals fail with -EAGAIN. */
--- a/state/raft_log.c
+++ b/state/raft_log.c
@@ -203,20 +203,35 @@
 }
 
 /*
- * Drops the log up to index, which a durable snapshot now covers.  The last
- * RAFT_KEPT_ENTRIES are kept for members slightly behind, except without a
- * disk.
+ * Returns the last entry to drop when a snapshot covers the log up to index:
+ * some are kept for members slightly behind, except without a disk.
  */
+static uint64_t
+last_to_drop(const raft_t *raft, uint64_t index)
+{
+	uint64_t keep = raft->disk_id != 0 ? RAFT_KEPT_ENTRIES : 0;
+	uint64_t bytes = 0;
+
+	while (index > raft->base_index && keep-- > 0) {
+		bytes += raft_log_get(raft, index)->data.body_t_len;
+		if (bytes > RAFT_KEPT_BYTES)
+			break;
+		index--;
+	}
+	return index;
+}
+
+/* Drops the log up to index, which a durable snapshot now covers. */
 void
 raft_compacted(raft_t *raft, uint64_t index, uint64_t term)
 {
-	uint64_t keep = raft->disk_id != 0 ? RAFT_KEPT_ENTRIES : 0;
-	uint64_t drop_to = index > keep ? index - keep : 0;
+	uint64_t drop_to;
 
 	if (index > raft->applied || index <= raft->snapshot_index ||
 	    raft_log_term(raft, index) != term)
 		return;
 	raft->snapshot_index = index;
+	drop_to = last_to_drop(raft, index);
 	if (drop_to <= raft->base_index)
 		return;
 	raft->base_term = raft_log_term(raft, drop_to);
--- a/state/replica.c
+++ b/state/replica.c
@@ -146,6 +146,7 @@
 		if (!replica->snapshot_load_failed) {
 			replica->applied_index = entry->index;
 			replica->applied_term = entry->term;
+			replica->log_bytes += entry->data.body_t_len;
 			if (entry->kind == ENTRY_MEMBERS)
 				apply_members(replica, entry);
 			else
--- a/state/replica_private.h
+++ b/state/replica_private.h
@@ -84,6 +84,7 @@
 	uint64_t snapshot_index;
 	uint64_t snapshot_term;
 	uint64_t trim_index; /* where the log was last shortened */
+	uint64_t log_bytes;  /* of the entries applied since */
 	raft_members_t snapshot_members;
 	bool saving_snapshot;
 	GBytes *next_snapshot;
--- a/state/replica_storage.c
+++ b/state/replica_storage.c
@@ -76,22 +76,38 @@
 }
 
 /*
- * Compacts the log every snapshot_entries applied entries.  A learner without a
- * disk never sends a snapshot, so it drops its log without taking one.
+ * Whether the log is long enough to be compacted, in entries or in bytes.  It
+ * may grow as large as the snapshot, so that writing snapshots costs no more
+ * than writing the log.
+ */
+static bool
+is_log_long(const replica_t *replica)
+{
+	uint64_t entries = replica->applied_index - replica->trim_index;
+	uint64_t bytes = (uint64_t)replica->settings->snapshot_log_bytes;
+
+	if (replica->snapshot != NULL)
+		bytes = MAX(bytes, g_bytes_get_size(replica->snapshot));
+	return entries >= (uint64_t)replica->settings->snapshot_entries ||
+	       replica->log_bytes >= bytes;
+}
+
+/*
+ * Compacts the log when it is long.  A learner without a disk never sends a
+ * snapshot, so it drops its log without taking one.
  */
 void
 replica_maybe_snapshot(replica_t *replica)
 {
-	uint64_t since = replica->applied_index - replica->trim_index;
-
-	if (replica->snapshot_load_failed ||
-	    since < (uint64_t)replica->settings->snapshot_entries)
+	if (replica->snapshot_load_failed || !is_log_long(replica))
 		return;
 	if (replica->storage == NULL) {
+		replica->log_bytes = 0;
 		replica->trim_index = replica->applied_index;
 		raft_compacted(replica->raft, replica->applied_index,
 		    replica->applied_term);
 	} else if (!replica->saving_snapshot && replica->storage_code == 0) {
+		replica->log_bytes = 0;
 		replica->trim_index = replica->applied_index;
 		take_snapshot(replica);
 	}
@@ -132,6 +148,7 @@
 	replica->applied_index = index;
 	replica->applied_term = term;
 	replica->trim_index = index;
+	replica->log_bytes = 0;
 	storage_members_clear(&replica->members);
 	storage_members_copy(&replica->members, members);
 }
--- a/tests/unit/test_replica_disks.c
+++ b/tests/unit/test_replica_disks.c
@@ -1,4 +1,5 @@
 #include <errno.h>
+#include <glib/gstdio.h>
 #include <limits.h>
 #include <stdatomic.h>
 #include <string.h>
@@ -250,6 +251,98 @@
 }
 END_TEST
 
+#define BIG_DOCUMENT (100 * 1024)
+#define BIG_CHANGES 200
+
+/* Returns the bytes of all files of a folder. */
+static uint64_t
+folder_bytes(const char *folder)
+{
+	GDir *dir = g_dir_open(folder, 0, NULL);
+	uint64_t bytes = 0;
+	const char *name;
+
+	ck_assert_ptr_nonnull(dir);
+	while ((name = g_dir_read_name(dir)) != NULL) {
+		char *path = g_build_filename(folder, name, NULL);
+		GStatBuf info;
+
+		if (g_stat(path, &info) == 0)
+			bytes += (uint64_t)info.st_size;
+		g_free(path);
+	}
+	g_dir_close(dir);
+	return bytes;
+}
+
+/* A change of the configuration that was proposed. */
+typedef struct {
+	replica_bed_t *bed;
+	bool done;
+} change_t;
+
+static void
+on_changed(void *ctx, const err_t *err, const command_result_t *result)
+{
+	ck_assert_int_eq(err->code, 0);
+	((change_t *)ctx)->done = true;
+}
+
+static bool
+is_done(void *ctx)
+{
+	return ((change_t *)ctx)->done;
+}
+
+static uint64_t
+config_number(const replica_bed_t *bed)
+{
+	const machine_t *machine = replica_machine(bed->nodes[0].replica);
+
+	return ledger_config(machine_ledger(machine))->number;
+}
+
+static void
+replace_config(replica_bed_t *bed, uint64_t number, char *document)
+{
+	change_t change = {.bed = bed};
+	command_t command = {.kind = COMMAND_FLEET_CONFIG};
+
+	command.command_t_u.fleet_config.number = number;
+	command.command_t_u.fleet_config.document =
+	    (body_t){BIG_DOCUMENT, document};
+	replica_propose(
+	    bed->nodes[0].replica, &command, LONG_MS, on_changed, &change);
+	WAIT(bed, is_done, &change);
+}
+
+/*
+ * Guards against a disk and a memory that large configurations fill: the log is
+ * compacted by its bytes too.  5 MB are four times what is kept of 20 MB.
+ */
+START_TEST(large_changes_do_not_fill_the_disk)
+{
+	char *document;
+	replica_bed_t bed;
+
+	replica_bed_open(&bed, 1, 1, ",\"snapshot_log_bytes\":1000000");
+	start_all(&bed);
+	WAIT(&bed, all_confirmed, &bed);
+	document = g_malloc0(BIG_DOCUMENT);
+	for (uint64_t i = 1; i <= BIG_CHANGES; i++)
+		replace_config(&bed, i, document);
+	g_free(document);
+	ck_assert_uint_lt(
+	    folder_bytes(bed.system->settings[0]->data_folder), 5000000);
+	ck_assert_uint_eq(config_number(&bed), BIG_CHANGES);
+	stop_node(&bed, 0);
+	start_node(&bed, 0);
+	WAIT(&bed, all_confirmed, &bed);
+	ck_assert_uint_eq(config_number(&bed), BIG_CHANGES);
+	replica_bed_close(&bed);
+}
+END_TEST
+
 static void
 keep_calls(void)
 {
@@ -273,6 +366,7 @@
 	tcase_add_checked_fixture(tcase, keep_calls, restore_calls);
 	tcase_add_loop_test(tcase, full_disk_of_the_leader, 0, 2);
 	tcase_add_test(tcase, all_disks_full);
+	tcase_add_test(tcase, large_changes_do_not_fill_the_disk);
 	tcase_add_loop_test(
 	    tcase, disks_refuse_in_turn, 0, G_N_ELEMENTS(series));
 	suite_add_tcase(suite, tcase);
