--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -11,11 +11,23 @@
 
 /* Priority of urgent queues; a higher number is less important. */
 #define QUEUE_PRIORITY_URGENT 0
-/* At least as many as wait_reason_t has. */
-#define WAIT_REASONS_MAX 16
 /* Time for a worker to answer a start, stop or pace order. */
 #define ORDER_ANSWER_TIMEOUT_MS 700
 
+/* Why a step that waits was passed over in a planning round. */
+typedef enum {
+	WAIT_ROOM,      /* no free place that fits */
+	WAIT_HEADROOM,  /* the rest is kept free for urgent work */
+	WAIT_RESERVED,  /* fits in a rack that is reserved for urgent work */
+	WAIT_RACK,      /* fits, but not near its data or together */
+	WAIT_TICKET,    /* no ticket for a worker with room */
+	WAIT_EARLIER,   /* a step that needs no more was passed over */
+	WAIT_RELEASING, /* keeps places while others are being freed */
+	WAIT_NO_WORKER, /* no usable worker of its service and label */
+	WAIT_NO_QUEUE,  /* its queue is not known */
+	WAIT_REASONS,
+} wait_reason_t;
+
 typedef struct run_t run_t;
 typedef struct member_t member_t;
 typedef struct advice_query_t advice_query_t;
@@ -185,7 +197,7 @@
 	counter_t *ends_uncounted;
 	counter_t *foreign_announcements; /* of services not configured */
 	counter_t *refused_no_room;
-	counter_t *waits[WAIT_REASONS_MAX]; /* by wait_reason_t */
+	counter_t *waits[WAIT_REASONS]; /* by wait_reason_t */
 	counter_t *stills;
 	int64_t next_still_ms; /* when the next one may be logged */
 	counter_t *preempted;
--- a/sched/fleet_round.h
+++ b/sched/fleet_round.h
@@ -19,20 +19,6 @@
 	int64_t may_spread_ms; /* may leave its preferred rack from then on */
 } waiting_step_t;
 
-/* Why a step that waits was passed over in a planning round. */
-typedef enum {
-	WAIT_ROOM,      /* no free place that fits */
-	WAIT_HEADROOM,  /* the rest is kept free for urgent work */
-	WAIT_RESERVED,  /* fits in a rack that is reserved for urgent work */
-	WAIT_RACK,      /* fits, but not near its data or together */
-	WAIT_TICKET,    /* no ticket for a worker with room */
-	WAIT_EARLIER,   /* a step that needs no more was passed over */
-	WAIT_RELEASING, /* keeps places while others are being freed */
-	WAIT_NO_WORKER, /* no usable worker of its service and label */
-	WAIT_NO_QUEUE,  /* its queue is not known */
-	WAIT_REASONS,
-} wait_reason_t;
-
 /* State of one planning round: the workers and their free resources. */
 typedef struct {
 	fleet_t *fleet;
--- a/sched/fleet_waits.c
+++ b/sched/fleet_waits.c
@@ -19,8 +19,6 @@
 /* Room for so many times the unit makes a wait hard to explain. */
 #define AMPLE_ROOM 2
 
-G_STATIC_ASSERT(WAIT_REASONS <= WAIT_REASONS_MAX);
-
 static const char *const names[WAIT_REASONS] = {
     [WAIT_ROOM] = "room",
     [WAIT_HEADROOM] = "headroom",
--- a/state/replica_private.h
+++ b/state/replica_private.h
@@ -37,7 +37,7 @@
 /* What this replica knows of another instance from its messages. */
 typedef struct {
 	uint64_t disk_id;
-	bool claims_vote;
+	bool claims_vote;          /* in its last message */
 	int64_t voting_ms;         /* last message that claims a vote */
 	int64_t empty_reply_ms;    /* last reply that it has no log or leader */
 	bool has_change_in_flight; /* a COMMAND_INSTANCE about it */
--- a/state/wal_internal.h
+++ b/state/wal_internal.h
@@ -4,12 +4,10 @@
 
 #include "state/wal.h"
 
-/*
- * The system calls that make data durable; tests replace them.  The names are
- * relative to the folder fd.
- */
+/* The system calls that make data durable; tests replace them. */
 typedef struct {
-	int (*create)(int folder, const char *name); /* empty, to append to */
+	/* Opens a new or emptied file of a folder for appending. */
+	int (*create)(int folder, const char *name);
 	int (*rename)(int folder, const char *from, const char *to);
 	ssize_t (*write)(int fd, const void *data, size_t len);
 	int (*sync)(int fd);        /* data and size of a file */
