fleet: a stop in flight does not keep a task beyond its lease

member_may_start_later took any order in flight for a start; a run that is being stopped on a worker that cannot be reached was given up up to 0.7 s late. Found when reading the change. test_fleet, test_fleet_leave, test_fleet_restarts and test_once pass.

--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -346,7 +346,10 @@
 bool
 member_may_start_later(const member_t *member, int64_t now_ms)
 {
-	return member->order_in_flight ||
+	bool start_in_flight =
+	    member->order_in_flight && member->stop == STOP_NONE;
+
+	return start_in_flight ||
 	       (member->starts_unanswered > 0 &&
 		   now_ms - member->unanswered_ms < LATE_ORDER_MS);
 }
