--- a/tests/unit/test_replica_disks.c
+++ b/tests/unit/test_replica_disks.c
@@ -318,7 +318,7 @@
 
 /*
  * Guards against a disk and a memory that large configurations fill: the log is
- * compacted by its bytes too.  5 MB are four times what is kept of 20 MB.
+ * compacted by its bytes too.  The changes add up to 20 MB.
  */
 START_TEST(large_changes_do_not_fill_the_disk)
 {
--- a/tests/unit/test_wal.c
+++ b/tests/unit/test_wal.c
@@ -776,8 +776,8 @@
 
 /*
  * Guards against a request that cannot be tried again after any one call of it
- * was refused: each is tried until it succeeds, with a restart or without, and
- * must leave the same folder as if nothing had been refused.
+ * was refused: each is tried until it succeeds, and must leave the same folder
+ * as if nothing had been refused.
  */
 START_TEST(refused_calls)
 {
