replica: an instance that cannot campaign forgets a silent leader

Cause: a learner in a part that is cut off went on naming the leader it had followed; entry instances tried it, forgot it and asked again every 30 ms. replica_leader_id returns no leader once the longest election timeout has passed in silence (voters already forget it when they campaign). learner_forgets_silent_leader fails without the change.

--- a/state/replica.c
+++ b/state/replica.c
@@ -23,6 +23,8 @@
  * with the next tick: they answer their own callers only after they have it.
  */
 #define COMMIT_NOTICE_MS 1
+/* The longest election timeout as a multiple of the shortest one. */
+#define ELECTION_TIMEOUT_SPREAD 2
 
 /* ---- committed entries ---- */
 
@@ -487,11 +489,21 @@
 	       raft_has_quorum_lease(replica->raft, clock_mono_ms());
 }
 
-/* Returns the leader's id, empty when it is unknown. */
+/*
+ * Returns the leader's id, empty when it is unknown.  A voter forgets a silent
+ * leader as it campaigns; an instance that cannot campaign forgets it once the
+ * longest election timeout has passed, so that it names no leader from which it
+ * is cut off.
+ */
 const char *
 replica_leader_id(const replica_t *replica)
 {
-	return raft_leader(replica->raft);
+	int64_t silent_ms =
+	    raft_leader_silent_ms(replica->raft, clock_mono_ms());
+	int64_t longest_ms =
+	    ELECTION_TIMEOUT_SPREAD * replica->settings->election_timeout_ms;
+
+	return silent_ms > longest_ms ? "" : raft_leader(replica->raft);
 }
 
 peer_info_t
--- a/tests/unit/test_replica.c
+++ b/tests/unit/test_replica.c
@@ -627,6 +627,34 @@
 }
 END_TEST
 
+static bool
+names_no_leader(void *ctx)
+{
+	const node_t *node = ctx;
+
+	return replica_leader_id(node->replica)[0] == '\0';
+}
+
+/*
+ * Guards against an instance that cannot campaign and that names the leader
+ * from which it is cut off to everybody who asks.
+ */
+START_TEST(learner_forgets_silent_leader)
+{
+	const size_t learner = 3;
+	replica_bed_t bed;
+
+	replica_bed_open(&bed, learner + 1, learner, "");
+	start_all(&bed);
+	WAIT(&bed, all_confirmed, &bed);
+	ck_assert(!names_no_leader(&bed.nodes[learner]));
+	for (size_t i = 0; i < learner; i++)
+		stop_node(&bed, i);
+	WAIT(&bed, names_no_leader, &bed.nodes[learner]);
+	replica_bed_close(&bed);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -649,6 +677,7 @@
 	tcase_add_test(tcase, bootstrap_asks_first);
 	tcase_add_test(tcase, outcome_without_quorum);
 	tcase_add_test(tcase, outcome_of_forwarded_at_deadline);
+	tcase_add_test(tcase, learner_forgets_silent_leader);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_FORK_GETENV);
 }
