plan: units choose workers by their speed

plan_worker_t holds the speed of a worker where it is known. A unit that needs a speed for a result in time takes no slower worker while others fit; one with time to spare takes the slow ones; a gang takes workers of like speed, as it is as slow as its slowest member. Without a known speed the plans are as before. The search for places of gangs is a file of its own.

--- a/sched/plan.c
+++ b/sched/plan.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "sched/pool_private.h"
+#include "sched/plan_private.h"
 
 /*
  * Workers with the same number of available accelerators that are compared for
@@ -15,25 +15,6 @@
 #define SPARE_PER_ACCELERATOR 1000
 #define MILLI 1000
 
-/* The inputs of one decision. */
-typedef struct {
-	pool_t *pool;
-	const plan_unit_t *unit;
-	plan_available_t kind;
-	int service;   /* number in the pool */
-	int data_rack; /* number in the pool, POOL_NONE if it has no worker */
-	bool has_data_rack;
-} search_t;
-
-/* A worker that can take at least one member of the unit. */
-typedef struct {
-	size_t worker;
-	int fitting;
-	int penalty;
-	bool near_data;
-	int spare; /* see spare_after */
-} candidate_t;
-
 static int
 tasks_that_fit(int available, int need)
 {
@@ -81,11 +62,37 @@
 	return false;
 }
 
+/*
+ * Returns how the speed of the worker suits the unit.  A unit with time to
+ * spare takes a slow worker, so that a faster one stays free for another unit.
+ */
+plan_speed_class_t
+plan_speed_class(const plan_worker_t *worker, const plan_unit_t *unit)
+{
+	int speed = worker->speed_percent;
+
+	if (unit->needed_speed_percent == 0 || speed == 0)
+		return PLAN_FAST_ENOUGH;
+	if (speed < MIN(unit->needed_speed_percent, PLAN_USUAL_SPEED_PERCENT))
+		return PLAN_TOO_SLOW;
+	return speed < PLAN_USUAL_SPEED_PERCENT ? PLAN_SPARES_FAST
+						: PLAN_FAST_ENOUGH;
+}
+
+/* Whether the unit waits for a faster worker rather than take this one. */
+static bool
+is_avoided(const plan_worker_t *worker, const plan_unit_t *unit)
+{
+	return unit->avoids_slow &&
+	       plan_speed_class(worker, unit) == PLAN_TOO_SLOW;
+}
+
 /* Whether the unit may run on the worker, given enough free resources. */
 bool
 plan_is_eligible(const plan_worker_t *worker, const plan_unit_t *unit)
 {
-	if (worker->excluded || (worker->on_trial && unit->members > 1))
+	if (worker->excluded || (worker->on_trial && unit->members > 1) ||
+	    is_avoided(worker, unit))
 		return false;
 	return worker->usable &&
 	       strcmp(worker->worker->service, unit->service) == 0 &&
@@ -118,6 +125,7 @@
 
 	if (!plan_worker->usable || plan_worker->excluded ||
 	    (plan_worker->on_trial && unit->members > 1) ||
+	    is_avoided(plan_worker, unit) ||
 	    search->pool->service_of[worker] != search->service)
 		return false;
 	if (unit->needs_ticket && !plan_worker->has_ticket)
@@ -128,8 +136,8 @@
 }
 
 /* Returns how many members the worker can take now. */
-static int
-fitting_on(const search_t *search, size_t worker)
+int
+search_fitting_on(const search_t *search, size_t worker)
 {
 	resources_t available =
 	    pool_available(search->pool, worker, search->kind);
@@ -144,8 +152,8 @@
  * Returns what the worker has to spare once it holds that many members:
  * accelerators, then cores.
  */
-static int
-spare_after(const search_t *search, size_t worker, int members)
+int
+search_spare_after(const search_t *search, size_t worker, int members)
 {
 	resources_t available =
 	    pool_available(search->pool, worker, search->kind);
@@ -155,34 +163,63 @@
 	       available.cpu_milli / MILLI;
 }
 
+/* Returns how much slower than usual a worker is that is too slow, else 0. */
+int
+plan_slowness(const plan_worker_t *worker, plan_speed_class_t speed_class)
+{
+	if (speed_class != PLAN_TOO_SLOW)
+		return 0;
+	return PLAN_USUAL_SPEED_PERCENT - worker->speed_percent;
+}
+
 /* ---- single tasks ---- */
 
 /* The best worker found so far for a single task. */
 typedef struct {
 	int worker; /* POOL_NONE: none yet */
+	plan_speed_class_t speed_class;
+	int slowness;
 	int spare;
 	int compared;
 	bool suspects; /* take workers with a penalty, and only these */
+	plan_speed_class_t slowest_class; /* take none of a later class */
 } best_t;
 
+/* Whether a choice is better than the best one so far. */
+static bool
+is_better(const best_t *choice, const best_t *best)
+{
+	if (best->worker == POOL_NONE)
+		return true;
+	if (choice->speed_class != best->speed_class)
+		return choice->speed_class < best->speed_class;
+	if (choice->slowness != best->slowness)
+		return choice->slowness < best->slowness;
+	return choice->spare < best->spare;
+}
+
 /*
- * Compares one more worker.  The one with the least to spare is the best, so
- * that whole workers stay free for large tasks.
+ * Compares one more worker.  Among those of the best speed, the one with the
+ * least to spare is the best, so that whole workers stay free for large tasks.
  */
 static void
 consider(const search_t *search, size_t worker, best_t *best)
 {
-	int spare;
+	const plan_worker_t *plan_worker = &search->pool->workers[worker];
+	best_t choice = *best;
 
-	if ((search->pool->workers[worker].penalty > 0) != best->suspects ||
-	    fitting_on(search, worker) == 0)
+	choice.speed_class = plan_speed_class(plan_worker, search->unit);
+	if ((plan_worker->penalty > 0) != best->suspects ||
+	    choice.speed_class > best->slowest_class ||
+	    search_fitting_on(search, worker) == 0)
 		return;
+	choice.worker = (int)worker;
+	choice.slowness = plan_slowness(plan_worker, choice.speed_class);
+	choice.spare = search_spare_after(search, worker, 1);
+	choice.compared++;
 	best->compared++;
-	spare = spare_after(search, worker, 1);
-	if (best->worker != POOL_NONE && best->spare <= spare)
-		return;
-	best->worker = (int)worker;
-	best->spare = spare;
+	if (is_better(&choice, best))
+		*best = choice;
 }
 
 static void
@@ -210,6 +247,25 @@
 	}
 }
 
+/*
+ * Considers workers of one speed class after the other, as consider_all stops
+ * at the first that fits.  All workers of an even pool are of the middle class.
+ */
+static void
+consider_by_speed(const search_t *search, best_t *best)
+{
+	bool is_uneven = search->pool->is_uneven;
+	int first = is_uneven ? PLAN_SPARES_FAST : PLAN_FAST_ENOUGH;
+	int last = is_uneven ? PLAN_TOO_SLOW : PLAN_FAST_ENOUGH;
+
+	for (int speed_class = first;
+	     speed_class <= last && best->worker == POOL_NONE; speed_class++) {
+		best->slowest_class = (plan_speed_class_t)speed_class;
+		best->compared = 0;
+		consider_all(search, best);
+	}
+}
+
 /* Prefers workers without a penalty, then those near the data. */
 static bool
 place_single(const search_t *search)
@@ -218,11 +274,12 @@
 
 	for (int pass = 0; pass < 2 && best.worker == POOL_NONE; pass++) {
 		best.suspects = pass == 1;
+		best.slowest_class = PLAN_TOO_SLOW;
 		if (search->data_rack != POOL_NONE)
 			consider_rack(search, search->data_rack, &best);
 		if (best.worker == POOL_NONE &&
 		    (!search->has_data_rack || search->unit->may_spread))
-			consider_all(search, &best);
+			consider_by_speed(search, &best);
 	}
 	if (best.worker == POOL_NONE)
 		return false;
@@ -230,281 +287,6 @@
 	return true;
 }
 
-/* ---- gangs ---- */
-
-/* Members that fit on a set of workers. */
-typedef struct {
-	int trusted; /* on workers without a penalty */
-	int all;
-} fitting_t;
-
-static void
-add_fitting(const search_t *search, size_t worker, fitting_t *sum)
-{
-	int fitting = fitting_on(search, worker);
-
-	sum->all += fitting;
-	if (search->pool->workers[worker].penalty == 0)
-		sum->trusted += fitting;
-}
-
-static fitting_t
-fitting_in_rack(const search_t *search, const pool_rack_t *rack)
-{
-	fitting_t sum = {0};
-
-	for (size_t i = 0; i < rack->count; i++)
-		add_fitting(
-		    search, search->pool->by_rack[rack->first + i], &sum);
-	return sum;
-}
-
-/* Whether the accelerators of a group leave open that the whole unit fits. */
-static bool
-group_may_hold(const search_t *search, const pool_counts_t *counts)
-{
-	return pool_fit_at_most(search->pool, counts, search->kind,
-		   search->unit->step->shape.accelerators) >=
-	       search->unit->members;
-}
-
-static bool
-may_hold(const search_t *search, const pool_rack_t *rack)
-{
-	return rack->accelerators[search->kind] >=
-		   search->unit->members *
-		       search->unit->step->shape.accelerators &&
-	       group_may_hold(search, &rack->counts);
-}
-
-/* Lowest penalty first, then near the data, then least to spare. */
-static int
-compare_candidates(const void *a, const void *b)
-{
-	const candidate_t *first = a;
-	const candidate_t *second = b;
-
-	if (first->penalty != second->penalty)
-		return first->penalty - second->penalty;
-	if (first->near_data != second->near_data)
-		return first->near_data ? -1 : 1;
-	if (first->spare != second->spare)
-		return first->spare - second->spare;
-	return first->worker < second->worker ? -1 : 1;
-}
-
-static void
-add_candidate(const search_t *search, size_t worker, GArray *candidates)
-{
-	candidate_t candidate = {
-	    .worker = worker,
-	    .fitting = fitting_on(search, worker),
-	    .penalty = search->pool->workers[worker].penalty,
-	    .near_data = !search->has_data_rack ||
-			 search->pool->rack_of[worker] == search->data_rack,
-	};
-
-	if (candidate.fitting == 0)
-		return;
-	candidate.spare = spare_after(search, worker, candidate.fitting);
-	g_array_append_val(candidates, candidate);
-}
-
-/* Assigns the members to the best candidates; frees the array. */
-static void
-assign_members(const search_t *search, GArray *candidates)
-{
-	int left = search->unit->members;
-
-	g_array_sort(candidates, compare_candidates);
-	for (guint i = 0; i < candidates->len && left > 0; i++) {
-		const candidate_t *candidate =
-		    &g_array_index(candidates, candidate_t, i);
-		int members = MIN(candidate->fitting, left);
-
-		pool_choose(search->pool, candidate->worker, members);
-		left -= members;
-	}
-	g_array_unref(candidates);
-}
-
-static void
-assign_in_rack(const search_t *search, const pool_rack_t *rack)
-{
-	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
-
-	for (size_t i = 0; i < rack->count; i++)
-		add_candidate(
-		    search, search->pool->by_rack[rack->first + i], candidates);
-	assign_members(search, candidates);
-}
-
-static bool
-try_data_rack(const search_t *search)
-{
-	const pool_rack_t *rack;
-
-	if (search->data_rack == POOL_NONE)
-		return false;
-	rack = &search->pool->racks[search->data_rack];
-	if (!may_hold(search, rack) ||
-	    fitting_in_rack(search, rack).all < search->unit->members)
-		return false;
-	assign_in_rack(search, rack);
-	return true;
-}
-
-/*
- * Returns the rack with the fewest available accelerators that may hold the
- * unit, among those after the given one in that order, or NULL.
- */
-static const pool_rack_t *
-next_rack(const search_t *search, const pool_rack_t *after)
-{
-	const pool_t *pool = search->pool;
-	const pool_rack_t *best = NULL;
-	int from = after != NULL ? after->accelerators[search->kind] : -1;
-
-	for (size_t r = 0; r < pool->rack_count; r++) {
-		const pool_rack_t *rack = &pool->racks[r];
-		int accelerators = rack->accelerators[search->kind];
-
-		if (accelerators < from ||
-		    (accelerators == from && rack <= after) ||
-		    !may_hold(search, rack))
-			continue;
-		if (best == NULL ||
-		    accelerators < best->accelerators[search->kind])
-			best = rack;
-	}
-	return best;
-}
-
-/*
- * Places the unit in the fullest rack that holds it, on workers without a
- * penalty where possible.
- */
-static bool
-try_racks(const search_t *search)
-{
-	const pool_rack_t *with_suspects = NULL;
-	const pool_rack_t *rack = NULL;
-
-	while ((rack = next_rack(search, rack)) != NULL) {
-		fitting_t fitting = fitting_in_rack(search, rack);
-
-		if (fitting.trusted >= search->unit->members)
-			break;
-		if (fitting.all >= search->unit->members &&
-		    with_suspects == NULL)
-			with_suspects = rack;
-	}
-	if (rack == NULL)
-		rack = with_suspects;
-	if (rack == NULL)
-		return false;
-	assign_in_rack(search, rack);
-	return true;
-}
-
-/* Whether a failure domain is a better choice than another for the unit. */
-static bool
-is_better_domain(
-    const search_t *search, const fitting_t *domain, const fitting_t *other)
-{
-	int members = search->unit->members;
-	bool trusted = domain->trusted >= members;
-
-	if (trusted != (other->trusted >= members))
-		return trusted;
-	return domain->all < other->all;
-}
-
-static bool
-any_domain_may_hold(const search_t *search)
-{
-	const pool_t *pool = search->pool;
-
-	for (size_t d = 0; d < pool->domain_count; d++) {
-		if (group_may_hold(search, &pool->domains[d]))
-			return true;
-	}
-	return false;
-}
-
-/* Places the unit in the failure domain with the least space that holds it. */
-static bool
-try_domains(const search_t *search)
-{
-	const pool_t *pool = search->pool;
-	fitting_t *sums;
-	GArray *candidates;
-	int best = POOL_NONE;
-
-	if (!any_domain_may_hold(search))
-		return false;
-	sums = g_new0(fitting_t, pool->domain_count);
-	for (size_t i = 0; i < pool->count; i++)
-		add_fitting(search, i, &sums[pool->domain_of[i]]);
-	for (size_t d = 0; d < pool->domain_count; d++) {
-		if (sums[d].all < search->unit->members)
-			continue;
-		if (best == POOL_NONE ||
-		    is_better_domain(search, &sums[d], &sums[best]))
-			best = (int)d;
-	}
-	g_free(sums);
-	if (best == POOL_NONE)
-		return false;
-	candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
-	for (size_t i = 0; i < pool->count; i++) {
-		if (pool->domain_of[i] == best)
-			add_candidate(search, i, candidates);
-	}
-	assign_members(search, candidates);
-	return true;
-}
-
-static bool
-try_everywhere(const search_t *search)
-{
-	const pool_t *pool = search->pool;
-	GArray *candidates;
-	fitting_t sum = {0};
-
-	if (!group_may_hold(search, &pool->total))
-		return false;
-	for (size_t i = 0; i < pool->count; i++)
-		add_fitting(search, i, &sum);
-	if (sum.all < search->unit->members)
-		return false;
-	candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
-	for (size_t i = 0; i < pool->count; i++)
-		add_candidate(search, i, candidates);
-	assign_members(search, candidates);
-	return true;
-}
-
-/*
- * A gang ends when any member is lost, so it should span as few failure domains
- * as possible: one rack, then one failure domain, then any.
- */
-static bool
-place_gang(const search_t *search)
-{
-	const plan_unit_t *unit = search->unit;
-
-	if (try_data_rack(search))
-		return true;
-	if (search->has_data_rack && !unit->may_spread)
-		return false;
-	if (try_racks(search))
-		return true;
-	if (unit->step->same_rack && !unit->may_spread)
-		return false;
-	return try_domains(search) || try_everywhere(search);
-}
-
 /*
  * Chooses workers for all members of a unit; pool_choice and `chosen` of the
  * workers tell which.  Returns false, with no choice, if they do not fit.
@@ -525,7 +307,7 @@
 	if (search.has_data_rack)
 		search.data_rack =
 		    pool_rack_number(pool, unit->step->data_rack);
-	return unit->members == 1 ? place_single(&search) : place_gang(&search);
+	return unit->members == 1 ? place_single(&search) : plan_gang(&search);
 }
 
 /* ---- what is possible at all ---- */
--- a/sched/plan.h
+++ b/sched/plan.h
@@ -10,6 +10,17 @@
  * calls but the pool's.
  */
 
+/* Speed of a worker whose speed is not known. */
+#define PLAN_USUAL_SPEED_PERCENT 100
+
+/* How the speed of a worker suits a unit; lower is better. */
+typedef enum {
+	PLAN_SPARES_FAST, /* slower than usual, and fast enough */
+	PLAN_FAST_ENOUGH,
+	PLAN_TOO_SLOW,
+	PLAN_SPEED_CLASSES,
+} plan_speed_class_t;
+
 typedef struct {
 	const char *service;
 	const step_spec_t *step;
@@ -17,9 +28,17 @@
 	bool needs_ticket;
 	bool avoids_reserved; /* takes no worker of a reserved rack */
 	bool may_spread;      /* ignore same_rack and data_rack */
+	/*
+	 * Speed that a worker needs for a result in time; 0: the speed makes
+	 * no difference.
+	 */
+	int needed_speed_percent;
+	bool avoids_slow; /* takes no worker that is too slow */
 } plan_unit_t;
 
 bool plan_unit(pool_t *pool, const plan_unit_t *unit, plan_available_t kind);
+plan_speed_class_t plan_speed_class(
+    const plan_worker_t *worker, const plan_unit_t *unit);
 bool plan_is_eligible(const plan_worker_t *worker, const plan_unit_t *unit);
 /* Whether the unit could be kept near its data, or together, if it ran alone.
  */
--- a/sched/pool.c
+++ b/sched/pool.c
@@ -299,6 +299,7 @@
 		lists_create(&pool->lists[kind], count);
 	/* The lists grow at the head: the first worker ends up first. */
 	for (size_t i = count; i-- > 0;) {
+		pool->is_uneven |= workers[i].speed_percent > 0;
 		if (workers[i].usable)
 			index_insert(pool, i);
 	}
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -31,8 +31,10 @@
 	bool on_trial;         /* may take one single task, see suspicion.h */
 	bool has_ticket;       /* an adviser's ticket for the unit's step */
 	int penalty;           /* of a suspect worker; lower is better */
-	int same_step;         /* tasks of the unit's step that run here */
-	int chosen;            /* members placed here by the last call */
+	/* 0: not known; 100: the usual speed of the service's workers */
+	int speed_percent;
+	int same_step; /* tasks of the unit's step that run here */
+	int chosen;    /* members placed here by the last call */
 } plan_worker_t;
 
 pool_t *pool_create(plan_worker_t *workers, size_t count);
--- a/sched/pool_private.h
+++ b/sched/pool_private.h
@@ -47,6 +47,7 @@
 	size_t domain_count;
 	pool_counts_t total;
 	int longest_list; /* the highest list that was ever used */
+	bool is_uneven;   /* the speed of a worker is known */
 	int *service_of;  /* by worker */
 	GHashTable *rack_numbers;
 	GHashTable *service_numbers;
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -236,6 +236,101 @@
 }
 END_TEST
 
+/* Returns the worker with the single task. */
+static int
+chosen_worker(fixture_t *fixture)
+{
+	ck_assert(try_plan(fixture));
+	for (int i = 0; i < WORKERS; i++) {
+		if (fixture->workers[i].chosen > 0)
+			return i;
+	}
+	return -1;
+}
+
+/*
+ * Load pattern: a quarter of the workers is half as fast, and urgent tasks
+ * arrive among others.  Guards against urgent tasks on slow workers while
+ * others are free, and against tasks with time to spare that take the fast
+ * ones; a full fleet still uses every worker.
+ */
+START_TEST(speed_of_single_tasks)
+{
+	fixture_t fixture;
+
+	fixture_open(&fixture, 1, 1);
+	fixture.workers[2].speed_percent = 46;
+	fixture.workers[2].free.accelerators = 1; /* the least to spare */
+	ck_assert_int_eq(chosen_worker(&fixture), 2);
+	fixture.unit.needed_speed_percent = 61;
+	ck_assert_int_ne(chosen_worker(&fixture), 2);
+	fixture.workers[2].free.accelerators = ACCELERATORS;
+	fixture.workers[3].free.accelerators = 1;
+	fixture.unit.needed_speed_percent = 33;
+	ck_assert_int_eq(chosen_worker(&fixture), 2);
+	/* Late already: the fastest of the slow ones, if only these are left.
+	 */
+	fixture.unit.needed_speed_percent = 140;
+	fixture.workers[3].free.accelerators = ACCELERATORS;
+	for (int i = 0; i < WORKERS; i++)
+		fixture.workers[i].speed_percent = i == 5 ? 60 : 46;
+	ck_assert_int_eq(chosen_worker(&fixture), 5);
+	fixture.unit.avoids_slow = true;
+	ck_assert(!try_plan(&fixture));
+}
+END_TEST
+
+/* Returns how many members are on workers known as slow. */
+static int
+chosen_slow(const fixture_t *fixture)
+{
+	int count = 0;
+
+	for (int i = 0; i < WORKERS; i++) {
+		if (fixture->workers[i].speed_percent > 0)
+			count += fixture->workers[i].chosen;
+	}
+	return count;
+}
+
+/*
+ * Load pattern: as above, with gangs.  Guards against a gang that waits for one
+ * slow member although it fits on workers of like speed: in another rack, or,
+ * where racks do not matter to it, in several.
+ */
+START_TEST(speed_of_gangs)
+{
+	fixture_t fixture;
+
+	fixture_open(&fixture, 3, 8);
+	fixture.unit.needed_speed_percent = 61;
+	fixture.workers[0].free.accelerators = 0; /* rack 0 is the fullest */
+	fixture.workers[1].speed_percent = 46;
+	ck_assert(try_plan(&fixture));
+	ck_assert_int_eq(chosen_in(&fixture, 1), 3);
+	/* With time to spare, still not one slow member for all. */
+	fixture.unit.needed_speed_percent = 33;
+	ck_assert(try_plan(&fixture));
+	ck_assert_int_eq(chosen_slow(&fixture), 0);
+	/* All slow members are as good, and leave the others free. */
+	fixture.workers[2].speed_percent = 46;
+	fixture.workers[3].speed_percent = 46;
+	ck_assert(try_plan(&fixture));
+	ck_assert_int_eq(chosen_slow(&fixture), 3);
+	/* Only several racks together have three fast workers. */
+	fixture.unit.needed_speed_percent = 61;
+	fixture.workers[3].speed_percent = 0;
+	fixture.workers[4].speed_percent = 46;
+	fixture.workers[5].speed_percent = 46;
+	fixture.step.same_rack = false;
+	ck_assert(try_plan(&fixture));
+	ck_assert_int_eq(chosen_slow(&fixture), 0);
+	fixture.step.same_rack = true;
+	ck_assert(try_plan(&fixture));
+	ck_assert_int_gt(chosen_slow(&fixture), 0);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -249,6 +344,8 @@
 	tcase_add_test(tcase, never_fits);
 	tcase_add_test(tcase, preempts_least_loss);
 	tcase_add_test(tcase, preempts_only_if_needed);
+	tcase_add_test(tcase, speed_of_single_tasks);
+	tcase_add_test(tcase, speed_of_gangs);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_NOFORK);
 }
