--- a/rpc/protocol.h
+++ b/rpc/protocol.h
@@ -54,6 +54,7 @@
 	COMMAND_BATCH_SUBMIT = 17,
 	COMMAND_BATCH_CANCEL = 18,
 	COMMAND_FLEET_EVENTS = 19,
+	COMMAND_DOMAIN_SERVICE = 20,
 };
 typedef enum command_kind_t command_kind_t;
 
@@ -407,6 +408,12 @@
 };
 typedef struct fleet_events_t fleet_events_t;
 
+struct domain_service_t {
+	name_t domain;
+	bool_t out_of_service;
+};
+typedef struct domain_service_t domain_service_t;
+
 struct unit_record_t {
 	int state;
 	u_int run;
@@ -451,6 +458,14 @@
 };
 typedef struct retired_queues_t retired_queues_t;
 
+struct domains_out_t {
+	struct {
+		u_int domains_len;
+		name_t *domains_val;
+	} domains;
+};
+typedef struct domains_out_t domains_out_t;
+
 struct command_t {
 	command_kind_t kind;
 	union {
@@ -473,6 +488,7 @@
 		batch_submit_t batch_submit;
 		name_t batch_cancel;
 		fleet_events_t fleet_events;
+		domain_service_t domain_service;
 	} command_t_u;
 };
 typedef struct command_t command_t;
@@ -875,10 +891,12 @@
 extern  bool_t xdr_unit_result_t (XDR *, unit_result_t*);
 extern  bool_t xdr_unit_end_t (XDR *, unit_end_t*);
 extern  bool_t xdr_fleet_events_t (XDR *, fleet_events_t*);
+extern  bool_t xdr_domain_service_t (XDR *, domain_service_t*);
 extern  bool_t xdr_unit_record_t (XDR *, unit_record_t*);
 extern  bool_t xdr_batch_record_t (XDR *, batch_record_t*);
 extern  bool_t xdr_fleet_snapshot_t (XDR *, fleet_snapshot_t*);
 extern  bool_t xdr_retired_queues_t (XDR *, retired_queues_t*);
+extern  bool_t xdr_domains_out_t (XDR *, domains_out_t*);
 extern  bool_t xdr_command_t (XDR *, command_t*);
 extern  bool_t xdr_command_result_t (XDR *, command_result_t*);
 extern  bool_t xdr_raft_kind_t (XDR *, raft_kind_t*);
@@ -948,10 +966,12 @@
 extern bool_t xdr_unit_result_t ();
 extern bool_t xdr_unit_end_t ();
 extern bool_t xdr_fleet_events_t ();
+extern bool_t xdr_domain_service_t ();
 extern bool_t xdr_unit_record_t ();
 extern bool_t xdr_batch_record_t ();
 extern bool_t xdr_fleet_snapshot_t ();
 extern bool_t xdr_retired_queues_t ();
+extern bool_t xdr_domains_out_t ();
 extern bool_t xdr_command_t ();
 extern bool_t xdr_command_result_t ();
 extern bool_t xdr_raft_kind_t ();
--- a/rpc/protocol.x
+++ b/rpc/protocol.x
@@ -40,7 +40,8 @@
 	COMMAND_FLEET_CONFIG = 16,
 	COMMAND_BATCH_SUBMIT = 17,
 	COMMAND_BATCH_CANCEL = 18,
-	COMMAND_FLEET_EVENTS = 19
+	COMMAND_FLEET_EVENTS = 19,
+	COMMAND_DOMAIN_SERVICE = 20
 };
 
 /* RFC 7396 merge patch against version base. */
@@ -339,6 +340,12 @@
 	name_t forgotten<MAX_BATCH>;
 };
 
+/* Takes a failure domain out of service, or back into it. */
+struct domain_service_t {
+	name_t domain;
+	bool out_of_service;
+};
+
 /* A unit in a snapshot. */
 struct unit_record_t {
 	int state;
@@ -361,11 +368,16 @@
 	batch_record_t jobs<BODY_MAX_LEN>;
 };
 
-/* Follows fleet_snapshot_t where there are any. */
+/* Follows fleet_snapshot_t where there are any, or where more follows. */
 struct retired_queues_t {
 	fleet_queue_t queues<BODY_MAX_LEN>;
 };
 
+/* Follows retired_queues_t where there are any. */
+struct domains_out_t {
+	name_t domains<BODY_MAX_LEN>;
+};
+
 union command_t switch (command_kind_t kind) {
 case COMMAND_NOOP:
 	void;
@@ -407,6 +419,8 @@
 	name_t batch_cancel;
 case COMMAND_FLEET_EVENTS:
 	fleet_events_t fleet_events;
+case COMMAND_DOMAIN_SERVICE:
+	domain_service_t domain_service;
 };
 
 /* Outcome of a command; code is 0 or a negative errno value. */
--- a/rpc/protocol_xdr.c
+++ b/rpc/protocol_xdr.c
@@ -897,6 +897,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_domain_service_t (XDR *xdrs, domain_service_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_name_t (xdrs, &objp->domain))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->out_of_service))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_unit_record_t (XDR *xdrs, unit_record_t *objp)
 {
@@ -1005,6 +1017,17 @@
 	return TRUE;
 }
 
+bool_t
+xdr_domains_out_t (XDR *xdrs, domains_out_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->domains.domains_val, (u_int *) &objp->domains.domains_len, BODY_MAX_LEN,
+		sizeof (name_t), (xdrproc_t) xdr_name_t))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_command_t (XDR *xdrs, command_t *objp)
 {
@@ -1091,6 +1114,10 @@
 		 if (!xdr_fleet_events_t (xdrs, &objp->command_t_u.fleet_events))
 			 return FALSE;
 		break;
+	case COMMAND_DOMAIN_SERVICE:
+		 if (!xdr_domain_service_t (xdrs, &objp->command_t_u.domain_service))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -137,6 +137,7 @@
 	    "workers", (int)g_hash_table_size(fleet->workers), "runs",
 	    (int)fleet->runs->len, "config_version",
 	    (json_int_t)ledger_config(ledger)->number);
+	domains_log(fleet);
 	fleet_schedule_work(fleet);
 }
 
@@ -308,6 +309,7 @@
 	check_leadership(fleet, now_ms);
 	watcher->repeat = fleet->leading ? TICK_LEADER_S : TICK_FOLLOWER_S;
 	ev_timer_again(loop, watcher);
+	domains_update_gauges(fleet);
 	/* Without a lease another instance may lead: send no order. */
 	if (!fleet_leads(fleet))
 		return;
@@ -410,6 +412,10 @@
 		stop_runs_of(
 		    fleet, command->command_t_u.batch_cancel, "cancelled");
 		break;
+	case COMMAND_DOMAIN_SERVICE:
+		domains_on_committed(
+		    fleet, &command->command_t_u.domain_service);
+		break;
 	case COMMAND_BATCH_SUBMIT:
 	case COMMAND_FLEET_CONFIG:
 		break;
@@ -485,6 +491,7 @@
 	fleet->rejected =
 	    counter_get("fleet_jobs_rejected_total", "jobs refused");
 	waits_init(fleet);
+	domains_init(fleet);
 	ev_timer_init(&fleet->tick, on_tick, TICK_FOLLOWER_S, TICK_FOLLOWER_S);
 	fleet->tick.data = fleet;
 	ev_timer_init(&fleet->work_timer, on_work_timer, 0, 0);
--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -259,6 +259,9 @@
 pass_over(round_t *round, const waiting_step_t *item, const plan_unit_t *plan)
 {
 	waits_check(round, item, plan);
+	if ((round->why == WAIT_ROOM || round->why == WAIT_NO_WORKER) &&
+	    domains_could_hold(round, plan))
+		round->why = WAIT_OUT_OF_SERVICE;
 	waits_record(round->fleet, round->why);
 }
 
@@ -333,9 +336,30 @@
 	return whole;
 }
 
+/* Whether every step would fit on the first count workers of the round. */
+static bool
+steps_fit(const round_t *round, size_t count, const char *service,
+    const batch_spec_t *spec)
+{
+	bool fits = true;
+
+	for (u_int i = 0; i < spec->steps.steps_len && fits; i++) {
+		const step_spec_t *step = &spec->steps.steps_val[i];
+		plan_unit_t unit = {
+		    .service = service,
+		    .step = step,
+		    .members = step->gang ? step->count : 1,
+		};
+
+		fits = plan_can_ever_fit(round->plan_workers, count, &unit);
+	}
+	return fits;
+}
+
 /*
- * Whether every step would fit on the known workers if nothing else ran.
- * Returns true while the list of workers may be incomplete.
+ * Whether every step would fit on the known workers if nothing else ran; for a
+ * job that is due at once, on those in service.  Returns true while the list of
+ * workers may be incomplete.
  */
 bool
 fleet_can_ever_run(fleet_t *fleet, const char *service,
@@ -343,24 +367,19 @@
 {
 	int64_t now_ms = fleet_now_ms();
 	round_t round;
-	bool fits = true;
 
+	*reason = "";
 	if (now_ms - fleet->leading_since_ms < WORKERS_KNOWN_MS ||
 	    g_hash_table_size(fleet->workers) == 0)
 		return true;
 	round_begin(&round, fleet, now_ms);
-	for (u_int i = 0; i < spec->steps.steps_len && fits; i++) {
-		const step_spec_t *step = &spec->steps.steps_val[i];
-		plan_unit_t unit = {
-		    .service = service,
-		    .step = step,
-		    .members = step->gang ? step->count : 1,
-		};
-
-		fits =
-		    plan_can_ever_fit(round.plan_workers, round.count, &unit);
-	}
+	if (!steps_fit(&round, round.count, service, spec))
+		*reason = "no set of workers could hold a step";
+	else if (spec->repeat_count == 0 && round.out_of_service->len > 0 &&
+		 !steps_fit(
+		     &round, domains_keep_in_service(&round), service, spec))
+		*reason = "a step needs workers of a failure domain that is "
+			  "out of service";
 	round_end(&round);
-	*reason = fits ? "" : "no set of workers could hold a step";
-	return fits;
+	return (*reason)[0] == '\0';
 }
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -24,7 +24,9 @@
 	WAIT_EARLIER,   /* a step that needs no more was passed over */
 	WAIT_RELEASING, /* keeps places while others are being freed */
 	WAIT_NO_WORKER, /* no usable worker of its service and label */
-	WAIT_NO_QUEUE,  /* its queue is not known */
+	WAIT_OUT_OF_SERVICE, /* fits where the failure domain is out of service
+			      */
+	WAIT_NO_QUEUE,       /* its queue is not known */
 	WAIT_REASONS,
 } wait_reason_t;
 
@@ -58,7 +60,8 @@
 	/* Same, by the present incarnation; initially false. */
 	bool poll_confirmed;
 	bool draining;
-	bool leaving; /* deregistered, its tasks have not ended yet */
+	bool out_of_service; /* its failure domain is */
+	bool leaving;        /* deregistered, its tasks have not ended yet */
 	bool polling;
 	/* Poll soon and without waiting; run_tick sends no start until then. */
 	bool needs_poll;
@@ -203,6 +206,8 @@
 	counter_t *preempted;
 	counter_t *submitted;
 	counter_t *rejected;
+	counter_t *domains_out; /* gauge: failure domains out of service */
+	counter_t *tasks_out;   /* gauge: tasks on workers there */
 };
 
 int64_t fleet_now_ms(void);
@@ -247,6 +252,14 @@
     worker_t *worker, uint64_t born, const order_answer_t *answer);
 bool worker_is_usable(const worker_t *worker, int64_t now_ms);
 
+/* fleet_domains.c */
+void domains_init(fleet_t *fleet);
+void domains_update_worker(worker_t *worker);
+void domains_update_gauges(fleet_t *fleet);
+void domains_log(const fleet_t *fleet);
+void domains_on_committed(fleet_t *fleet, const domain_service_t *command);
+const char *worker_no_start_reason(const worker_t *worker);
+
 /* fleet_leave.c */
 void worker_depart(worker_t *worker, fleet_done_t *done, void *ctx);
 bool fleet_has_departed(const fleet_t *fleet, const fleet_worker_t *info);
--- a/sched/fleet_round.c
+++ b/sched/fleet_round.c
@@ -96,6 +96,7 @@
 	}
 	apply_suspicion(round);
 	sum_accelerators(round);
+	domains_begin_round(round);
 }
 
 static void
@@ -123,6 +124,7 @@
 void
 round_end(round_t *round)
 {
+	g_array_unref(round->out_of_service);
 	reserve_destroy(round->reserve);
 	pool_destroy(round->pool);
 	if (round->suspects != NULL)
--- a/sched/fleet_round.h
+++ b/sched/fleet_round.h
@@ -35,6 +35,8 @@
 	int free_accelerators; /* of usable workers */
 	int releasing_accelerators; /* of runs being stopped */
 	int headroom_accelerators;  /* kept free for urgent work */
+	GArray *out_of_service;     /* size_t, usable but for their domain */
+	int out_of_service_accelerators; /* free there */
 	reserve_t *reserve;
 	wait_reason_t why; /* set when a step is passed over */
 	/* The service that waits_in_vain was last asked about. */
@@ -59,6 +61,11 @@
 void round_subtract_chosen(round_t *round, const step_spec_t *step);
 bool round_is_over_budget(const round_t *round);
 
+/* fleet_domains.c */
+void domains_begin_round(round_t *round);
+size_t domains_keep_in_service(round_t *round);
+bool domains_could_hold(const round_t *round, const plan_unit_t *unit);
+
 /* fleet_waits.c */
 void waits_init(fleet_t *fleet);
 bool waits_in_vain(
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -13,7 +13,6 @@
 #define LATE_ORDER_MS 12000
 /* More than any number of attempts. */
 #define UNLIMITED_ATTEMPTS 1000000
-#define STOPPED_BY_DRAINING "worker_draining"
 
 /* ---- runs ---- */
 
@@ -618,36 +617,44 @@
 	    on_stopped, member_order_begin(member));
 }
 
-/* Whether a member awaits its first start on a worker that drains by now. */
-static bool
-has_unsent_on_draining(const run_t *run)
+/*
+ * Returns why a member must not get its first start any more, as worker_
+ * no_start_reason of its worker; NULL if each of them may.
+ */
+static const char *
+unsent_start_obstacle(const run_t *run)
 {
-	for (int i = 0; i < run->member_count; i++) {
+	const char *reason = NULL;
+
+	for (int i = 0; i < run->member_count && reason == NULL; i++) {
 		const member_t *member = &run->members[i];
 
-		if (member->state == MEMBER_UNSENT && member->worker->draining)
-			return true;
+		if (member->state == MEMBER_UNSENT)
+			reason = worker_no_start_reason(member->worker);
 	}
-	return false;
+	return reason;
 }
 
 /*
- * Handles a member that the worker does not list. A draining worker gets no
- * start, not even a repeated one: the run is stopped, so that the unit runs
+ * Handles a member that the worker does not list. Where the worker must get no
+ * start, not even a repeated one, the run is stopped, so that the unit runs
  * elsewhere.
  */
 void
 member_not_started(member_t *member)
 {
-	if (member->state == MEMBER_SENT && !member->order_in_flight &&
-	    member->worker->draining)
-		run_stop(member->run, STOPPED_BY_DRAINING);
+	const char *reason = worker_no_start_reason(member->worker);
+
+	if (reason != NULL && member->state == MEMBER_SENT &&
+	    !member->order_in_flight)
+		run_stop(member->run, reason);
 }
 
 /* Sends the starts of all members once the start of the run is committed. */
 void
 run_on_start_committed(run_t *run)
 {
+	const char *obstacle = unsent_start_obstacle(run);
 	int64_t now_ms = fleet_now_ms();
 
 	run->start_committed = true;
@@ -655,8 +662,8 @@
 	if (run->stopping) {
 		run->stopping = false;
 		run_stop(run, run->stop_reason);
-	} else if (has_unsent_on_draining(run)) {
-		run_stop(run, STOPPED_BY_DRAINING);
+	} else if (obstacle != NULL) {
+		run_stop(run, obstacle);
 	}
 	for (int i = 0; i < run->member_count && !run->stopping; i++) {
 		if (run->members[i].state == MEMBER_UNSENT)
@@ -707,6 +714,7 @@
 member_tick(member_t *member, int64_t now_ms)
 {
 	const run_t *run = member->run;
+	const char *obstacle;
 
 	if (member->order_in_flight || now_ms < member->retry_ms)
 		return;
@@ -716,10 +724,11 @@
 			send_stop(member);
 		return;
 	}
-	/* Once the worker drains, a poll decides; see member_not_started. */
-	if (member->worker->draining) {
+	/* Of a start without an answer, a poll decides: member_not_started. */
+	obstacle = worker_no_start_reason(member->worker);
+	if (obstacle != NULL) {
 		if (member->state == MEMBER_UNSENT)
-			run_stop(member->run, STOPPED_BY_DRAINING);
+			run_stop(member->run, obstacle);
 		return;
 	}
 	/* A start renews the lease, which must not happen while unreachable. */
--- a/sched/fleet_waits.c
+++ b/sched/fleet_waits.c
@@ -28,6 +28,7 @@
     [WAIT_EARLIER] = "earlier",
     [WAIT_RELEASING] = "releasing",
     [WAIT_NO_WORKER] = "no_worker",
+    [WAIT_OUT_OF_SERVICE] = "out_of_service",
     [WAIT_NO_QUEUE] = "no_queue",
 };
 
--- a/sched/fleet_workers.c
+++ b/sched/fleet_workers.c
@@ -51,6 +51,7 @@
 	worker->fence_epoch = fleet->fence_epoch;
 	worker->reachable = true;
 	worker->draining = info->draining;
+	domains_update_worker(worker);
 	/* The previous leader may have granted a lease just now. */
 	worker->lease_expiry_ms =
 	    worker_clock_lease_expiry(now_ms, fleet->timing.lease_ms);
@@ -165,7 +166,8 @@
 bool
 worker_is_usable(const worker_t *worker, int64_t now_ms)
 {
-	return worker->registered && !worker->draining && worker->reachable &&
+	return worker->registered && !worker->draining &&
+	       !worker->out_of_service && worker->reachable &&
 	       !worker->retire_pending && !worker->leaving &&
 	       worker_clock_is_known(&worker->clock) &&
 	       now_ms - worker->last_announced_ms <
@@ -273,6 +275,7 @@
 	fleet_worker_copy(&worker->info, info);
 	g_hash_table_insert(worker->fleet->workers, worker->info.id, worker);
 	worker->draining = info->draining;
+	domains_update_worker(worker);
 	worker->registered = true;
 	if (restarted)
 		worker_stop_runs(worker, "worker_restarted");
--- a/sched/ledger.c
+++ b/sched/ledger.c
@@ -521,6 +521,35 @@
 	return ledger->workers;
 }
 
+/* ---- failure domains ---- */
+
+/*
+ * Takes a failure domain out of service or back.  Returns 0 also if it is so
+ * already, so that a client that resends a command gets success again.
+ */
+int
+ledger_apply_domain_service(ledger_t *ledger, const domain_service_t *command)
+{
+	if (command->out_of_service)
+		g_hash_table_add(
+		    ledger->domains_out, g_strdup(command->domain));
+	else
+		g_hash_table_remove(ledger->domains_out, command->domain);
+	return 0;
+}
+
+bool
+ledger_domain_is_out(const ledger_t *ledger, const char *domain)
+{
+	return g_hash_table_contains(ledger->domains_out, domain);
+}
+
+GHashTable *
+ledger_domains_out(const ledger_t *ledger)
+{
+	return ledger->domains_out;
+}
+
 /* ---- life cycle ---- */
 
 ledger_t *
@@ -535,6 +564,8 @@
 	    g_str_hash, g_str_equal, NULL, (GDestroyNotify)ledger_job_free);
 	ledger->workers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_worker);
+	ledger->domains_out =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_queue_init(&ledger->open);
 	g_queue_init(&ledger->ended);
 	return ledger;
@@ -550,6 +581,7 @@
 	g_hash_table_unref(ledger->workers);
 	g_hash_table_unref(ledger->queues);
 	g_hash_table_unref(ledger->retired_queues);
+	g_hash_table_unref(ledger->domains_out);
 	codec_free((xdrproc_t)xdr_fleet_config_t, &ledger->config);
 	g_free(ledger);
 }
--- a/sched/ledger.h
+++ b/sched/ledger.h
@@ -71,6 +71,8 @@
 int ledger_apply_submit(ledger_t *ledger, batch_submit_t *command);
 int ledger_apply_cancel(ledger_t *ledger, const char *id);
 int ledger_apply_events(ledger_t *ledger, fleet_events_t *command);
+int ledger_apply_domain_service(
+    ledger_t *ledger, const domain_service_t *command);
 
 bool_t ledger_xdr_save(XDR *xdr, ledger_t *ledger);
 bool_t ledger_xdr_load(XDR *xdr, ledger_t *ledger);
@@ -105,4 +107,8 @@
 
 const fleet_worker_t *ledger_worker(const ledger_t *ledger, const char *id);
 GHashTable *ledger_workers(ledger_t *ledger); /* id -> fleet_worker_t */
+/* Whether the operator has taken the failure domain out of service. */
+bool ledger_domain_is_out(const ledger_t *ledger, const char *domain);
+/* The set of the names of those. */
+GHashTable *ledger_domains_out(const ledger_t *ledger);
 int ledger_validate_spec(const batch_spec_t *spec, const char **reason);
--- a/sched/ledger_private.h
+++ b/sched/ledger_private.h
@@ -8,8 +8,9 @@
 	GHashTable *queues; /* name -> fleet_queue_t of config */
 	/* name -> fleet_queue_t, removed from the configuration */
 	GHashTable *retired_queues;
-	GHashTable *jobs;    /* id -> ledger_job_t */
-	GHashTable *workers; /* id -> fleet_worker_t */
+	GHashTable *jobs;        /* id -> ledger_job_t */
+	GHashTable *workers;     /* id -> fleet_worker_t */
+	GHashTable *domains_out; /* names, out of service */
 	GQueue open;
 	GQueue ended;
 };
--- a/sched/ledger_snapshot.c
+++ b/sched/ledger_snapshot.c
@@ -85,7 +85,7 @@
 	    ((const fleet_queue_t *)a)->name, ((const fleet_queue_t *)b)->name);
 }
 
-/* Encodes the retired queues, sorted by name; nothing if there are none. */
+/* Encodes the retired queues, sorted by name. */
 static bool_t
 save_retired_queues(XDR *xdr, ledger_t *ledger)
 {
@@ -96,27 +96,24 @@
 	bool_t done;
 	u_int n = 0;
 
-	if (count == 0)
-		return TRUE;
 	g_hash_table_iter_init(&iter, ledger->retired_queues);
 	while (g_hash_table_iter_next(&iter, NULL, &queue))
 		retired.queues.queues_val[n++] = *(fleet_queue_t *)queue;
-	qsort(retired.queues.queues_val, count, sizeof(fleet_queue_t),
-	    compare_queues);
+	if (count > 0)
+		qsort(retired.queues.queues_val, count, sizeof(fleet_queue_t),
+		    compare_queues);
 	done = xdr_retired_queues_t(xdr, &retired);
 	g_free(retired.queues.queues_val);
 	return done;
 }
 
-/* Decodes the retired queues; an older snapshot ends before them. */
+/* Decodes the retired queues. */
 static bool_t
 load_retired_queues(XDR *xdr, ledger_t *ledger)
 {
 	retired_queues_t retired = {0};
 	bool_t done;
 
-	if (xdr->x_handy == 0)
-		return TRUE;
 	done = xdr_retired_queues_t(xdr, &retired);
 	for (u_int i = 0; done && i < retired.queues.queues_len; i++)
 		ledger_retire_queue(ledger, &retired.queues.queues_val[i]);
@@ -124,6 +121,67 @@
 	return done;
 }
 
+static gint
+compare_names(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(const name_t *)a, *(const name_t *)b);
+}
+
+/* Encodes the failure domains out of service, sorted by name. */
+static bool_t
+save_domains_out(XDR *xdr, ledger_t *ledger)
+{
+	guint count;
+	gpointer *names =
+	    g_hash_table_get_keys_as_array(ledger->domains_out, &count);
+	domains_out_t out = {{count, (name_t *)(void *)names}};
+	bool_t done;
+
+	if (count > 0)
+		qsort(names, count, sizeof(name_t), compare_names);
+	done = xdr_domains_out_t(xdr, &out);
+	g_free(names);
+	return done;
+}
+
+/* Decodes the failure domains out of service. */
+static bool_t
+load_domains_out(XDR *xdr, ledger_t *ledger)
+{
+	domains_out_t out = {0};
+	bool_t done = xdr_domains_out_t(xdr, &out);
+
+	for (u_int i = 0; done && i < out.domains.domains_len; i++)
+		g_hash_table_add(
+		    ledger->domains_out, g_strdup(out.domains.domains_val[i]));
+	codec_free((xdrproc_t)xdr_domains_out_t, &out);
+	return done;
+}
+
+/*
+ * Encodes what follows the snapshot proper: parts in a fixed order, up to the
+ * last one that is not empty.
+ */
+static bool_t
+save_later_parts(XDR *xdr, ledger_t *ledger)
+{
+	bool has_queues = g_hash_table_size(ledger->retired_queues) > 0;
+	bool has_domains = g_hash_table_size(ledger->domains_out) > 0;
+
+	if ((has_queues || has_domains) && !save_retired_queues(xdr, ledger))
+		return FALSE;
+	return !has_domains || save_domains_out(xdr, ledger);
+}
+
+/* Decodes those parts; an earlier snapshot ends before one of them. */
+static bool_t
+load_later_parts(XDR *xdr, ledger_t *ledger)
+{
+	if (xdr->x_handy > 0 && !load_retired_queues(xdr, ledger))
+		return FALSE;
+	return xdr->x_handy == 0 || load_domains_out(xdr, ledger);
+}
+
 /* Encodes the ledger; FALSE if the stream has no space left. */
 bool_t
 ledger_xdr_save(XDR *xdr, ledger_t *ledger)
@@ -134,7 +192,7 @@
 	record_workers(ledger, &snapshot);
 	record_jobs(ledger, &snapshot);
 	done = xdr_fleet_snapshot_t(xdr, &snapshot) &&
-	       save_retired_queues(xdr, ledger);
+	       save_later_parts(xdr, ledger);
 	for (u_int i = 0; i < snapshot.jobs.jobs_len; i++)
 		g_free(snapshot.jobs.jobs_val[i].units.units_val);
 	g_free(snapshot.jobs.jobs_val);
@@ -214,5 +272,5 @@
 	for (u_int i = 0; done && i < snapshot.jobs.jobs_len; i++)
 		done = restore_job(ledger, &snapshot.jobs.jobs_val[i]);
 	codec_free((xdrproc_t)xdr_fleet_snapshot_t, &snapshot);
-	return done && load_retired_queues(xdr, ledger);
+	return done && load_later_parts(xdr, ledger);
 }
--- a/state/machine.c
+++ b/state/machine.c
@@ -243,6 +243,10 @@
 		result->code = ledger_apply_events(
 		    machine->ledger, &command->command_t_u.fleet_events);
 		return;
+	case COMMAND_DOMAIN_SERVICE:
+		result->code = ledger_apply_domain_service(
+		    machine->ledger, &command->command_t_u.domain_service);
+		return;
 	}
 	machine_fail(
 	    result, -ENOSYS, "unknown command kind %d", (int)command->kind);
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -44,7 +44,7 @@
  "internalPorts":[$RPC,$((RPC + 15))],"dataDir":"$WORK/p$1","heartbeatMs":500,
  "seeds":["$NET.1:$CONTROL","$NET.2:$CONTROL","$NET.3:$CONTROL"],
  "listen":{$listen},"faultTolerance":{"machines":1},
- "bounds":{"graceS":6,"holdMaxMs":${HOLD_MS:-5000},"status_s":120}}
+ "bounds":{"graceS":6,"holdMaxMs":${HOLD_MS:-5000},"status_s":120${BOUNDS:-}}}
 SETTINGS
 }
 
--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -559,7 +559,7 @@
 	    .service = g_strdup("svc"),
 	    .address = g_strdup("10.0.0.1"),
 	    .port = 1,
-	    .domain = g_strdup("d1"),
+	    .domain = g_strdup_printf("d%zu", bed->worker_count / 4 + 1),
 	    .rack = g_strdup_printf("r%zu", bed->worker_count / 4),
 	    .capacity = {64000, 64000, accelerators},
 	};
@@ -749,6 +749,16 @@
 	propose(bed, &command);
 }
 
+void
+bed_set_domain_service(bed_t *bed, const char *domain, bool out_of_service)
+{
+	command_t command = {.kind = COMMAND_DOMAIN_SERVICE};
+
+	command.command_t_u.domain_service =
+	    (domain_service_t){(char *)domain, out_of_service};
+	propose(bed, &command);
+}
+
 void
 bed_submit(bed_t *bed, const char *id, const char *queue, int tasks,
     int accelerators, bool gang)
--- a/tests/unit/fleet_bed.h
+++ b/tests/unit/fleet_bed.h
@@ -88,6 +88,9 @@
 void bed_configure(bed_t *bed);
 /* Replaces the configuration by one with a single queue of priority 1. */
 void bed_replace_queues(bed_t *bed, uint64_t number, const char *queue);
+/* Commits an order about a failure domain: "d1" of 4 workers, then "d2". */
+void bed_set_domain_service(
+    bed_t *bed, const char *domain, bool out_of_service);
 /*
  * Submits a job of one step of 1 s. queue is "urgent" (priority 0), "batch" (1)
  * or "prompt" (1, late 0.7 s after submission).
--- a/tests/unit/test_control.c
+++ b/tests/unit/test_control.c
@@ -20,6 +20,7 @@
 #define BEAT(id) "/api/instances/" id "/heartbeat"
 #define LEAVE(id) "/api/instances/" id "/deregister"
 #define REPLACE "/api/config/replace"
+#define ZONE(rest) "/api/evacuations/" rest
 
 typedef struct {
 	bed_t bed;
@@ -88,9 +89,12 @@
 		   MSG_DONTWAIT) >= 0;
 }
 
-/* Sends bytes and returns the status of the answer; 0 if there is none. */
+/*
+ * Sends bytes, then perhaps no more, and returns the status of the answer; 0 if
+ * there is none.
+ */
 static int
-send_bytes(case_t *test, const char *bytes, size_t len)
+send_bytes(case_t *test, const char *bytes, size_t len, bool half_close)
 {
 	struct sockaddr_in address;
 
@@ -101,7 +105,8 @@
 	    connect(test->fd, (struct sockaddr *)&address, sizeof(address)), 0);
 	ck_assert_int_eq(
 	    send(test->fd, bytes, len, MSG_NOSIGNAL), (ssize_t)len);
-	shutdown(test->fd, SHUT_WR);
+	if (half_close)
+		shutdown(test->fd, SHUT_WR);
 	ck_assert(system_wait(test->bed.loop, has_answer, test));
 	close(test->fd);
 	if (!g_str_has_prefix(test->answer, "HTTP/1.1 "))
@@ -115,7 +120,7 @@
 	char *text = g_strdup_printf(
 	    "POST %s HTTP/1.1\r\nHost: c\r\nContent-Length: %zu\r\n\r\n%s",
 	    path, strlen(body), body);
-	int status = send_bytes(test, text, strlen(text));
+	int status = send_bytes(test, text, strlen(text), false);
 
 	g_free(text);
 	return status;
@@ -186,6 +191,52 @@
 }
 END_TEST
 
+/*
+ * Guards against orders about failure domains that are taken where the
+ * deployment has none, that are not in force once acknowledged, that are
+ * refused when they are sent again, or that name what does not exist.
+ */
+START_TEST(domain_orders)
+{
+	static const struct {
+		const char *path;
+		int status;
+		int out; /* failure domains out of service after it */
+	} calls[] = {
+	    {ZONE("d9/begin"), 404, 0},
+	    {ZONE("/begin"), 400, 0},
+	    {ZONE("d 1/begin"), 400, 0},
+	    {ZONE("d1"), 404, 0},
+	    {ZONE("d1/begin/now"), 404, 0},
+	    {ZONE("d1/start"), 404, 0},
+	    /* Known by its worker, and by the settings. */
+	    {ZONE("d1/begin"), 200, 1},
+	    {ZONE("d1/begin"), 200, 1},
+	    {ZONE("d7/begin"), 200, 2},
+	    {ZONE("d1/finish"), 200, 1},
+	    {ZONE("d1/finish"), 200, 1},
+	    {ZONE("d1/begin"), 200, 2},
+	};
+	char *domains[] = {(char *)"d7", NULL};
+	case_t test;
+
+	open_case(&test);
+	ck_assert_int_eq(post(&test, ZONE("d1/begin"), ""), 404);
+	test.site.serves_domain_orders = true;
+	test.site.failure_domains = domains;
+	for (size_t i = 0; i < G_N_ELEMENTS(calls); i++) {
+		int status = post(&test, calls[i].path, "");
+		GHashTable *out = ledger_domains_out(
+		    machine_ledger(replica_machine(test.bed.replica)));
+
+		ck_assert_msg(
+		    status == calls[i].status, "%s: %d", calls[i].path, status);
+		ck_assert_int_eq((int)g_hash_table_size(out), calls[i].out);
+	}
+	close_case(&test);
+}
+END_TEST
+
 /* Guards against a parser that recurses as deep as a caller asks. */
 START_TEST(deep_nesting)
 {
@@ -224,7 +275,7 @@
 	open_case(&test);
 	for (size_t i = 0; i < G_N_ELEMENTS(requests); i++) {
 		int status =
-		    send_bytes(&test, requests[i], strlen(requests[i]));
+		    send_bytes(&test, requests[i], strlen(requests[i]), true);
 
 		ck_assert_msg(status == 0 || status >= 400, "%s: %d",
 		    requests[i], status);
@@ -242,6 +293,7 @@
 
 	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
 	tcase_add_test(tcase, malformed_calls);
+	tcase_add_test(tcase, domain_orders);
 	tcase_add_test(tcase, deep_nesting);
 	tcase_add_test(tcase, malformed_requests);
 	suite_add_tcase(suite, tcase);
--- a/tests/unit/test_ledger.c
+++ b/tests/unit/test_ledger.c
@@ -297,6 +297,69 @@
 }
 END_TEST
 
+static void
+set_service(ledger_t *ledger, const char *domain, bool out_of_service)
+{
+	domain_service_t command = {(char *)domain, out_of_service};
+
+	ck_assert_int_eq(ledger_apply_domain_service(ledger, &command), 0);
+}
+
+static ledger_t *
+load(char *bytes, u_int len)
+{
+	ledger_t *ledger = ledger_create();
+	XDR xdr;
+
+	xdrmem_create(&xdr, bytes, len, XDR_DECODE);
+	ck_assert(ledger_xdr_load(&xdr, ledger));
+	ck_assert_uint_eq(xdr_getpos(&xdr), len);
+	xdr_destroy(&xdr);
+	return ledger;
+}
+
+/*
+ * Guards against an order about a failure domain that does not count when it is
+ * sent again, that changes another one, or that is lost in a snapshot; and
+ * against earlier snapshots, with or without a removed queue (_i), that cannot
+ * be loaded.
+ */
+START_TEST(domain_service)
+{
+	static char bytes[SNAPSHOT_BYTES];
+	static char again[SNAPSHOT_BYTES];
+	ledger_t *ledger = ledger_create();
+	ledger_t *loaded;
+	u_int len;
+
+	if (_i == 1) {
+		configure(ledger, 1, "q");
+		submit(ledger, JOB);
+		configure(ledger, 2, "q2");
+	}
+	len = save(ledger, bytes);
+	loaded = load(bytes, len);
+	ck_assert_uint_eq(g_hash_table_size(ledger_domains_out(loaded)), 0);
+	ledger_destroy(loaded);
+	set_service(ledger, "d2", false);
+	set_service(ledger, "d2", true);
+	set_service(ledger, "d1", true);
+	set_service(ledger, "d1", true);
+	len = save(ledger, bytes);
+	loaded = load(bytes, len);
+	ck_assert_uint_eq(save(loaded, again), len);
+	ck_assert_mem_eq(bytes, again, len);
+	ck_assert(ledger_domain_is_out(loaded, "d1"));
+	ck_assert(ledger_domain_is_out(loaded, "d2"));
+	ck_assert_int_eq(ledger_queue(loaded, "q") != NULL, _i);
+	set_service(loaded, "d1", false);
+	ck_assert(!ledger_domain_is_out(loaded, "d1"));
+	ck_assert(ledger_domain_is_out(loaded, "d2"));
+	ledger_destroy(ledger);
+	ledger_destroy(loaded);
+}
+END_TEST
+
 /* Guards against restarts after a final failure, and a job shown as completed.
  */
 START_TEST(final_failure)
@@ -330,6 +393,7 @@
 	tcase_add_test(tcase, highest_configuration);
 	tcase_add_test(tcase, snapshot);
 	tcase_add_test(tcase, removed_queue);
+	tcase_add_loop_test(tcase, domain_service, 0, 2);
 	tcase_add_test(tcase, final_failure);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_NOFORK);
--- a/tests/unit/test_site.c
+++ b/tests/unit/test_site.c
@@ -4,9 +4,9 @@
 #include "platform/site.h"
 #include "tests/unit/runner.h"
 
-/* The settings of a control instance with a bound for leases in ms. */
+/* The settings of a control instance with the given bounds. */
 static site_t *
-parse(int hold_max_ms)
+parse_bounds(const char *bounds)
 {
 	GPtrArray *problems = g_ptr_array_new_with_free_func(g_free);
 	char *text = g_strdup_printf(
@@ -14,8 +14,9 @@
 	    "\"serves\":[\"control_plane\"],\"internalPorts\":[7000,7015],"
 	    "\"dataDir\":\"data\",\"seeds\":[\"127.0.0.1:8526\"],"
 	    "\"listen\":{\"control\":\"127.0.0.1:8526\"},"
-	    "\"bounds\":{\"holdMaxMs\":%d},\"limits\":{\"maxFds\":1200}}",
-	    hold_max_ms);
+	    "\"zones\":{\"d1\":\"r1\"},"
+	    "\"bounds\":{%s},\"limits\":{\"maxFds\":1200}}",
+	    bounds);
 	site_t *site = site_parse(text, strlen(text), "test", problems);
 
 	ck_assert_uint_eq(problems->len, 0);
@@ -24,6 +25,17 @@
 	return site;
 }
 
+/* The same with a bound for leases in ms. */
+static site_t *
+parse(int hold_max_ms)
+{
+	char *bounds = g_strdup_printf("\"holdMaxMs\":%d", hold_max_ms);
+	site_t *site = parse_bounds(bounds);
+
+	g_free(bounds);
+	return site;
+}
+
 /*
  * Load pattern: a failure domain is cut off for six seconds while its workers
  * run on.  Guards against leases that end behind the cut although the platform
@@ -44,6 +56,21 @@
 }
 END_TEST
 
+/* Guards against operator calls that the deployment's settings do not allow. */
+START_TEST(domain_orders_need_their_bound)
+{
+	site_t *site = parse(5000);
+
+	ck_assert(!site->serves_domain_orders);
+	ck_assert_str_eq(site->failure_domains[0], "d1");
+	ck_assert_ptr_null(site->failure_domains[1]);
+	site_destroy(site);
+	site = parse_bounds("\"evacMs\":4000");
+	ck_assert(site->serves_domain_orders);
+	site_destroy(site);
+}
+END_TEST
+
 /* Guards against more descriptors than the platform grants. */
 START_TEST(descriptors_within_the_limit)
 {
@@ -64,6 +91,7 @@
 	TCase *tcase = tcase_create("site");
 
 	tcase_add_test(tcase, lease_outlasts_a_cut);
+	tcase_add_test(tcase, domain_orders_need_their_bound);
 	tcase_add_test(tcase, descriptors_within_the_limit);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_NOFORK);
