fleet: learns which workers are slow or fast

The leader observes the progress of running tasks and estimates the lengths of the kinds of tasks and the speeds of the workers together. What is short of time goes to fast workers, what has time to spare to slow ones, gangs to workers of like speed. Acts only on workers below two thirds of the usual speed or above its inverse; placement.slowWorkerPercent sets the limit, 0 turns it off.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -184,6 +184,7 @@
 	}
 	g_hash_table_remove_all(fleet->departing);
 	fleet_leaves_clear(fleet);
+	fleet_speed_forget(fleet);
 	detach_runs(ledger_open_jobs(ledger));
 	detach_runs(ledger_ended_jobs(ledger));
 	fleet_events_clear(fleet, FLEET_NO_ANSWER);
@@ -452,6 +453,7 @@
 	fleet->proposal_waiters = g_ptr_array_new_with_free_func(g_free);
 	g_queue_init(&fleet->pending_calls);
 	fleet->tickets = tickets_create();
+	fleet_speed_init(fleet);
 	fleet->first_start_latency[false] =
 	    histogram_get("fleet_first_start_seconds{urgent=\"no\"}",
 		"from the hand-in to the first start of a unit");
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -21,6 +21,11 @@
 	int64_t
 	    ended_job_retention_ms; /* how long an ended job stays readable */
 	int64_t reclaim_ms;         /* limit for a guaranteed job to start */
+	/*
+	 * A worker below this share of the usual speed is slow; 0: the speed
+	 * of workers is not learned.
+	 */
+	int slow_worker_percent;
 } fleet_timing_t;
 
 typedef enum {
--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -157,6 +157,9 @@
 	    .members = item->unit->members,
 	    .needs_ticket = queue->needs_ticket,
 	    .avoids_reserved = avoids_reserve(item),
+	    .needed_speed_percent = item->needed_speed_percent,
+	    .prefers_fast = item->prefers_fast,
+	    .avoids_slow = round->now_ms < item->may_run_slowly_ms,
 	};
 
 	unit.may_spread = round->now_ms > item->may_spread_ms ||
@@ -164,6 +167,7 @@
 	if (waits_in_vain(round, item, queue->service)) {
 		unit.may_spread = true;
 		unit.avoids_reserved = false;
+		unit.avoids_slow = false;
 	}
 	return unit;
 }
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -5,6 +5,7 @@
 #include "sched/headroom.h"
 #include "sched/ledger.h"
 #include "sched/plan.h"
+#include "sched/speed.h"
 #include "sched/suspicion.h"
 #include "sched/tickets.h"
 #include "sched/worker_clock.h"
@@ -79,6 +80,7 @@
 	resources_t held;         /* by members */
 	resources_t releasing;    /* by members of runs that release them */
 	suspicion_t suspicion;
+	speed_history_t speed;
 	size_t plan_index; /* among the workers of the planning round */
 	/* Its incarnation has ended; the next work timer retires it. */
 	bool retire_pending;
@@ -99,6 +101,14 @@
 	STOP_ANSWERED, /* the worker refuses later starts of the run */
 } member_stop_t;
 
+/* Since when the progress of a member is observed, see fleet_speed.c. */
+typedef struct {
+	uint64_t task; /* names the run of the task; 0: not observed */
+	int percent;
+	int64_t since_ms;
+	int64_t seen_ms; /* the worker last said that it runs */
+} progress_mark_t;
+
 /*
  * One task of a run, placed on a worker. A job has steps, and a step has tasks.
  * The ledger groups the tasks of a step into units that are started together (a
@@ -124,6 +134,7 @@
 	int64_t percent_ms; /* last increase of percent */
 	int load;           /* see running_task_t */
 	int pace;           /* share of full speed, in percent */
+	progress_mark_t mark;
 	char *checkpoint;
 };
 
@@ -159,6 +170,7 @@
 	order_transport_t orders;
 	headroom_t headroom;
 	tickets_t *tickets;
+	int64_t next_speed_fit_ms;    /* see fleet_speed.c */
 	advice_query_t *advice_query; /* in flight */
 	uint64_t last_event_sequence; /* see fleet_next_sequence */
 	bool leading;
@@ -202,7 +214,10 @@
 	counter_t *refused_no_room;
 	counter_t *waits[WAIT_REASONS]; /* by wait_reason_t */
 	counter_t *stills;
-	int64_t next_still_ms; /* when the next one may be logged */
+	int64_t next_still_ms;   /* when the next one may be logged */
+	counter_t *slow_workers; /* gauge */
+	counter_t *fast_workers; /* gauge */
+	counter_t *speed_changes;
 	counter_t *preempted;
 	counter_t *submitted;
 	counter_t *rejected;
@@ -315,6 +330,13 @@
 bool worker_has_interference(const worker_t *worker);
 void worker_adjust_pace(worker_t *worker);
 
+/* fleet_speed.c */
+void fleet_speed_init(fleet_t *fleet);
+void fleet_speed_forget(fleet_t *fleet);
+void member_started(member_t *member, int64_t now_ms);
+void member_progressed(member_t *member, int percent, int64_t now_ms);
+void member_done(member_t *member, int64_t now_ms);
+
 /* fleet_advice.c */
 char *fleet_step_name(const char *job, int occurrence, int step);
 void fleet_ask_advice(fleet_t *fleet, const char *job, const char *step,
--- a/sched/fleet_round.c
+++ b/sched/fleet_round.c
@@ -95,6 +95,7 @@
 		plan_worker->usable = worker_is_usable(worker, now_ms);
 	}
 	apply_suspicion(round);
+	round_apply_speed(round);
 	sum_accelerators(round);
 	domains_begin_round(round);
 }
--- a/sched/fleet_round.h
+++ b/sched/fleet_round.h
@@ -17,6 +17,9 @@
 	bool has_precedence; /* guaranteed; reclaim limit not passed */
 	int64_t may_preempt_urgent_ms; /* from then on */
 	int64_t may_spread_ms; /* may leave its preferred rack from then on */
+	int needed_speed_percent; /* see plan_unit_t */
+	bool prefers_fast;
+	int64_t may_run_slowly_ms; /* may take a slow worker from then on */
 } waiting_step_t;
 
 /* State of one planning round: the workers and their free resources. */
@@ -74,6 +77,9 @@
 void waits_check(
     round_t *round, const waiting_step_t *item, const plan_unit_t *plan);
 
+/* fleet_speed.c */
+void round_apply_speed(round_t *round);
+
 /* fleet_preempt.c */
 bool round_preempt(
     round_t *round, const waiting_step_t *item, const plan_unit_t *unit);
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -268,6 +268,8 @@
 
 	note_begun(run);
 	update_checkpoint(member, checkpoint);
+	if (how == RUN_DONE)
+		member_done(member, fleet_now_ms());
 	if (how == RUN_FAILED)
 		evlog("task_failed", "{s:s,s:i,s:i,s:i,s:s}", "job", run->job,
 		    "step", run->name.step, "index", member->index, "run",
@@ -365,6 +367,7 @@
 		member->percent_ms = now_ms;
 	}
 	member->load = task->load;
+	member_progressed(member, task->percent, now_ms);
 	update_checkpoint(member, task->checkpoint);
 }
 
@@ -505,6 +508,7 @@
 		member->answer_sequence =
 		    fleet_next_sequence(member->run->fleet);
 		member->percent_ms = now_ms;
+		member_started(member, now_ms);
 		break;
 	case ORDER_NO_ANSWER:
 		note_unanswered_start(member, order);
--- a/sched/fleet_waiting.c
+++ b/sched/fleet_waiting.c
@@ -22,6 +22,8 @@
  * and preempt urgent work. Until then it waits, as most urgent work is short.
  */
 #define PREEMPT_URGENT_AFTER_PERCENT 40
+/* A step that needs more of the usual speed is short of time. */
+#define SHORT_OF_TIME_PERCENT 67
 
 /*
  * Returns how long a step may wait for its start: the target latency plus the
@@ -111,6 +113,31 @@
 	int64_t critical_path_ms;
 } job_times_t;
 
+/*
+ * Returns how long the step waits for workers that are fast enough rather than
+ * take slow ones.  An urgent step does so while it would still be on time on
+ * them, and no longer than others may keep it from its guarantee.
+ */
+static int64_t
+may_run_slowly_ms(const waiting_step_t *item, const urgency_times_t *times)
+{
+	if (item->priority != QUEUE_PRIORITY_URGENT)
+		return 0;
+	return MIN(times->on_time_ms, item->may_preempt_urgent_ms);
+}
+
+/*
+ * Whether the step is short of time, so that fast workers serve it best.  One
+ * that no worker can finish in time leaves them to others, unless it is urgent.
+ */
+static bool
+prefers_fast(const waiting_step_t *item)
+{
+	return item->priority == QUEUE_PRIORITY_URGENT ||
+	       (item->needed_speed_percent > SHORT_OF_TIME_PERCENT &&
+		   item->urgency == URGENCY_ON_TIME);
+}
+
 static void
 collect_step(fleet_t *fleet, const job_times_t *job_times, ledger_unit_t *unit,
     ledger_unit_t *end, int64_t now_ms, GArray *waiting)
@@ -136,6 +163,12 @@
 		timing->reclaim_ms * PREEMPT_URGENT_AFTER_PERCENT / PERCENT,
 	};
 
+	if (!ledger_step(unit)->long_running) {
+		item.needed_speed_percent = urgency_needed_speed(
+		    &times, job_times->remaining_path_ms[unit->step], now_ms);
+		item.prefers_fast = prefers_fast(&item);
+		item.may_run_slowly_ms = may_run_slowly_ms(&item, &times);
+	}
 	item.may_spread_ms =
 	    item.has_precedence
 		? MIN(item.latest_start_ms, item.may_preempt_urgent_ms)
--- a/sched/fleet_workers.c
+++ b/sched/fleet_workers.c
@@ -211,6 +211,7 @@
 	worker->confirmed_ack = 0;
 	worker->clock = (worker_clock_t){0};
 	worker->suspicion = (suspicion_t){0};
+	worker->speed = (speed_history_t){0};
 	worker->needs_poll = true;
 	g_queue_clear_full(&worker->pending_ends, pending_end_free);
 	for (guint i = 0; i < worker->members->len; i++)
--- a/sched/plan.c
+++ b/sched/plan.c
@@ -62,21 +62,19 @@
 	return false;
 }
 
-/*
- * Returns how the speed of the worker suits the unit.  A unit with time to
- * spare takes a slow worker, so that a faster one stays free for another unit.
- */
+/* Returns how the speed of the worker suits the unit. */
 plan_speed_class_t
 plan_speed_class(const plan_worker_t *worker, const plan_unit_t *unit)
 {
 	int speed = worker->speed_percent;
 
 	if (unit->needed_speed_percent == 0 || speed == 0)
-		return PLAN_FAST_ENOUGH;
-	if (speed < MIN(unit->needed_speed_percent, PLAN_USUAL_SPEED_PERCENT))
-		return PLAN_TOO_SLOW;
-	return speed < PLAN_USUAL_SPEED_PERCENT ? PLAN_SPARES_FAST
-						: PLAN_FAST_ENOUGH;
+		return PLAN_SPEED_USUAL;
+	if (speed > PLAN_USUAL_SPEED_PERCENT)
+		return unit->prefers_fast ? PLAN_SPEED_FIRST : PLAN_SPEED_LAST;
+	return speed < unit->needed_speed_percent || unit->prefers_fast
+		   ? PLAN_TOO_SLOW
+		   : PLAN_SPEED_FIRST;
 }
 
 /* Whether the unit waits for a faster worker rather than take this one. */
@@ -249,14 +247,14 @@
 
 /*
  * Considers workers of one speed class after the other, as consider_all stops
- * at the first that fits.  All workers of an even pool are of the middle class.
+ * at the first that fits.  All workers of an even pool are of the usual class.
  */
 static void
 consider_by_speed(const search_t *search, best_t *best)
 {
 	bool is_uneven = search->pool->is_uneven;
-	int first = is_uneven ? PLAN_SPARES_FAST : PLAN_FAST_ENOUGH;
-	int last = is_uneven ? PLAN_TOO_SLOW : PLAN_FAST_ENOUGH;
+	int first = is_uneven ? PLAN_SPEED_FIRST : PLAN_SPEED_USUAL;
+	int last = is_uneven ? PLAN_TOO_SLOW : PLAN_SPEED_USUAL;
 
 	for (int speed_class = first;
 	     speed_class <= last && best->worker == POOL_NONE; speed_class++) {
--- a/sched/plan.h
+++ b/sched/plan.h
@@ -13,10 +13,15 @@
 /* Speed of a worker whose speed is not known. */
 #define PLAN_USUAL_SPEED_PERCENT 100
 
-/* How the speed of a worker suits a unit; lower is better. */
+/*
+ * How the speed of a worker suits a unit; lower is better.  A unit that is
+ * short of time prefers fast workers; one with time to spare leaves them to
+ * others.
+ */
 typedef enum {
-	PLAN_SPARES_FAST, /* slower than usual, and fast enough */
-	PLAN_FAST_ENOUGH,
+	PLAN_SPEED_FIRST, /* fast, or for a unit with time to spare, slow */
+	PLAN_SPEED_USUAL,
+	PLAN_SPEED_LAST, /* faster than a unit with time to spare needs */
 	PLAN_TOO_SLOW,
 	PLAN_SPEED_CLASSES,
 } plan_speed_class_t;
@@ -29,11 +34,12 @@
 	bool avoids_reserved; /* takes no worker of a reserved rack */
 	bool may_spread;      /* ignore same_rack and data_rack */
 	/*
-	 * Speed that a worker needs for a result in time; 0: the speed makes
-	 * no difference.
+	 * Speed in percent that a worker needs for a result in time; 0: the
+	 * speed makes no difference.
 	 */
 	int needed_speed_percent;
-	bool avoids_slow; /* takes no worker that is too slow */
+	bool prefers_fast; /* it is short of time */
+	bool avoids_slow;  /* takes no worker that is too slow */
 } plan_unit_t;
 
 bool plan_unit(pool_t *pool, const plan_unit_t *unit, plan_available_t kind);
--- a/sched/plan_gang.c
+++ b/sched/plan_gang.c
@@ -27,6 +27,7 @@
  * as its slowest member, so that workers of like speed are used best.
  */
 typedef enum {
+	SUITS_BEST,       /* trusted workers of the class that suits it best */
 	SUITS_LIKE_SPEED, /* trusted workers of one class, none too slow */
 	SUITS_IN_TIME,    /* trusted workers, none too slow */
 	SUITS_TRUSTED,
@@ -34,16 +35,27 @@
 	SUITS_NOT, /* not all members fit */
 } suits_t;
 
+/* Whether usual workers are as good as any for the unit. */
+static bool
+usual_is_best(const search_t *search)
+{
+	return !search->pool->is_uneven || !search->unit->prefers_fast;
+}
+
 static suits_t
 suits(const search_t *search, const fitting_t *fitting)
 {
 	int members = search->unit->members;
 	const int *by_speed = fitting->by_speed;
+	int in_time = fitting->trusted - by_speed[PLAN_TOO_SLOW];
+	bool usual_alone = by_speed[PLAN_SPEED_USUAL] >= members;
 
-	if (by_speed[PLAN_FAST_ENOUGH] >= members ||
-	    by_speed[PLAN_SPARES_FAST] >= members)
+	if (by_speed[PLAN_SPEED_FIRST] >= members ||
+	    (usual_alone && usual_is_best(search)))
+		return SUITS_BEST;
+	if (usual_alone || by_speed[PLAN_SPEED_LAST] >= members)
 		return SUITS_LIKE_SPEED;
-	if (by_speed[PLAN_FAST_ENOUGH] + by_speed[PLAN_SPARES_FAST] >= members)
+	if (in_time >= members)
 		return SUITS_IN_TIME;
 	if (fitting->trusted >= members)
 		return SUITS_TRUSTED;
@@ -136,11 +148,11 @@
 }
 
 /*
- * Lets a gang that does not fit on slow workers alone take none of them if it
- * fits on faster ones alone: one slow member would slow down all.
+ * Returns the first class of which the trusted workers alone hold the gang, or
+ * PLAN_SPEED_USUAL if none does.
  */
-static void
-prefer_like_speed(const search_t *search, GArray *candidates)
+static plan_speed_class_t
+class_that_holds(const search_t *search, const GArray *candidates)
 {
 	int by_speed[PLAN_SPEED_CLASSES] = {0};
 
@@ -151,14 +163,27 @@
 		if (candidate->penalty == 0)
 			by_speed[candidate->speed_class] += candidate->fitting;
 	}
-	if (by_speed[PLAN_SPARES_FAST] >= search->unit->members ||
-	    by_speed[PLAN_FAST_ENOUGH] < search->unit->members)
-		return;
+	for (int c = PLAN_SPEED_FIRST; c < PLAN_TOO_SLOW; c++) {
+		if (by_speed[c] >= search->unit->members)
+			return (plan_speed_class_t)c;
+	}
+	return PLAN_SPEED_USUAL;
+}
+
+/*
+ * Moves workers of better classes behind those that hold the gang alone.  A
+ * slow member would slow down the rest, a fast one would wait for it.
+ */
+static void
+prefer_like_speed(const search_t *search, GArray *candidates)
+{
+	plan_speed_class_t first = class_that_holds(search, candidates);
+
 	for (guint i = 0; i < candidates->len; i++) {
 		candidate_t *candidate =
 		    &g_array_index(candidates, candidate_t, i);
 
-		if (candidate->speed_class == PLAN_SPARES_FAST)
+		if (candidate->speed_class < first)
 			candidate->speed_class = PLAN_TOO_SLOW;
 	}
 }
@@ -246,7 +271,7 @@
 	const pool_rack_t *rack = NULL;
 	suits_t best_suits = SUITS_NOT;
 
-	while (best_suits != SUITS_LIKE_SPEED &&
+	while (best_suits != SUITS_BEST &&
 	       (rack = next_rack(search, rack)) != NULL) {
 		fitting_t fitting = fitting_in_rack(search, rack);
 		suits_t rack_suits = suits(search, &fitting);
@@ -298,7 +323,7 @@
 
 	if (!any_domain_may_hold(search))
 		return false;
-	sums = g_new0(fitting_t, pool->domain_count);
+	sums = g_new0(fitting_t, pool->domain_count + 1);
 	for (size_t i = 0; i < pool->count; i++)
 		add_fitting(search, i, &sums[pool->domain_of[i]]);
 	for (size_t d = 0; d < pool->domain_count; d++) {
@@ -355,8 +380,8 @@
 }
 
 /*
- * Looks for workers that are fast enough everywhere before it takes any others;
- * where racks matter to the step, it does so within racks only.
+ * Looks for the workers of the best speed everywhere before it takes any
+ * others; where racks matter to the step, it does so within racks only.
  */
 bool
 plan_gang(const search_t *search)
@@ -369,7 +394,8 @@
 	if (search->has_data_rack && !unit->may_spread)
 		return false;
 	if (search->pool->is_uneven &&
-	    try_groups(search, SUITS_IN_TIME, !same_rack))
+	    (try_groups(search, SUITS_BEST, !same_rack) ||
+		try_groups(search, SUITS_IN_TIME, !same_rack)))
 		return true;
 	return try_groups(search, SUITS_AT_ALL, !same_rack || unit->may_spread);
 }
--- a/sched/urgency.c
+++ b/sched/urgency.c
@@ -3,6 +3,9 @@
 #include <glib.h>
 
 #define PERMILLE 1000
+/* Needed speed, against one that just meets the objective. */
+#define SPEED_MARGIN_PERCENT 130
+#define MAX_NEEDED_SPEED_PERCENT 1000
 /* A result is useful up to this multiple of its latency objective. */
 #define LATE_FACTOR 3
 
@@ -53,6 +56,23 @@
 	};
 }
 
+/*
+ * Returns the speed in percent that a step with a chain of chain_ms needs so
+ * that its job meets the objective, with a margin for failures and waits.
+ */
+int
+urgency_needed_speed(
+    const urgency_times_t *times, int64_t chain_ms, int64_t now_ms)
+{
+	int64_t left_ms = times->on_time_ms + chain_ms - now_ms;
+	int64_t needed;
+
+	if (left_ms <= 0)
+		return MAX_NEEDED_SPEED_PERCENT;
+	needed = chain_ms * SPEED_MARGIN_PERCENT / left_ms;
+	return (int)CLAMP(needed, 1, MAX_NEEDED_SPEED_PERCENT);
+}
+
 urgency_t
 urgency_at(const urgency_times_t *times, int64_t now_ms)
 {
--- a/sched/urgency.h
+++ b/sched/urgency.h
@@ -26,4 +26,6 @@
 int64_t urgency_critical_paths(const batch_spec_t *spec, int64_t *chain_ms);
 urgency_times_t urgency_times(const fleet_queue_t *queue,
     int64_t critical_path_ms, int64_t chain_ms, int64_t submitted_ms);
+int urgency_needed_speed(
+    const urgency_times_t *times, int64_t chain_ms, int64_t now_ms);
 urgency_t urgency_at(const urgency_times_t *times, int64_t now_ms);
--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -233,7 +233,7 @@
 	return (running_task_t){.task = task->task,
 	    .run = task->run,
 	    .checkpoint = "",
-	    .percent = 50};
+	    .percent = worker->percent};
 }
 
 static void
@@ -538,6 +538,7 @@
 	    .lease_ms = BED_LEASE_MS,
 	    .ended_job_retention_ms = BED_RETENTION_MS,
 	    .reclaim_ms = BED_RECLAIM_MS,
+	    .slow_worker_percent = BED_SLOW_WORKER_PERCENT,
 	};
 	order_transport_t orders = {.start = send_start,
 	    .stop = send_stop,
@@ -553,6 +554,7 @@
 {
 	bed_worker_t *worker = &bed->workers[bed->worker_count];
 
+	worker->percent = 50;
 	worker->info = (fleet_worker_t){
 	    .id = g_strdup_printf("w%zu", bed->worker_count),
 	    .born = 1,
--- a/tests/unit/fleet_bed.h
+++ b/tests/unit/fleet_bed.h
@@ -17,6 +17,7 @@
 #define BED_LEASE_MS 400
 #define BED_RETENTION_MS 3000
 #define BED_RECLAIM_MS 1000
+#define BED_SLOW_WORKER_PERCENT 67
 
 /* A task on a worker. */
 typedef struct {
@@ -48,6 +49,7 @@
 	bool fails_tasks;         /* each task fails as soon as it starts */
 	const order_answer_t *forged_poll; /* if set, answers polls */
 	guint max_listed_ends; /* in the answer of a poll; 0: no limit */
+	int percent;          /* progress listed of each task */
 	int starts;
 	int stops;
 	int wrong_incarnation_starts; /* starts for an ended incarnation */
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -249,10 +249,10 @@
 }
 
 /*
- * Load pattern: a quarter of the workers is half as fast, and urgent tasks
- * arrive among others.  Guards against urgent tasks on slow workers while
- * others are free, and against tasks with time to spare that take the fast
- * ones; a full fleet still uses every worker.
+ * Load pattern: some workers are half as fast as usual, others twice as fast,
+ * and urgent tasks arrive among others.  Guards against urgent tasks on slow
+ * workers while others are free, and against tasks with time to spare that take
+ * the fast ones; a full fleet still uses every worker.
  */
 START_TEST(speed_of_single_tasks)
 {
@@ -266,23 +266,26 @@
 	ck_assert_int_ne(chosen_worker(&fixture), 2);
 	fixture.workers[2].free.accelerators = ACCELERATORS;
 	fixture.workers[3].free.accelerators = 1;
+	fixture.workers[3].speed_percent = 218;
 	fixture.unit.needed_speed_percent = 33;
 	ck_assert_int_eq(chosen_worker(&fixture), 2);
-	/* Late already: the fastest of the slow ones, if only these are left.
-	 */
-	fixture.unit.needed_speed_percent = 140;
-	fixture.workers[3].free.accelerators = ACCELERATORS;
+	fixture.workers[2].speed_percent = 0;
+	ck_assert_int_ne(chosen_worker(&fixture), 3);
+	fixture.unit.prefers_fast = true;
+	ck_assert_int_eq(chosen_worker(&fixture), 3);
+	/* The fastest of the slow ones, if only these are left. */
 	for (int i = 0; i < WORKERS; i++)
 		fixture.workers[i].speed_percent = i == 5 ? 60 : 46;
+	fixture.workers[3].free.accelerators = ACCELERATORS;
 	ck_assert_int_eq(chosen_worker(&fixture), 5);
 	fixture.unit.avoids_slow = true;
 	ck_assert(!try_plan(&fixture));
 }
 END_TEST
 
-/* Returns how many members are on workers known as slow. */
+/* Returns how many members are on workers known as slow or fast. */
 static int
-chosen_slow(const fixture_t *fixture)
+chosen_unlike(const fixture_t *fixture)
 {
 	int count = 0;
 
@@ -311,12 +314,12 @@
 	/* With time to spare, still not one slow member for all. */
 	fixture.unit.needed_speed_percent = 33;
 	ck_assert(try_plan(&fixture));
-	ck_assert_int_eq(chosen_slow(&fixture), 0);
+	ck_assert_int_eq(chosen_unlike(&fixture), 0);
 	/* All slow members are as good, and leave the others free. */
 	fixture.workers[2].speed_percent = 46;
 	fixture.workers[3].speed_percent = 46;
 	ck_assert(try_plan(&fixture));
-	ck_assert_int_eq(chosen_slow(&fixture), 3);
+	ck_assert_int_eq(chosen_unlike(&fixture), 3);
 	/* Only several racks together have three fast workers. */
 	fixture.unit.needed_speed_percent = 61;
 	fixture.workers[3].speed_percent = 0;
@@ -324,10 +327,37 @@
 	fixture.workers[5].speed_percent = 46;
 	fixture.step.same_rack = false;
 	ck_assert(try_plan(&fixture));
-	ck_assert_int_eq(chosen_slow(&fixture), 0);
+	ck_assert_int_eq(chosen_unlike(&fixture), 0);
 	fixture.step.same_rack = true;
 	ck_assert(try_plan(&fixture));
-	ck_assert_int_gt(chosen_slow(&fixture), 0);
+	ck_assert_int_gt(chosen_unlike(&fixture), 0);
+}
+END_TEST
+
+/*
+ * Load pattern: as above.  Guards against an urgent gang beside fast workers
+ * that hold it, and against fast members that wait for usual ones.
+ */
+START_TEST(fast_gangs)
+{
+	fixture_t fixture;
+
+	fixture_open(&fixture, 3, 8);
+	fixture.unit.needed_speed_percent = 61;
+	fixture.unit.prefers_fast = true;
+	for (int i = 5; i < WORKERS; i++)
+		fixture.workers[i].speed_percent = 218;
+	ck_assert(try_plan(&fixture));
+	ck_assert_int_eq(chosen_unlike(&fixture), 3);
+	fixture.workers[7].free.accelerators = 0;
+	ck_assert(try_plan(&fixture));
+	ck_assert_int_eq(chosen_unlike(&fixture), 0);
+	/* One that is not short of time leaves the fast ones free. */
+	fixture.workers[7].free.accelerators = 8;
+	fixture.unit.prefers_fast = false;
+	fixture.workers[0].speed_percent = 218;
+	ck_assert(try_plan(&fixture));
+	ck_assert_int_eq(chosen_unlike(&fixture), 0);
 }
 END_TEST
 
@@ -346,6 +376,7 @@
 	tcase_add_test(tcase, preempts_only_if_needed);
 	tcase_add_test(tcase, speed_of_single_tasks);
 	tcase_add_test(tcase, speed_of_gangs);
+	tcase_add_test(tcase, fast_gangs);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_NOFORK);
 }
--- a/tests/unit/test_site.c
+++ b/tests/unit/test_site.c
@@ -4,9 +4,9 @@
 #include "platform/site.h"
 #include "tests/unit/runner.h"
 
-/* The settings of a control instance with the given bounds. */
+/* The settings of a control instance with the given bounds and placement. */
 static site_t *
-parse_bounds(const char *bounds)
+parse_tables(const char *bounds, const char *placement)
 {
 	GPtrArray *problems = g_ptr_array_new_with_free_func(g_free);
 	char *text = g_strdup_printf(
@@ -15,8 +15,9 @@
 	    "\"dataDir\":\"data\",\"seeds\":[\"127.0.0.1:8526\"],"
 	    "\"listen\":{\"control\":\"127.0.0.1:8526\"},"
 	    "\"zones\":{\"d1\":\"r1\"},"
-	    "\"bounds\":{%s},\"limits\":{\"maxFds\":1200}}",
-	    bounds);
+	    "\"bounds\":{%s},\"placement\":{%s},"
+	    "\"limits\":{\"maxFds\":1200}}",
+	    bounds, placement);
 	site_t *site = site_parse(text, strlen(text), "test", problems);
 
 	ck_assert_uint_eq(problems->len, 0);
@@ -25,6 +26,12 @@
 	return site;
 }
 
+static site_t *
+parse_bounds(const char *bounds)
+{
+	return parse_tables(bounds, "");
+}
+
 /* The same with a bound for leases in ms. */
 static site_t *
 parse(int hold_max_ms)
@@ -84,6 +91,31 @@
 }
 END_TEST
 
+/* Guards against a limit for slow workers that cannot be set or turned off. */
+START_TEST(slow_worker_limit)
+{
+	static const struct {
+		const char *placement;
+		int percent;
+	} cases[] = {
+	    {"", 67},
+	    {"\"slowWorkerPercent\":50", 50},
+	    {"\"slowWorkerPercent\":0", 0},
+	    {"\"slowWorkerPercent\":-1", 0},
+	    {"\"slowWorkerPercent\":1000", 100},
+	    {"\"slowWorkerPercent\":\"x\"", 67},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		site_t *site = parse_tables("", cases[i].placement);
+
+		ck_assert_int_eq(
+		    site->bounds.slow_worker_percent, cases[i].percent);
+		site_destroy(site);
+	}
+}
+END_TEST
+
 int
 main(void)
 {
@@ -93,6 +125,7 @@
 	tcase_add_test(tcase, lease_outlasts_a_cut);
 	tcase_add_test(tcase, domain_orders_need_their_bound);
 	tcase_add_test(tcase, descriptors_within_the_limit);
+	tcase_add_test(tcase, slow_worker_limit);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_NOFORK);
 }
--- a/tests/unit/test_urgency.c
+++ b/tests/unit/test_urgency.c
@@ -131,6 +131,19 @@
 }
 END_TEST
 
+/* Guards against an urgent step on a worker that makes it late. */
+START_TEST(needed_speed)
+{
+	urgency_times_t times = urgency_times(&queue, WORK_MS, WORK_MS, 0);
+
+	/* 2 s of 3.25 s, with the margin of 1.3. */
+	ck_assert_int_eq(urgency_needed_speed(&times, WORK_MS, 0), 80);
+	ck_assert_int_eq(urgency_needed_speed(&times, WORK_MS, 1250), 130);
+	ck_assert_int_eq(urgency_needed_speed(&times, WORK_MS, 9000), 1000);
+	ck_assert_int_eq(urgency_needed_speed(&times, 0, 0), 1);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -139,6 +152,7 @@
 
 	tcase_add_test(tcase, overload_keeps_jobs_on_time);
 	tcase_add_test(tcase, chain_of_steps);
+	tcase_add_test(tcase, needed_speed);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_NOFORK);
 }
