gateway: calls go only to a leader that still answers

Cause: when the control instances lose power, entry instances went on sending calls to the silent leader until its connection was given up after 1.5 s. Nobody knows the outcome of such a call, so its caller got 504 although no control instance had received it, and calls in doubt ended after 1.2 s. Change: a leader that was not heard for 200 ms is probed first; a call that was not sent stays known as not run (503). Retry-After grows with the outage, 1 to 4 s, instead of 1 s always; calls are held 45% of their caller's time.

--- a/sched/gateway.c
+++ b/sched/gateway.c
@@ -9,16 +9,13 @@
 #include "common/counters.h"
 #include "common/evlog.h"
 #include "rpc/codec.h"
+#include "sched/outage.h"
 
 #define ATTEMPT_TIMEOUT_MS 800
 #define RETRY_DELAY_MS 30
-/* An unanswered call is retried for this time; elections take less. */
-#define MAX_RETRY_MS 1200
-/* Share of the time until its deadline in which a call is retried. */
-#define MAX_RETRY_PERCENT 40
 #define PROBE_INTERVAL_S 1.0
 #define PROBE_INTERVAL_NO_LEADER_S 0.2
-#define PROBE_TIMEOUT_MS 800
+#define PROBE_TIMEOUT_MS 400
 /* More than two probe intervals: one failed probe does not end readiness. */
 #define READY_WINDOW_MS 2500
 
@@ -27,6 +24,7 @@
 	const settings_t *settings;
 	endpoint_t *endpoint;
 	char leader[NAME_MAX_LEN + 1]; /* empty when unknown */
+	int64_t created_ms;
 	/* Last answer of a leader with a configuration, 0: none yet. */
 	int64_t leader_heard_ms;
 	bool was_ready;
@@ -112,6 +110,23 @@
 		set_leader(gateway, "");
 }
 
+/* Returns how long no leader has answered, at first since the start. */
+static int64_t
+leader_silent_ms(const gateway_t *gateway)
+{
+	int64_t heard_ms = gateway->leader_heard_ms != 0
+			       ? gateway->leader_heard_ms
+			       : gateway->created_ms;
+
+	return clock_mono_ms() - heard_ms;
+}
+
+int
+gateway_retry_after_ms(const gateway_t *gateway)
+{
+	return outage_retry_after_ms(leader_silent_ms(gateway));
+}
+
 bool
 gateway_is_ready(const gateway_t *gateway)
 {
@@ -124,6 +139,26 @@
 	char target[NAME_MAX_LEN + 1];
 } probe_t;
 
+static void
+start_retry_timer(gateway_call_t *call, int64_t delay_ms)
+{
+	ev_timer_stop(call->gateway->loop, &call->retry);
+	ev_timer_set(&call->retry, (double)delay_ms / CLOCK_MS_PER_S, 0);
+	ev_timer_start(call->gateway->loop, &call->retry);
+}
+
+/* Lets the calls that wait for a probe or a leader try again at once. */
+static void
+wake_calls(const gateway_t *gateway)
+{
+	for (GList *at = gateway->calls.head; at != NULL; at = at->next) {
+		gateway_call_t *call = at->data;
+
+		if (!call->attempt_pending)
+			start_retry_timer(call, 0);
+	}
+}
+
 static void
 on_probe_done(void *ctx, const err_t *err, void *result)
 {
@@ -135,9 +170,30 @@
 		update_leader(gateway, probe->target, result);
 	else
 		forget_failed_leader(gateway, probe->target);
+	wake_calls(gateway);
 	g_free(probe);
 }
 
+/* Asks an instance whether it leads, unless another one is being asked. */
+static void
+send_probe(gateway_t *gateway, const char *target)
+{
+	batch_call_t call = {.verb = BATCH_LEADER,
+	    .host = (char *)"",
+	    .path = (char *)"",
+	    .api_key = (char *)""};
+	probe_t *probe;
+
+	if (gateway->probe_pending)
+		return;
+	probe = g_new0(probe_t, 1);
+	probe->gateway = gateway;
+	g_strlcpy(probe->target, target, sizeof(probe->target));
+	gateway->probe_pending = true;
+	endpoint_call(gateway->endpoint, target, RPC_BATCH, &call,
+	    PROBE_TIMEOUT_MS, on_probe_done, probe);
+}
+
 static void
 log_readiness(gateway_t *gateway)
 {
@@ -154,26 +210,16 @@
 on_probe(struct ev_loop *loop, ev_timer *watcher, int events)
 {
 	gateway_t *gateway = watcher->data;
-	const char *target = choose_target(gateway);
-	batch_call_t call = {.verb = BATCH_LEADER,
-	    .host = (char *)"",
-	    .path = (char *)"",
-	    .api_key = (char *)""};
-	probe_t *probe;
+	const char *target;
 
 	log_readiness(gateway);
 	watcher->repeat = gateway_is_ready(gateway)
 			      ? PROBE_INTERVAL_S
 			      : PROBE_INTERVAL_NO_LEADER_S;
 	ev_timer_again(loop, watcher);
-	if (gateway->probe_pending || target == NULL)
-		return;
-	probe = g_new0(probe_t, 1);
-	probe->gateway = gateway;
-	g_strlcpy(probe->target, target, sizeof(probe->target));
-	gateway->probe_pending = true;
-	endpoint_call(gateway->endpoint, target, RPC_BATCH, &call,
-	    PROBE_TIMEOUT_MS, on_probe_done, probe);
+	target = choose_target(gateway);
+	if (target != NULL)
+		send_probe(gateway, target);
 }
 
 /* ---- calls ---- */
@@ -219,31 +265,20 @@
 	    call->maybe_received ? GATEWAY_UNKNOWN : GATEWAY_NOT_RUN, NULL);
 }
 
-/*
- * Whether the call has been retried for as long as it may be.  Failing well
- * before the deadline leaves the client time to retry, here or elsewhere.
- */
-static bool
-retry_time_is_over(const gateway_call_t *call, int64_t now_ms)
-{
-	int64_t max_retry_ms =
-	    (call->deadline_ms - call->start_ms) * MAX_RETRY_PERCENT / 100;
-
-	return now_ms - call->start_ms >= MIN(max_retry_ms, MAX_RETRY_MS);
-}
-
 static void
 retry_or_fail(gateway_call_t *call)
 {
-	int64_t now_ms = clock_mono_ms();
-
-	if (retry_time_is_over(call, now_ms)) {
+	outage_call_t state = {
+	    .age_ms = clock_mono_ms() - call->start_ms,
+	    .timeout_ms = call->deadline_ms - call->start_ms,
+	    .silent_ms = leader_silent_ms(call->gateway),
+	    .may_be_stored = call->maybe_received,
+	};
+
+	if (outage_holds_call(&state))
+		start_retry_timer(call, RETRY_DELAY_MS);
+	else
 		fail_call(call);
-		return;
-	}
-	ev_timer_stop(call->gateway->loop, &call->retry);
-	ev_timer_set(&call->retry, (double)RETRY_DELAY_MS / CLOCK_MS_PER_S, 0);
-	ev_timer_start(call->gateway->loop, &call->retry);
 }
 
 static void
@@ -315,6 +350,16 @@
 		retry_or_fail(call);
 		return;
 	}
+	/*
+	 * An instance that has just lost power or is cut off would leave the
+	 * outcome unknown.
+	 */
+	if (outage_needs_probe(
+		endpoint_peer_silent_ms(gateway->endpoint, target))) {
+		send_probe(gateway, target);
+		retry_or_fail(call);
+		return;
+	}
 	g_strlcpy(call->target, target, sizeof(call->target));
 	call->attempt_pending = true;
 	endpoint_call(gateway->endpoint, target, RPC_BATCH, &call->request,
@@ -339,8 +384,8 @@
 	call->retry.data = call;
 	call->link.data = call;
 	g_queue_push_tail_link(&gateway->calls, &call->link);
-	/* Fail at once without a recent answer or a connected replica. */
-	if (!gateway_is_ready(gateway) && choose_target(gateway) == NULL)
+	/* Fail at once when no leader was ever heard and none can be asked. */
+	if (gateway->leader_heard_ms == 0 && choose_target(gateway) == NULL)
 		fail_call(call);
 	else
 		send_attempt(call);
@@ -356,6 +401,7 @@
 	gateway->loop = loop;
 	gateway->settings = settings;
 	gateway->endpoint = endpoint;
+	gateway->created_ms = clock_mono_ms();
 	/* Instances start at different peers, which spreads the probes. */
 	gateway->next_peer = g_str_hash(settings->instance);
 	g_queue_init(&gateway->calls);
--- a/sched/gateway.h
+++ b/sched/gateway.h
@@ -31,3 +31,5 @@
     gateway_done_t *done, void *ctx);
 /* Whether a leader that has a configuration has answered recently. */
 bool gateway_is_ready(const gateway_t *gateway);
+/* When a caller whose call was not run should come back. */
+int gateway_retry_after_ms(const gateway_t *gateway);
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -1,5 +1,8 @@
 #include <glib.h>
+#include <signal.h>
 #include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include "common/clock.h"
 #include "rpc/endpoint.h"
@@ -28,6 +31,7 @@
 	int answers;
 	gateway_outcome_t outcome;
 	batch_answer_t answer;
+	int pending_count; /* of the last answer */
 } fixture_t;
 
 typedef struct {
@@ -134,6 +138,7 @@
 	fixture->answers++;
 	fixture->outcome = outcome;
 	fixture->answer = reply != NULL ? reply->answer : BATCH_UNCERTAIN;
+	fixture->pending_count = reply != NULL ? reply->pending_count : -1;
 }
 
 static bool
@@ -268,6 +273,87 @@
 }
 END_TEST
 
+/* ---- a leader in a process of its own, which can be frozen ---- */
+
+static void
+serve_as_leader(void *ctx, const char *peer, uint32_t procedure, void *args,
+    endpoint_request_t *request)
+{
+	batch_reply_t reply = reply_of(BATCH_PENDING_COUNT);
+	int *submits = ctx;
+
+	*submits += ((const batch_call_t *)args)->verb == BATCH_SUBMIT;
+	reply.pending_count = *submits;
+	endpoint_answer(request, &reply);
+}
+
+/*
+ * Starts a process in which i2 answers every call as the leader, with the
+ * number of submitted jobs that reached it.
+ */
+static pid_t
+start_leader(const fixture_t *fixture)
+{
+	struct ev_loop *loop;
+	pid_t pid = fork();
+	int submits = 0;
+	err_t err;
+
+	if (pid != 0)
+		return pid;
+	loop = ev_loop_new(0);
+	endpoint_create(loop, fixture->system->settings[1], 2, serve_as_leader,
+	    &submits, &err);
+	ev_run(loop, 0);
+	_exit(0);
+}
+
+static void
+run_for(fixture_t *fixture, int64_t ms)
+{
+	int64_t end_ms = clock_mono_ms() + ms;
+
+	while (clock_mono_ms() < end_ms) {
+		ev_run(fixture->loop, EVRUN_NOWAIT);
+		g_usleep(1000);
+	}
+}
+
+/*
+ * Guards against a call that is sent to a leader that has just frozen or lost
+ * power: nobody knows its outcome then, and the caller cannot be told that it
+ * did not run.
+ */
+START_TEST(silent_leader_gets_no_call)
+{
+	fixture_t fixture;
+	pid_t leader;
+
+	fixture_open(&fixture);
+	endpoint_destroy(fixture.endpoints[1]);
+	fixture.endpoints[1] = NULL;
+	leader = start_leader(&fixture);
+	ck_assert_int_gt(leader, 0);
+	WAIT(&fixture, is_ready);
+	kill(leader, SIGSTOP);
+	run_for(&fixture, 300);
+	call(&fixture, BATCH_SUBMIT);
+	WAIT(&fixture, is_answered);
+	ck_assert_int_eq(fixture.outcome, GATEWAY_NOT_RUN);
+	kill(leader, SIGCONT);
+	WAIT(&fixture, is_second_connected);
+	WAIT(&fixture, is_ready);
+	fixture.answers = 0;
+	call(&fixture, BATCH_STATUS);
+	WAIT(&fixture, is_answered);
+	ck_assert_int_eq(fixture.outcome, GATEWAY_ANSWERED);
+	ck_assert_int_eq(fixture.pending_count, 0);
+	kill(leader, SIGKILL);
+	waitpid(leader, NULL, 0);
+	fixture_close(&fixture);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -279,6 +365,7 @@
 	tcase_add_test(tcase, uncertain_answer_is_unknown);
 	tcase_add_loop_test(tcase, refusal_after_uncertain_answer, 0, 4);
 	tcase_add_test(tcase, no_replica_connected);
+	tcase_add_test(tcase, silent_leader_gets_no_call);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_FORK);
 }
