fleet: count the work that is thrown away, by cause

Operators saw how often runs were preempted, not what stops of any kind cost. Each task that ends without success is counted by its cause, with its core milliseconds since the last checkpoint; run_end names them for each run.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -494,6 +494,7 @@
 	    counter_get("fleet_jobs_rejected_total", "jobs refused");
 	waits_init(fleet);
 	domains_init(fleet);
+	fleet_waste_init(fleet);
 	ev_timer_init(&fleet->tick, on_tick, TICK_FOLLOWER_S, TICK_FOLLOWER_S);
 	fleet->tick.data = fleet;
 	ev_timer_init(&fleet->work_timer, on_work_timer, 0, 0);
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -8,6 +8,7 @@
 #include "sched/speed.h"
 #include "sched/suspicion.h"
 #include "sched/tickets.h"
+#include "sched/waste.h"
 #include "sched/worker_clock.h"
 
 /* Priority of urgent queues; a higher number is less important. */
@@ -136,6 +137,8 @@
 	int pace;           /* share of full speed, in percent */
 	progress_mark_t mark;
 	char *checkpoint;
+	int64_t at_work_since_ms; /* seen at work by this leader, 0: not yet */
+	int64_t saved_ms;         /* the checkpoint was learned */
 };
 
 /* One attempt to run a unit. */
@@ -156,7 +159,8 @@
 	bool any_failed;
 	bool releasing; /* stopping or done: its resources will be free soon */
 	const char *stop_reason;
-	int priority; /* of the queue; lower is more important */
+	int64_t wasted_core_ms; /* by its members that have ended */
+	int priority;           /* of the queue; lower is more important */
 	bool needs_ticket;
 	int64_t created_ms; /* created, or adopted by this leader */
 	int orders_in_flight;
@@ -219,6 +223,9 @@
 	counter_t *fast_workers; /* gauge */
 	counter_t *speed_changes;
 	counter_t *preempted;
+	/* Members that ended without success, and their lost work. */
+	counter_t *wasted_tasks[WASTE_CAUSES];
+	counter_t *wasted_core_ms[WASTE_CAUSES];
 	counter_t *submitted;
 	counter_t *rejected;
 	counter_t *domains_out; /* gauge: failure domains out of service */
@@ -337,6 +344,11 @@
 void member_progressed(member_t *member, int percent, int64_t now_ms);
 void member_done(member_t *member, int64_t now_ms);
 
+/* fleet_waste.c */
+void fleet_waste_init(fleet_t *fleet);
+int64_t member_unsaved_ms(const member_t *member, int64_t now_ms);
+void member_record_waste(member_t *member, const char *how);
+
 /* fleet_advice.c */
 char *fleet_step_name(const char *job, int occurrence, int step);
 void fleet_ask_advice(fleet_t *fleet, const char *job, const char *step,
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -172,11 +172,13 @@
 static void
 log_end(const run_t *run, const char *result)
 {
-	evlog("run_end", "{s:s,s:i,s:i,s:i,s:i,s:s,s:s,s:I}", "job", run->job,
-	    "occurrence", run->name.occurrence, "step", run->name.step, "unit",
-	    run->name.unit, "run", (int)run->number, "result", result, "reason",
+	evlog("run_end", "{s:s,s:i,s:i,s:i,s:i,s:s,s:s,s:I,s:I}", "job",
+	    run->job, "occurrence", run->name.occurrence, "step",
+	    run->name.step, "unit", run->name.unit, "run", (int)run->number,
+	    "result", result, "reason",
 	    run->stop_reason != NULL ? run->stop_reason : "", "after_ms",
-	    (json_int_t)(fleet_now_ms() - run->created_ms));
+	    (json_int_t)(fleet_now_ms() - run->created_ms), "wasted_core_ms",
+	    (json_int_t)run->wasted_core_ms);
 }
 
 static void
@@ -236,6 +238,7 @@
 		return;
 	g_free(member->checkpoint);
 	member->checkpoint = g_strdup(checkpoint);
+	member->saved_ms = fleet_now_ms();
 }
 
 /*
@@ -250,12 +253,16 @@
 	retire_if_ended(run);
 }
 
-/* Records that a task of the job was seen at work. */
+/* Records that the member, and so its job, was seen at work. */
 static void
-note_begun(const run_t *run)
+note_begun(member_t *member)
 {
-	if (run->unit != NULL)
-		run->unit->job->begun = true;
+	ledger_unit_t *unit = member->run->unit;
+
+	if (member->at_work_since_ms == 0)
+		member->at_work_since_ms = fleet_now_ms();
+	if (unit != NULL)
+		unit->job->begun = true;
 }
 
 /* Handles an end that the worker listed. */
@@ -266,10 +273,12 @@
 	    "done", "failed", "stopped", "lapsed", "broken", "alone"};
 	run_t *run = member->run;
 
-	note_begun(run);
+	note_begun(member);
 	update_checkpoint(member, checkpoint);
 	if (how == RUN_DONE)
 		member_done(member, fleet_now_ms());
+	else
+		member_record_waste(member, names[how]);
 	if (how == RUN_FAILED)
 		evlog("task_failed", "{s:s,s:i,s:i,s:i,s:s}", "job", run->job,
 		    "step", run->name.step, "index", member->index, "run",
@@ -317,6 +326,7 @@
 	run_t *run = member->run;
 
 	log_lost(member, why);
+	member_record_waste(member, why);
 	member_detach(member);
 	after_member_end(run, why);
 }
@@ -359,7 +369,7 @@
 member_reported_running(
     member_t *member, const running_task_t *task, int64_t now_ms)
 {
-	note_begun(member->run);
+	note_begun(member);
 	if (member->state == MEMBER_UNSENT || member->state == MEMBER_SENT)
 		member->state = MEMBER_RUNNING;
 	if (task->percent > member->percent || member->percent_ms == 0) {
@@ -503,7 +513,7 @@
 	member->retry_ms = now_ms + START_RETRY_MS;
 	switch (answer->outcome) {
 	case ORDER_OK:
-		note_begun(member->run);
+		note_begun(member);
 		member->state = MEMBER_RUNNING;
 		member->answer_sequence =
 		    fleet_next_sequence(member->run->fleet);
