--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -108,6 +108,17 @@
 	}
 }
 
+static bool
+has_urgent_queue(const fleet_config_t *config)
+{
+	for (u_int i = 0; i < config->queues.queues_len; i++) {
+		if (config->queues.queues_val[i].priority ==
+		    QUEUE_PRIORITY_URGENT)
+			return true;
+	}
+	return false;
+}
+
 /* Rebuilds the in-memory workers and runs from the committed ledger. */
 static void
 become_leader(fleet_t *fleet, int64_t now_ms)
@@ -121,6 +132,8 @@
 		fleet->fence_epoch = 0;
 	fleet->term = raft_term(replica_raft(fleet->replica));
 	fleet->leading_since_ms = now_ms;
+	if (has_urgent_queue(ledger_config(ledger)))
+		headroom_restart(&fleet->headroom, now_ms);
 	g_hash_table_iter_init(&iter, ledger_workers(ledger));
 	while (g_hash_table_iter_next(&iter, NULL, &info)) {
 		worker_t *worker;
--- a/tests/unit/test_headroom.c
+++ b/tests/unit/test_headroom.c
@@ -30,6 +30,27 @@
 }
 END_TEST
 
+/*
+ * Setting: a new leader has seen no urgent arrivals yet.  Guards against batch
+ * work that fills the fleet just before the urgent callers come back.
+ */
+START_TEST(keeps_the_most_after_a_restart)
+{
+	headroom_t headroom = {0};
+
+	headroom_record(&headroom, 8, 1000);
+	headroom_restart(&headroom, 5000);
+	ck_assert_int_eq(headroom_target(&headroom, CAPACITY, 5000), 30);
+	ck_assert_int_eq(headroom_target(&headroom, CAPACITY, 6500), 30);
+	for (int64_t now = 5100; now < 7000; now += 100)
+		headroom_record(&headroom, 2, now);
+	/* What came meanwhile counts from then on. */
+	ck_assert_int_gt(headroom_target(&headroom, CAPACITY, 7100), 5);
+	ck_assert_int_lt(headroom_target(&headroom, CAPACITY, 7100), 30);
+	ck_assert_int_eq(headroom_target(&headroom, CAPACITY, 12000), 0);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -38,6 +59,7 @@
 
 	tcase_add_test(tcase, follows_arrivals);
 	tcase_add_test(tcase, stays_below_max_share);
+	tcase_add_test(tcase, keeps_the_most_after_a_restart);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_NOFORK);
 }
