--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -108,6 +108,17 @@
 	}
 }
 
+static bool
+has_urgent_queue(const fleet_config_t *config)
+{
+	for (u_int i = 0; i < config->queues.queues_len; i++) {
+		if (config->queues.queues_val[i].priority ==
+		    QUEUE_PRIORITY_URGENT)
+			return true;
+	}
+	return false;
+}
+
 /* Rebuilds the in-memory workers and runs from the committed ledger. */
 static void
 become_leader(fleet_t *fleet, int64_t now_ms)
@@ -121,6 +132,8 @@
 		fleet->fence_epoch = 0;
 	fleet->term = raft_term(replica_raft(fleet->replica));
 	fleet->leading_since_ms = now_ms;
+	if (has_urgent_queue(ledger_config(ledger)))
+		headroom_restart(&fleet->headroom, now_ms);
 	g_hash_table_iter_init(&iter, ledger_workers(ledger));
 	while (g_hash_table_iter_next(&iter, NULL, &info)) {
 		worker_t *worker;
@@ -494,6 +507,7 @@
 	    counter_get("fleet_jobs_rejected_total", "jobs refused");
 	waits_init(fleet);
 	domains_init(fleet);
+	fleet_waste_init(fleet);
 	ev_timer_init(&fleet->tick, on_tick, TICK_FOLLOWER_S, TICK_FOLLOWER_S);
 	fleet->tick.data = fleet;
 	ev_timer_init(&fleet->work_timer, on_work_timer, 0, 0);
