sched: learn which kinds of task slow each other down and keep them apart

Placement knew nothing of interference; only the throttle reacted to it, and it slowed all tasks on leftover CPU alike. The leader now estimates, from changes that one task shows on one worker as its neighbours change, how kinds of task slow each other down (sched/crowding), prefers other neighbours among the places that fit, and throttles only those to blame where that is known. Off unless the settings hold scheduling.avoidInterference. Not measured yet.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -452,6 +452,7 @@
 	fleet->proposal_waiters = g_ptr_array_new_with_free_func(g_free);
 	g_queue_init(&fleet->pending_calls);
 	fleet->tickets = tickets_create();
+	fleet_crowding_init(fleet);
 	fleet->first_start_latency[false] =
 	    histogram_get("fleet_first_start_seconds{urgent=\"no\"}",
 		"from the hand-in to the first start of a unit");
@@ -520,6 +521,7 @@
 	fleet_reap_runs(fleet);
 	fleet_reap_workers(fleet);
 	tickets_destroy(fleet->tickets);
+	crowding_destroy(fleet->crowding);
 	g_ptr_array_unref(fleet->retired_runs);
 	g_ptr_array_unref(fleet->retired_workers);
 	g_hash_table_unref(fleet->workers);
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -21,6 +21,7 @@
 	int64_t
 	    ended_job_retention_ms; /* how long an ended job stays readable */
 	int64_t reclaim_ms;         /* limit for a guaranteed job to start */
+	bool avoids_interference; /* keeps tasks apart that slow others down */
 } fleet_timing_t;
 
 typedef enum {
--- a/sched/fleet_pace.c
+++ b/sched/fleet_pace.c
@@ -76,14 +76,41 @@
 	return has_leftover_task && worst_latency_member(worker) != NULL;
 }
 
+static bool
+may_be_paced(const member_t *member)
+{
+	return member->run->step->uses_leftover_cpu &&
+	       member->state == MEMBER_RUNNING;
+}
+
+/*
+ * Whether some task that still works is known to slow down the one with the
+ * worst latency. A paused task uses no CPU, so it is not blamed.
+ */
+static bool
+has_known_cause(const worker_t *worker, const member_t *worst, int64_t now_ms)
+{
+	for (guint i = 0; i < worker->members->len; i++) {
+		const member_t *member = g_ptr_array_index(worker->members, i);
+
+		if (may_be_paced(member) &&
+		    member_slowdown_percent(worst, member, now_ms) > 0)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Throttles tasks on leftover CPU while a task beside them misses its latency
- * target, and raises their share again afterwards.
+ * target, and raises their share again afterwards. Where some are known to be
+ * the cause, only these are throttled.
  */
 void
-worker_adjust_pace(worker_t *worker)
+worker_adjust_pace(worker_t *worker, int64_t now_ms)
 {
 	const member_t *worst = worst_latency_member(worker);
+	bool cause_known =
+	    worst != NULL && has_known_cause(worker, worst, now_ms);
 
 	if (worker->fleet->orders.pace == NULL)
 		return;
@@ -91,12 +118,14 @@
 		member_t *member = g_ptr_array_index(worker->members, i);
 		int percent = PACE_FULL;
 
-		if (!member->run->step->uses_leftover_cpu ||
-		    member->state != MEMBER_RUNNING)
+		if (!may_be_paced(member))
 			continue;
 		if (worst != NULL)
 			percent = pace_next(member->pace, worst->load,
 			    worst->run->step->latency_target_ms);
+		if (percent < member->pace && cause_known &&
+		    member_slowdown_percent(worst, member, now_ms) == 0)
+			continue;
 		if (percent != member->pace)
 			send_pace(member, percent);
 	}
--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -185,6 +185,7 @@
 	if (plan->avoids_reserved)
 		round_choose_reserve(round, item);
 	if (try_plan(round, item, plan, PLAN_FREE)) {
+		round_log_passed_over(round, item);
 		queue_start(round, item, unit);
 		round->started++;
 		round_subtract_chosen(round, plan->step);
--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -459,7 +459,8 @@
 		worker->confirmed_ack =
 		    MAX(worker->confirmed_ack, worker->sent_ack);
 		process_poll_lists(worker, answer, now_ms);
-		worker_adjust_pace(worker);
+		worker_observe_crowding(worker, now_ms);
+		worker_adjust_pace(worker, now_ms);
 		advance_ackable_end(worker);
 		if (worker->pending_ends.length > 0 &&
 		    worker->fleet->proposal == NULL &&
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/counters.h"
+#include "sched/crowding.h"
 #include "sched/fleet.h"
 #include "sched/headroom.h"
 #include "sched/ledger.h"
@@ -34,6 +35,7 @@
 typedef struct member_t member_t;
 typedef struct advice_query_t advice_query_t;
 typedef struct fleet_proposal_t fleet_proposal_t;
+typedef struct crowding_watch_t crowding_watch_t;
 
 /* A task end that the worker has listed and that is not acknowledged. */
 typedef struct {
@@ -125,6 +127,7 @@
 	int load;           /* see running_task_t */
 	int pace;           /* share of full speed, in percent */
 	char *checkpoint;
+	crowding_watch_t *crowding; /* see fleet_crowding.c; NULL: none yet */
 };
 
 /* One attempt to run a unit. */
@@ -146,6 +149,7 @@
 	bool releasing; /* stopping or done: its resources will be free soon */
 	const char *stop_reason;
 	int priority; /* of the queue; lower is more important */
+	crowding_kind_t crowding_kind; /* 0: not looked up yet */
 	bool needs_ticket;
 	int64_t created_ms; /* created, or adopted by this leader */
 	int orders_in_flight;
@@ -160,6 +164,8 @@
 	headroom_t headroom;
 	tickets_t *tickets;
 	advice_query_t *advice_query; /* in flight */
+	crowding_t *crowding;         /* NULL: interference is ignored */
+	int64_t next_crowding_log_ms;
 	uint64_t last_event_sequence; /* see fleet_next_sequence */
 	bool leading;
 	uint64_t term;
@@ -204,6 +210,10 @@
 	counter_t *stills;
 	int64_t next_still_ms; /* when the next one may be logged */
 	counter_t *preempted;
+	counter_t *crowding_samples;
+	counter_t *crowding_passed_over;
+	counter_t *crowding_kinds;
+	counter_t *crowding_worst;
 	counter_t *submitted;
 	counter_t *rejected;
 	counter_t *domains_out; /* gauge: failure domains out of service */
@@ -313,7 +323,13 @@
 
 /* fleet_pace.c */
 bool worker_has_interference(const worker_t *worker);
-void worker_adjust_pace(worker_t *worker);
+void worker_adjust_pace(worker_t *worker, int64_t now_ms);
+
+/* fleet_crowding.c */
+void fleet_crowding_init(fleet_t *fleet);
+void worker_observe_crowding(worker_t *worker, int64_t now_ms);
+int member_slowdown_percent(
+    const member_t *member, const member_t *other, int64_t now_ms);
 
 /* fleet_advice.c */
 char *fleet_step_name(const char *job, int occurrence, int step);
--- a/sched/fleet_round.c
+++ b/sched/fleet_round.c
@@ -182,6 +182,7 @@
 round_prepare_step(round_t *round, const waiting_step_t *item)
 {
 	exclude_suspects(round, item);
+	round_prepare_crowding(round, item);
 	if (ledger_step(item->unit)->max_per_worker <= 0)
 		return;
 	for (size_t i = 0; i < round->count; i++)
--- a/sched/fleet_round.h
+++ b/sched/fleet_round.h
@@ -43,6 +43,8 @@
 	const char *service;
 	bool service_is_idle;
 	int still_checks;
+	int crowding_steps; /* for which plan_worker_t.crowding was set */
+	bool has_crowding;  /* set for the step that is being placed */
 } round_t;
 
 /* fleet_waiting.c */
@@ -66,6 +68,10 @@
 size_t domains_keep_in_service(round_t *round);
 bool domains_could_hold(const round_t *round, const plan_unit_t *unit);
 
+/* fleet_crowding.c */
+void round_prepare_crowding(round_t *round, const waiting_step_t *item);
+void round_log_passed_over(const round_t *round, const waiting_step_t *item);
+
 /* fleet_waits.c */
 void waits_init(fleet_t *fleet);
 bool waits_in_vain(
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -72,8 +72,10 @@
 static void
 run_free(run_t *run)
 {
-	for (int i = 0; i < run->member_count; i++)
+	for (int i = 0; i < run->member_count; i++) {
 		g_free(run->members[i].checkpoint);
+		g_free(run->members[i].crowding);
+	}
 	g_free(run->members);
 	g_free(run->job);
 	g_free(run);
--- a/sched/plan.c
+++ b/sched/plan.c
@@ -174,12 +174,19 @@
 
 /* ---- single tasks ---- */
 
-/* The best worker found so far for a single task. */
+/* A worker for a single task. */
 typedef struct {
 	int worker; /* POOL_NONE: none yet */
 	plan_speed_class_t speed_class;
 	int slowness;
+	int crowding;
 	int spare;
+} choice_t;
+
+/* The best workers found so far for a single task. */
+typedef struct {
+	choice_t choice;
+	choice_t if_uncrowded; /* what it would be without any crowding */
 	int compared;
 	bool suspects; /* take workers with a penalty, and only these */
 	plan_speed_class_t slowest_class; /* take none of a later class */
@@ -187,7 +194,7 @@
 
 /* Whether a choice is better than the best one so far. */
 static bool
-is_better(const best_t *choice, const best_t *best)
+is_better(const choice_t *choice, const choice_t *best)
 {
 	if (best->worker == POOL_NONE)
 		return true;
@@ -195,31 +202,35 @@
 		return choice->speed_class < best->speed_class;
 	if (choice->slowness != best->slowness)
 		return choice->slowness < best->slowness;
+	if (choice->crowding != best->crowding)
+		return choice->crowding < best->crowding;
 	return choice->spare < best->spare;
 }
 
 /*
- * Compares one more worker.  Among those of the best speed, the one with the
- * least to spare is the best, so that whole workers stay free for large tasks.
+ * Compares one more worker.  Among those of the best speed and the least
+ * crowding, the one with the least to spare is the best, so that whole workers
+ * stay free for large tasks.
  */
 static void
 consider(const search_t *search, size_t worker, best_t *best)
 {
 	const plan_worker_t *plan_worker = &search->pool->workers[worker];
-	best_t choice = *best;
+	choice_t choice = {.worker = (int)worker};
 
 	choice.speed_class = plan_speed_class(plan_worker, search->unit);
 	if ((plan_worker->penalty > 0) != best->suspects ||
 	    choice.speed_class > best->slowest_class ||
 	    search_fitting_on(search, worker) == 0)
 		return;
-	choice.worker = (int)worker;
 	choice.slowness = plan_slowness(plan_worker, choice.speed_class);
 	choice.spare = search_spare_after(search, worker, 1);
-	choice.compared++;
 	best->compared++;
-	if (is_better(&choice, best))
-		*best = choice;
+	if (is_better(&choice, &best->if_uncrowded))
+		best->if_uncrowded = choice;
+	choice.crowding = plan_worker->crowding;
+	if (is_better(&choice, &best->choice))
+		best->choice = choice;
 }
 
 static void
@@ -231,20 +242,55 @@
 		consider(search, search->pool->by_rack[rack->first + i], best);
 }
 
+/* Whether the worker's accelerators are all free, and so kept for gangs. */
+static bool
+is_whole(const search_t *search, size_t worker)
+{
+	int accelerators =
+	    search->pool->workers[worker].worker->capacity.accelerators;
+
+	return accelerators > 0 &&
+	       pool_available(search->pool, worker, search->kind)
+		       .accelerators >= accelerators;
+}
+
+/*
+ * Considers workers with more available accelerators for a place without
+ * crowding, but none that is whole.
+ */
+static void
+consider_less_crowded(const search_t *search, int first_list, best_t *best)
+{
+	const pool_lists_t *lists = &search->pool->lists[search->kind];
+
+	for (int list = first_list;
+	     list < POOL_LISTS && best->choice.crowding > 0; list++) {
+		best->compared = 0;
+		for (int worker = lists->head[list];
+		     worker != POOL_NONE && best->compared < MAX_COMPARED;
+		     worker = lists->next[worker]) {
+			if (!is_whole(search, (size_t)worker))
+				consider(search, (size_t)worker, best);
+		}
+	}
+}
+
 /* Considers workers by ascending available accelerators until one fits. */
 static void
 consider_all(const search_t *search, best_t *best)
 {
 	const pool_lists_t *lists = &search->pool->lists[search->kind];
 	int need = MAX(search->unit->step->shape.accelerators, 0);
+	int list = MIN(need, POOL_MAX_LISTED);
 
-	for (int list = MIN(need, POOL_MAX_LISTED);
-	     list < POOL_LISTS && best->worker == POOL_NONE; list++) {
+	for (; list < POOL_LISTS && best->choice.worker == POOL_NONE; list++) {
 		for (int worker = lists->head[list];
 		     worker != POOL_NONE && best->compared < MAX_COMPARED;
 		     worker = lists->next[worker])
 			consider(search, (size_t)worker, best);
 	}
+	if (best->choice.worker != POOL_NONE)
+		consider_less_crowded(search, list, best);
 }
 
 /*
@@ -259,7 +305,8 @@
 	int last = is_uneven ? PLAN_TOO_SLOW : PLAN_FAST_ENOUGH;
 
 	for (int speed_class = first;
-	     speed_class <= last && best->worker == POOL_NONE; speed_class++) {
+	     speed_class <= last && best->choice.worker == POOL_NONE;
+	     speed_class++) {
 		best->slowest_class = (plan_speed_class_t)speed_class;
 		best->compared = 0;
 		consider_all(search, best);
@@ -270,20 +317,26 @@
 static bool
 place_single(const search_t *search)
 {
-	best_t best = {.worker = POOL_NONE};
+	best_t best = {
+	    .choice = {.worker = POOL_NONE},
+	    .if_uncrowded = {.worker = POOL_NONE},
+	};
 
-	for (int pass = 0; pass < 2 && best.worker == POOL_NONE; pass++) {
+	for (int pass = 0; pass < 2 && best.choice.worker == POOL_NONE;
+	     pass++) {
 		best.suspects = pass == 1;
 		best.slowest_class = PLAN_TOO_SLOW;
 		if (search->data_rack != POOL_NONE)
 			consider_rack(search, search->data_rack, &best);
-		if (best.worker == POOL_NONE &&
+		if (best.choice.worker == POOL_NONE &&
 		    (!search->has_data_rack || search->unit->may_spread))
 			consider_by_speed(search, &best);
 	}
-	if (best.worker == POOL_NONE)
+	if (best.choice.worker == POOL_NONE)
 		return false;
-	pool_choose(search->pool, (size_t)best.worker, 1);
+	pool_choose(search->pool, (size_t)best.choice.worker, 1);
+	if (best.if_uncrowded.worker != best.choice.worker)
+		search->pool->passed_over = best.if_uncrowded.worker;
 	return true;
 }
 
--- a/sched/plan_gang.c
+++ b/sched/plan_gang.c
@@ -12,7 +12,8 @@
 	bool near_data;
 	plan_speed_class_t speed_class;
 	int slowness; /* of a worker that is too slow */
-	int spare;    /* see search_spare_after */
+	int crowding;
+	int spare; /* see search_spare_after */
 } candidate_t;
 
 /* Members that fit on a set of workers. */
@@ -93,8 +94,8 @@
 }
 
 /*
- * Lowest penalty first, then near the data, then best speed, then least to
- * spare.
+ * Lowest penalty first, then near the data, then best speed, then least
+ * crowded, then least to spare.
  */
 static int
 compare_candidates(const void *a, const void *b)
@@ -110,6 +111,8 @@
 		return first->speed_class < second->speed_class ? -1 : 1;
 	if (first->slowness != second->slowness)
 		return first->slowness - second->slowness;
+	if (first->crowding != second->crowding)
+		return first->crowding - second->crowding;
 	if (first->spare != second->spare)
 		return first->spare - second->spare;
 	return first->worker < second->worker ? -1 : 1;
@@ -123,6 +126,7 @@
 	    .worker = worker,
 	    .fitting = search_fitting_on(search, worker),
 	    .penalty = plan_worker->penalty,
+	    .crowding = plan_worker->crowding,
 	    .near_data = !search->has_data_rack ||
 			 search->pool->rack_of[worker] == search->data_rack,
 	    .speed_class = plan_speed_class(plan_worker, search->unit),
--- a/sched/pool.c
+++ b/sched/pool.c
@@ -244,6 +244,15 @@
 	for (guint i = 0; i < pool->choice->len; i++)
 		pool->workers[pool_choice(pool, i)].chosen = 0;
 	g_array_set_size(pool->choice, 0);
+	pool->passed_over = POOL_NONE;
+}
+
+const plan_worker_t *
+pool_passed_over(const pool_t *pool)
+{
+	return pool->passed_over != POOL_NONE
+		   ? &pool->workers[pool->passed_over]
+		   : NULL;
 }
 
 /* Assigns members of the unit to a worker. */
@@ -304,6 +313,7 @@
 			index_insert(pool, i);
 	}
 	pool->choice = g_array_new(FALSE, FALSE, sizeof(size_t));
+	pool->passed_over = POOL_NONE;
 	return pool;
 }
 
--- a/sched/pool.h
+++ b/sched/pool.h
@@ -35,6 +35,7 @@
 	int speed_percent;
 	int same_step; /* tasks of the unit's step that run here */
 	int chosen;    /* members placed here by the last call */
+	int crowding;  /* 0: none; lower is better, see crowding.h */
 } plan_worker_t;
 
 pool_t *pool_create(plan_worker_t *workers, size_t count);
@@ -47,6 +48,11 @@
 size_t pool_choice_size(const pool_t *pool);
 size_t pool_choice(const pool_t *pool, size_t i);
 void pool_clear_choice(pool_t *pool);
+/*
+ * The worker that the last plan would have chosen for a single task but for its
+ * crowding, or NULL.
+ */
+const plan_worker_t *pool_passed_over(const pool_t *pool);
 
 void pool_take(
     pool_t *pool, size_t worker, const resources_t *shape, int count);
--- a/sched/pool_private.h
+++ b/sched/pool_private.h
@@ -52,7 +52,8 @@
 	GHashTable *rack_numbers;
 	GHashTable *service_numbers;
 	pool_lists_t lists[PLAN_AVAILABLE_KINDS];
-	GArray *choice; /* size_t */
+	GArray *choice;  /* size_t */
+	int passed_over; /* see pool_passed_over; POOL_NONE: none */
 };
 
 resources_t pool_available(
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -331,6 +331,53 @@
 }
 END_TEST
 
+/*
+ * Load pattern: tasks slow each other down on the fullest workers.  Guards
+ * against a task that joins them although there is room elsewhere, that waits
+ * for such room, or that takes an idle worker which a gang needs.
+ */
+START_TEST(crowded_workers_are_avoided)
+{
+	fixture_t fixture;
+
+	fixture_open(&fixture, 1, 1);
+	fixture.workers[2].free.accelerators = 1;
+	fixture.workers[5].free.accelerators = 4;
+	ck_assert_int_eq(chosen_worker(&fixture), 2);
+	fixture.workers[2].crowding = 3;
+	ck_assert_int_eq(chosen_worker(&fixture), 5);
+	fixture.workers[5].crowding = 4;
+	ck_assert_int_eq(chosen_worker(&fixture), 2);
+	/* Suspects come last, however little they are crowded. */
+	fixture.workers[5].crowding = 0;
+	fixture.workers[5].penalty = 10;
+	ck_assert_int_eq(chosen_worker(&fixture), 2);
+	/* The fleet is full but for a crowded worker. */
+	for (int i = 0; i < WORKERS; i++)
+		fixture.workers[i].free.accelerators = i == 2;
+	ck_assert_int_eq(chosen_worker(&fixture), 2);
+}
+END_TEST
+
+/* Guards against a gang that leaves its rack because of crowding. */
+START_TEST(crowded_gang_stays_together)
+{
+	fixture_t fixture;
+
+	fixture_open(&fixture, 2, 4);
+	for (int i = 0; i < PER_RACK; i++) {
+		fixture.workers[i].crowding = i < 2 ? 5 : 0;
+		fixture.workers[i].free.accelerators = 4;
+	}
+	ck_assert(try_plan(&fixture));
+	ck_assert_int_eq(fixture.workers[2].chosen, 1);
+	ck_assert_int_eq(fixture.workers[3].chosen, 1);
+	fixture.workers[3].free.accelerators = 0;
+	ck_assert(try_plan(&fixture));
+	ck_assert_int_eq(chosen_in(&fixture, 0), 2);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -346,6 +393,8 @@
 	tcase_add_test(tcase, preempts_only_if_needed);
 	tcase_add_test(tcase, speed_of_single_tasks);
 	tcase_add_test(tcase, speed_of_gangs);
+	tcase_add_test(tcase, crowded_workers_are_avoided);
+	tcase_add_test(tcase, crowded_gang_stays_together);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_NOFORK);
 }
