--- a/tests/unit/test_crowding.c
+++ b/tests/unit/test_crowding.c
@@ -142,8 +142,8 @@
 		for (int pair = 0; pair < 9; pair++)
 			wrong += slowdown(&fixture, pair / 3, pair % 3) >= 10;
 	}
-	/* Two standard errors leave about one in forty. */
-	ck_assert_int_le(wrong, 100 * 9 / 20);
+	/* Three standard errors, of a few samples each, leave few. */
+	ck_assert_int_le(wrong, 100 * 9 / 50);
 	fixture_close(&fixture);
 }
 END_TEST
