sched: a task on leftover CPU counts with the CPU that it will find

The expected slowdown used the declared share of such a task, which is small, so that it counted as harmless. A bed with two workers shows it: a filler that triples a server's latency goes elsewhere once that was seen, and a new leader starts without the estimate (test_fleet_crowding).

--- a/sched/fleet_crowding.c
+++ b/sched/fleet_crowding.c
@@ -322,6 +322,23 @@
 	return percent / SLOWDOWN_STEP_PERCENT;
 }
 
+/*
+ * Returns the share of the worker's cores that a task of the step will use; one
+ * on leftover CPU uses what is free.
+ */
+static double
+share_of_step(const step_spec_t *step, const plan_worker_t *worker)
+{
+	int capacity = worker->worker->capacity.cpu_milli;
+	int used = step->shape.cpu_milli;
+
+	if (capacity <= 0)
+		return 0;
+	if (step->uses_leftover_cpu)
+		used = MAX(used, worker->free.cpu_milli);
+	return CLAMP((double)used / capacity, 0, 1);
+}
+
 /*
  * Sets the expected crowding of each worker for tasks of the step. It stays 0
  * without evidence, and beyond the steps that a round may spend time on.
@@ -346,13 +363,12 @@
 	round->crowding_steps += applies;
 	round->has_crowding = applies;
 	for (size_t i = 0; i < round->count; i++) {
-		const worker_t *worker = round->workers[i];
-		int capacity = worker->info.capacity.cpu_milli;
+		plan_worker_t *plan_worker = &round->plan_workers[i];
 
-		task.share =
-		    capacity > 0 ? (double)step->shape.cpu_milli / capacity : 0;
-		round->plan_workers[i].crowding =
-		    applies ? expected_crowding(worker, &task, round->now_ms)
+		task.share = share_of_step(step, plan_worker);
+		plan_worker->crowding =
+		    applies ? expected_crowding(
+				  round->workers[i], &task, round->now_ms)
 			    : 0;
 	}
 }
--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -233,7 +233,8 @@
 	return (running_task_t){.task = task->task,
 	    .run = task->run,
 	    .checkpoint = "",
-	    .percent = 50};
+	    .percent = 50,
+	    .load = worker->load != NULL ? worker->load(worker, task) : 0};
 }
 
 static void
@@ -538,6 +539,7 @@
 	    .lease_ms = BED_LEASE_MS,
 	    .ended_job_retention_ms = BED_RETENTION_MS,
 	    .reclaim_ms = BED_RECLAIM_MS,
+	    .avoids_interference = bed->avoids_interference,
 	};
 	order_transport_t orders = {.start = send_start,
 	    .stop = send_stop,
@@ -777,7 +779,8 @@
 	step.label = (char *)"";
 	if (step.data_rack == NULL)
 		step.data_rack = (char *)"";
-	step.image = (char *)"";
+	if (step.image == NULL)
+		step.image = (char *)"";
 	command.command_t_u.batch_submit = (batch_submit_t){
 	    .id = (char *)id,
 	    .queue = (char *)queue,
@@ -819,6 +822,23 @@
 	submit_step(bed, "", id, "batch", &step);
 }
 
+void
+bed_submit_image(
+    bed_t *bed, const char *id, const char *image, int accelerators)
+{
+	step_spec_t step = {.count = 1,
+	    .shape = {1000, 1000, accelerators},
+	    .image = (char *)image};
+
+	if (accelerators > 0) {
+		step.long_running = true;
+		step.latency_target_ms = 1000;
+	} else {
+		step.uses_leftover_cpu = true;
+	}
+	submit_step(bed, "", id, "batch", &step);
+}
+
 void
 bed_cancel(bed_t *bed, const char *id)
 {
--- a/tests/unit/fleet_bed.h
+++ b/tests/unit/fleet_bed.h
@@ -26,7 +26,11 @@
 	bool stopping;
 } bed_task_t;
 
-typedef struct {
+typedef struct bed_worker_t bed_worker_t;
+/* Returns the load that a task on the worker reports. */
+typedef int bed_load_t(const bed_worker_t *worker, const bed_task_t *task);
+
+struct bed_worker_t {
 	fleet_worker_t info;
 	int64_t
 	    clock_base_ms;    /* offset of its clock, new in each incarnation */
@@ -53,7 +57,8 @@
 	int wrong_incarnation_starts; /* starts for an ended incarnation */
 	int unanswered_polls;
 	int64_t max_poll_timeout_ms; /* of polls after an unanswered one */
-} bed_worker_t;
+	bed_load_t *load;            /* NULL: tasks report no load */
+};
 
 typedef struct {
 	struct ev_loop *loop;
@@ -72,6 +77,7 @@
 	int fenced_orders;      /* delayed orders with an outdated token */
 	int announcements_done; /* announcements that were acknowledged */
 	uint64_t sequence;
+	bool avoids_interference; /* takes effect with bed_restart_fleet */
 } bed_t;
 
 void bed_open(bed_t *bed, size_t workers, int accelerators);
@@ -105,6 +111,12 @@
     const char *queue, int tasks, int accelerators);
 /* Submits a long-running task to the queue "batch". */
 void bed_submit_long_running(bed_t *bed, const char *id, int accelerators);
+/*
+ * Submits a task of an image to the queue "batch": a long-running one with a
+ * latency target, or one on leftover CPU if accelerators is 0.
+ */
+void bed_submit_image(
+    bed_t *bed, const char *id, const char *image, int accelerators);
 void bed_cancel(bed_t *bed, const char *id);
 void bed_announce(bed_t *bed, size_t worker);
 /* Announces info in place of what the worker is. */
