--- a/cli/chervilhold.bash
+++ b/cli/chervilhold.bash
@@ -10,7 +10,7 @@
 _chervilhold() {
 	local cur=${COMP_WORDS[COMP_CWORD]}
 	local prev=${COMP_WORDS[COMP_CWORD - 1]}
-	local subcommands="apply plan status explain jobs workers workspaces
+	local subcommands="apply plan check status explain jobs workers workspaces
 	    history drain replace burn trace version"
 	local options="--url --key-file --json --help"
 	local subcommand="" i
@@ -22,7 +22,7 @@
 		fi
 	done
 	case $prev in
-	--key-file | -k | --html | --log | -l)
+	--key-file | -k | --html | --log | -l | --against)
 		COMPREPLY=($(compgen -f -- "$cur"))
 		return
 		;;
@@ -36,6 +36,7 @@
 		;;
 	esac
 	case $subcommand in
+	check) options+=" --against" ;;
 	apply) options+=" --base --id --author --check-only" ;;
 	history) options+=" --from" ;;
 	jobs) options+=" --state --tenant" ;;
@@ -48,7 +49,7 @@
 	fi
 	case $subcommand in
 	"") COMPREPLY=($(compgen -W "$subcommands" -- "$cur")) ;;
-	apply | plan) COMPREPLY=($(compgen -f -- "$cur")) ;;
+	apply | plan | check) COMPREPLY=($(compgen -f -- "$cur")) ;;
 	explain)
 		COMPREPLY=($(compgen -W "$(_chervilhold_ids jobs JOB)" -- "$cur"))
 		;;
--- a/cli/cli.h
+++ b/cli/cli.h
@@ -16,6 +16,7 @@
 /* What the options say; fields of other subcommands stay unset. */
 typedef struct {
 	char **urls;
+	gboolean urls_by_default; /* neither option nor environment */
 	char *key_file;
 	char *key;
 	gboolean json;
@@ -28,6 +29,7 @@
 	char *tenant;
 	char *html;
 	char **logs;
+	char *against;
 } options_t;
 
 /* One column of a table: its title and the member of each object. */
@@ -67,3 +69,4 @@
 subcommand_t command_burn;
 subcommand_t command_version;
 subcommand_t command_trace;
+subcommand_t command_check;
--- a/cli/main.c
+++ b/cli/main.c
@@ -57,6 +57,14 @@
     {NULL},
 };
 
+static const GOptionEntry check_entries[] = {
+    {"against", 0, 0, G_OPTION_ARG_FILENAME, &options.against,
+	"Configuration that FILE changes (default: the version in force if "
+	"--url or CHERVILHOLD_URL is given, else the initial one)",
+	"FILE"},
+    {NULL},
+};
+
 static const struct {
 	const char *name;
 	const char *argument; /* NULL: none */
@@ -74,6 +82,12 @@
     {"plan", "FILE", command_plan, NULL,
 	"Show whether a patch is valid and which jobs it may reclaim",
 	"  chervilhold plan friday.json"},
+    {"check", "FILE", command_check, check_entries,
+	"Check a merge patch or a whole configuration before it is sent",
+	"  chervilhold check friday.json\n"
+	"  chervilhold check friday.json --against thursday.json --json\n"
+	"Exit codes of check: 0 fine, 1 warnings, 2 errors, 3 cannot be "
+	"read"},
     {"status", NULL, command_status, NULL, "Show leader, version and instances",
 	"  chervilhold status"},
     {"explain", "JOB", command_explain, NULL, "Show why a job is in its state",
@@ -146,6 +160,7 @@
 
 	if (options.urls != NULL)
 		return;
+	options.urls_by_default = text == NULL;
 	urls = g_ptr_array_new();
 	words = g_strsplit_set(text != NULL ? text : DEFAULT_URL, " ,", -1);
 	for (char **word = words; *word != NULL; word++) {
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -9,6 +9,7 @@
 #include "common/log.h"
 #include "common/loop_watch.h"
 #include "common/settings.h"
+#include "daemon/check_config.h"
 #include "daemon/node.h"
 #include "platform/instance.h"
 
@@ -21,6 +22,9 @@
 	gboolean version;
 	gboolean charts;
 	gboolean platform;
+	char *check_config;
+	char *against;
+	gboolean json;
 } options;
 
 static const GOptionEntry option_entries[] = {
@@ -34,6 +38,13 @@
 	"print the page of the state charts and exit", NULL},
     {"platform", 0, 0, G_OPTION_ARG_NONE, &options.platform,
 	"run on the users' platform, with its settings file", NULL},
+    {"check-config", 0, 0, G_OPTION_ARG_FILENAME, &options.check_config,
+	"check a configuration of the platform before it is sent and exit",
+	"FILE"},
+    {"against", 0, 0, G_OPTION_ARG_FILENAME, &options.against,
+	"with --check-config: the configuration to compare it with", "FILE"},
+    {"json", 0, 0, G_OPTION_ARG_NONE, &options.json,
+	"with --check-config: print the findings as JSON", NULL},
     {"version", 0, 0, G_OPTION_ARG_NONE, &options.version,
 	"print the version and exit", NULL},
     {NULL},
@@ -222,6 +233,9 @@
 	}
 	if (print_information())
 		return EXIT_SUCCESS;
+	if (options.check_config != NULL)
+		return check_config(
+		    options.check_config, options.against, options.json);
 	if (argc != 2) {
 		fprintf(stderr,
 		    "chervilholdd: name one settings file; see --help\n");
--- a/state/config.c
+++ b/state/config.c
@@ -441,8 +441,8 @@
 }
 
 /* Returns a new value: target after the merge patch (RFC 7396). */
-static json_t *
-merge_patch(const json_t *target, const json_t *patch)
+json_t *
+config_merge(const json_t *target, const json_t *patch)
 {
 	const char *key;
 	json_t *value;
@@ -458,7 +458,7 @@
 			json_object_del(out, key);
 		else
 			json_object_set_new(out, key,
-			    merge_patch(json_object_get(out, key), value));
+			    config_merge(json_object_get(out, key), value));
 	}
 	return out;
 }
@@ -477,7 +477,7 @@
 		report_expected(err, "", "a JSON object as merge patch");
 		return NULL;
 	}
-	out = merge_patch(config, patch);
+	out = config_merge(config, patch);
 	if (config_check(out, err) != 0) {
 		json_decref(out);
 		return NULL;
--- a/state/config.h
+++ b/state/config.h
@@ -4,6 +4,8 @@
 
 #include "common/err.h"
 
+#define CONFIG_MAX_PATCH_BYTES 262144 /* of one patch; limits the history */
+
 /*
  * The configuration document:
  *
@@ -27,6 +29,8 @@
  * "PATH: expected WHAT" if the patch or the resulting document is invalid.
  */
 json_t *config_patch(const json_t *config, const json_t *patch, err_t *err);
+/* Returns the document after the merge patch, without checking it. */
+json_t *config_merge(const json_t *config, const json_t *patch);
 /* Checks the document, except whether its guarantees fit the hardware. */
 int config_check(const json_t *config, err_t *err);
 /*
--- a/state/machine_config.c
+++ b/state/machine_config.c
@@ -197,10 +197,10 @@
 	json_t *config;
 	json_error_t where;
 
-	if (text->body_t_len > MACHINE_MAX_PATCH_BYTES) {
+	if (text->body_t_len > CONFIG_MAX_PATCH_BYTES) {
 		err_set(err, -EINVAL, "patch", NULL,
 		    ": expected a patch of at most %d bytes",
-		    MACHINE_MAX_PATCH_BYTES);
+		    CONFIG_MAX_PATCH_BYTES);
 		return NULL;
 	}
 	*patch = json_loadb(text->body_t_val, text->body_t_len,
--- a/state/machine_private.h
+++ b/state/machine_private.h
@@ -10,7 +10,6 @@
 #define MACHINE_MAX_FINISHED_JOBS 20000
 #define MACHINE_FINISHED_JOB_MS 86400000 /* finished jobs kept: one day */
 #define MACHINE_MAX_ANSWER_BYTES 65536
-#define MACHINE_MAX_PATCH_BYTES 262144 /* of one patch; limits the history */
 #define MACHINE_MAX_KEY_AHEAD_MS \
 	300000 /* ahead of machine->time_ms; 5 minutes */
 
--- a/tests/fuzz/driver.c
+++ b/tests/fuzz/driver.c
@@ -8,6 +8,8 @@
 
 #define ROUNDS 20000
 #define LIMIT_MS 3000 /* slower targets run fewer rounds */
+/* Number of rounds to run instead, however long they take. */
+#define ROUNDS_VARIABLE "FUZZ_ROUNDS"
 #define SEED 0x5eed
 #define INPUT_MAX_BYTES 4096
 #define MUTATIONS_MAX 8
@@ -94,14 +96,17 @@
 	GPtrArray *seeds =
 	    g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
 	GByteArray *input = g_byte_array_new();
-	int64_t limit_ms = clock_mono_ms() + LIMIT_MS;
+	const char *wanted = g_getenv(ROUNDS_VARIABLE);
+	int64_t limit_ms =
+	    wanted != NULL ? G_MAXINT64 : clock_mono_ms() + LIMIT_MS;
+	int max_rounds = wanted != NULL ? atoi(wanted) : ROUNDS;
 	int rounds = 0;
 
 	/* Refused inputs may log; the log of thousands is of no use. */
 	log_set_level(LOG_EMERG);
 	if (fuzz_seeds != NULL)
 		fuzz_seeds(seeds);
-	while (rounds < ROUNDS && clock_mono_ms() < limit_ms) {
+	while (rounds < max_rounds && clock_mono_ms() < limit_ms) {
 		g_byte_array_set_size(input, 0);
 		if (seeds->len > 0) {
 			gsize len;
