--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -26,6 +26,7 @@
 	 * of workers is not learned.
 	 */
 	int slow_worker_percent;
+	bool avoids_interference; /* keeps tasks apart that slow others down */
 } fleet_timing_t;
 
 typedef enum {
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/counters.h"
+#include "sched/crowding.h"
 #include "sched/fleet.h"
 #include "sched/headroom.h"
 #include "sched/ledger.h"
@@ -36,6 +37,7 @@
 typedef struct member_t member_t;
 typedef struct advice_query_t advice_query_t;
 typedef struct fleet_proposal_t fleet_proposal_t;
+typedef struct crowding_watch_t crowding_watch_t;
 
 /* A task end that the worker has listed and that is not acknowledged. */
 typedef struct {
@@ -139,6 +141,7 @@
 	char *checkpoint;
 	int64_t at_work_since_ms; /* seen at work by this leader, 0: not yet */
 	int64_t saved_ms;         /* the checkpoint was learned */
+	crowding_watch_t *crowding; /* see fleet_crowding.c; NULL: none yet */
 };
 
 /* One attempt to run a unit. */
@@ -161,6 +164,7 @@
 	const char *stop_reason;
 	int64_t wasted_core_ms; /* by its members that have ended */
 	int priority;           /* of the queue; lower is more important */
+	crowding_kind_t crowding_kind; /* 0: not looked up yet */
 	bool needs_ticket;
 	int64_t created_ms; /* created, or adopted by this leader */
 	int orders_in_flight;
@@ -176,6 +180,8 @@
 	tickets_t *tickets;
 	int64_t next_speed_fit_ms;    /* see fleet_speed.c */
 	advice_query_t *advice_query; /* in flight */
+	crowding_t *crowding;         /* NULL: interference is ignored */
+	int64_t next_crowding_log_ms;
 	uint64_t last_event_sequence; /* see fleet_next_sequence */
 	bool leading;
 	uint64_t term;
@@ -226,6 +232,10 @@
 	/* Members that ended without success, and their lost work. */
 	counter_t *wasted_tasks[WASTE_CAUSES];
 	counter_t *wasted_core_ms[WASTE_CAUSES];
+	counter_t *crowding_samples;
+	counter_t *crowding_passed_over;
+	counter_t *crowding_kinds;
+	counter_t *crowding_worst;
 	counter_t *submitted;
 	counter_t *rejected;
 	counter_t *domains_out; /* gauge: failure domains out of service */
@@ -335,7 +345,13 @@
 
 /* fleet_pace.c */
 bool worker_has_interference(const worker_t *worker);
-void worker_adjust_pace(worker_t *worker);
+void worker_adjust_pace(worker_t *worker, int64_t now_ms);
+
+/* fleet_crowding.c */
+void fleet_crowding_init(fleet_t *fleet);
+void worker_observe_crowding(worker_t *worker, int64_t now_ms);
+int member_slowdown_percent(
+    const member_t *member, const member_t *other, int64_t now_ms);
 
 /* fleet_speed.c */
 void fleet_speed_init(fleet_t *fleet);
--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -233,7 +233,8 @@
 	return (running_task_t){.task = task->task,
 	    .run = task->run,
 	    .checkpoint = "",
-	    .percent = worker->percent};
+	    .percent = worker->percent,
+	    .load = worker->load != NULL ? worker->load(worker, task) : 0};
 }
 
 static void
@@ -539,6 +540,7 @@
 	    .ended_job_retention_ms = BED_RETENTION_MS,
 	    .reclaim_ms = BED_RECLAIM_MS,
 	    .slow_worker_percent = BED_SLOW_WORKER_PERCENT,
+	    .avoids_interference = bed->avoids_interference,
 	};
 	order_transport_t orders = {.start = send_start,
 	    .stop = send_stop,
@@ -779,7 +781,8 @@
 	step.label = (char *)"";
 	if (step.data_rack == NULL)
 		step.data_rack = (char *)"";
-	step.image = (char *)"";
+	if (step.image == NULL)
+		step.image = (char *)"";
 	command.command_t_u.batch_submit = (batch_submit_t){
 	    .id = (char *)id,
 	    .queue = (char *)queue,
@@ -821,6 +824,23 @@
 	submit_step(bed, "", id, "batch", &step);
 }
 
+void
+bed_submit_image(
+    bed_t *bed, const char *id, const char *image, int accelerators)
+{
+	step_spec_t step = {.count = 1,
+	    .shape = {1000, 1000, accelerators},
+	    .image = (char *)image};
+
+	if (accelerators > 0) {
+		step.long_running = true;
+		step.latency_target_ms = 1000;
+	} else {
+		step.uses_leftover_cpu = true;
+	}
+	submit_step(bed, "", id, "batch", &step);
+}
+
 void
 bed_cancel(bed_t *bed, const char *id)
 {
