--- a/tests/unit/fleet_bed.h
+++ b/tests/unit/fleet_bed.h
@@ -53,7 +53,7 @@
 	bool fails_tasks;         /* each task fails as soon as it starts */
 	const order_answer_t *forged_poll; /* if set, answers polls */
 	guint max_listed_ends; /* in the answer of a poll; 0: no limit */
-	int percent;          /* progress listed of each task */
+	int percent;           /* progress listed of each task */
 	int starts;
 	int stops;
 	int wrong_incarnation_starts; /* starts for an ended incarnation */
@@ -78,6 +78,7 @@
 	bool duplicate_run;     /* one task ran twice at the same time */
 	int fenced_orders;      /* delayed orders with an outdated token */
 	int announcements_done; /* announcements that were acknowledged */
+	bool fleet_ends;        /* the fleet is being destroyed */
 	uint64_t sequence;
 	bool avoids_interference; /* takes effect with bed_restart_fleet */
 } bed_t;
--- a/tests/unit/test_fleet_announce.c
+++ b/tests/unit/test_fleet_announce.c
@@ -358,6 +358,29 @@
 }
 END_TEST
 
+/*
+ * Guards against an acknowledgement without a commit for an announcement that
+ * is being proposed, or waits for that, while the fleet ends.
+ */
+START_TEST(announcement_while_fleet_ends)
+{
+	fleet_worker_t draining;
+	bed_t bed;
+
+	bed_open(&bed, 2, 8);
+	for (size_t i = 0; i < 2; i++) {
+		draining = bed.workers[i].info;
+		draining.draining = true;
+		bed_announce_as(&bed, &draining, 1000);
+		/* The first one is in flight by now. */
+		if (i == 0)
+			fleet_events_propose(bed.fleet);
+	}
+	bed_close(&bed);
+	ck_assert_int_eq(bed.announcements_done, 2);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -378,6 +401,7 @@
 	    tcase, lost_start_is_not_repeated_while_draining, 0, 2);
 	tcase_add_test(tcase, first_start_is_not_sent_while_draining);
 	tcase_add_test(tcase, tasks_on_draining_worker_are_adopted);
+	tcase_add_test(tcase, announcement_while_fleet_ends);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_FORK);
 }
