fleet: long-running tasks leave a failure domain out of service; guarantees at risk, cold workers

A task that lasts is moved with room elsewhere and within what its step tolerates. Guarantees that the workers in service cannot hold are logged and counted. A worker that says that it is cold counts as slower where the settings say by how much.

--- a/rpc/protocol.h
+++ b/rpc/protocol.h
@@ -750,6 +750,7 @@
 	fleet_worker_t worker;
 	u_quad_t sequence;
 	quad_t clock_ms;
+	int cold_left_ms;
 };
 typedef struct fleet_announcement_t fleet_announcement_t;
 
--- a/rpc/protocol.x
+++ b/rpc/protocol.x
@@ -658,6 +658,7 @@
 	fleet_worker_t worker;
 	unsigned hyper sequence; /* increases within an incarnation */
 	hyper clock_ms;          /* worker's monotonic clock */
+	int cold_left_ms;        /* how much longer it is slow, 0: warm */
 };
 
 /* Announcements that an instance that does not lead passes on. */
--- a/rpc/protocol_xdr.c
+++ b/rpc/protocol_xdr.c
@@ -1648,6 +1648,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->clock_ms))
 		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->cold_left_ms))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -163,6 +163,7 @@
 		job->submitted_mono_ms = 0;
 		job->still_since_ms = 0;
 		job->begun = false;
+		job->domain_wait_logged = false;
 		job->ended_ms = 0;
 		job->removal_proposed_ms = 0;
 		for (size_t i = 0; i < job->unit_count; i++)
@@ -332,6 +333,8 @@
 	for (guint i = 0; i < runs->len; i++)
 		run_tick(g_ptr_array_index(runs, i), now_ms);
 	g_ptr_array_unref(runs);
+	fleet_relocate(fleet, now_ms);
+	domains_check_guarantees(fleet);
 	record_ended_jobs(fleet, now_ms);
 	forget_ended_jobs(fleet, now_ms);
 	on_work_timer(loop, &fleet->work_timer, 0);
--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -26,6 +26,8 @@
 	 * of workers is not learned.
 	 */
 	int slow_worker_percent;
+	/* Run time on a cold worker, in percent; 0: none is treated as cold. */
+	int cold_stretch_percent;
 } fleet_timing_t;
 
 typedef enum {
--- a/sched/fleet_domains.c
+++ b/sched/fleet_domains.c
@@ -25,6 +25,9 @@
 	    "failure domains that the operator took out of service");
 	fleet->tasks_out = gauge_get("fleet_tasks_out_of_service",
 	    "on the leader: tasks on workers of those");
+	fleet->guarantees_at_risk = gauge_get("fleet_guarantees_at_risk",
+	    "on the leader: tenants whose guarantees the workers in service "
+	    "cannot all hold");
 }
 
 /* Takes over from the ledger whether the worker's failure domain is out. */
@@ -66,6 +69,72 @@
 			tasks += worker->members->len;
 	}
 	counter_set(fleet->tasks_out, tasks);
+	if (!fleet->leading)
+		counter_set(fleet->guarantees_at_risk, 0);
+}
+
+static int
+accelerators_in_service(const fleet_t *fleet)
+{
+	GHashTableIter iter;
+	gpointer value;
+	int sum = 0;
+
+	g_hash_table_iter_init(&iter, fleet->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const worker_t *worker = value;
+
+		if (worker->registered &&
+		    worker_no_start_reason(worker) == NULL)
+			sum += worker->info.capacity.accelerators;
+	}
+	return sum;
+}
+
+/* Logs the guarantees that are at risk, each with what there is for all. */
+static void
+log_guarantees(const fleet_config_t *config, int guaranteed, int in_service)
+{
+	for (u_int i = 0; i < config->tenants.tenants_len; i++) {
+		const fleet_tenant_t *tenant = &config->tenants.tenants_val[i];
+
+		if (tenant->guaranteed_accelerators > 0)
+			evlog("guarantee_at_risk", "{s:s,s:i,s:i,s:i}",
+			    "tenant", tenant->name, "guaranteed",
+			    tenant->guaranteed_accelerators, "guaranteed_all",
+			    guaranteed, "in_service", in_service);
+	}
+}
+
+/*
+ * Counts the tenants whose guarantees are at risk while failure domains are out
+ * of service: all that have one, if the workers in service cannot hold them all
+ * at once.  Logs them when that begins.
+ */
+void
+domains_check_guarantees(fleet_t *fleet)
+{
+	const ledger_t *ledger = fleet_ledger(fleet);
+	const fleet_config_t *config = ledger_config(ledger);
+	int in_service = 0;
+	int guaranteed = 0;
+	int tenants = 0;
+
+	for (u_int i = 0; i < config->tenants.tenants_len; i++) {
+		const fleet_tenant_t *tenant = &config->tenants.tenants_val[i];
+
+		guaranteed += tenant->guaranteed_accelerators;
+		tenants += tenant->guaranteed_accelerators > 0;
+	}
+	if (g_hash_table_size(ledger_domains_out(ledger)) > 0)
+		in_service = accelerators_in_service(fleet);
+	else
+		tenants = 0;
+	if (guaranteed <= in_service)
+		tenants = 0;
+	if (tenants > 0 && counter_value(fleet->guarantees_at_risk) == 0)
+		log_guarantees(config, guaranteed, in_service);
+	counter_set(fleet->guarantees_at_risk, tenants);
 }
 
 /* Logs the failure domains out of service, for a new leader. */
@@ -167,6 +236,27 @@
 	return fitting >= unit->members;
 }
 
+/* Logs, once for each job, that it waits for failure domains to be back. */
+void
+domains_log_wait(const round_t *round, const waiting_step_t *item)
+{
+	ledger_job_t *job = item->unit->job;
+	char **names;
+	char *domains;
+
+	if (job->domain_wait_logged)
+		return;
+	job->domain_wait_logged = true;
+	names = (char **)g_hash_table_get_keys_as_array(
+	    ledger_domains_out(fleet_ledger(round->fleet)), NULL);
+	domains = g_strjoinv(",", names);
+	evlog("unit_waits", "{s:s,s:i,s:i,s:s,s:s}", "job", job->submit.id,
+	    "step", item->unit->step, "unit", item->unit->first, "reason",
+	    "out_of_service", "domains", domains);
+	g_free(domains);
+	g_free(names);
+}
+
 /* ---- orders of the operator ---- */
 
 /* Whether a worker of the failure domain is registered, or was not long ago. */
--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -264,8 +264,10 @@
 {
 	waits_check(round, item, plan);
 	if ((round->why == WAIT_ROOM || round->why == WAIT_NO_WORKER) &&
-	    domains_could_hold(round, plan))
+	    domains_could_hold(round, plan)) {
 		round->why = WAIT_OUT_OF_SERVICE;
+		domains_log_wait(round, item);
+	}
 	waits_record(round->fleet, round->why);
 }
 
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -54,6 +54,7 @@
 	bool registered;
 	uint64_t fence_epoch; /* of fleet_t when this incarnation was learned */
 	int64_t last_announced_ms;
+	int64_t cold_until_ms;          /* slow until then, 0: warm */
 	uint64_t announcement_sequence; /* of the last announcement */
 	worker_clock_t clock;
 	int64_t lease_expiry_ms; /* local time by which its lease has expired */
@@ -230,6 +231,8 @@
 	counter_t *rejected;
 	counter_t *domains_out; /* gauge: failure domains out of service */
 	counter_t *tasks_out;   /* gauge: tasks on workers there */
+	counter_t *guarantees_at_risk; /* gauge: tenants */
+	int64_t next_relocation_ms;    /* no task moves before then */
 };
 
 int64_t fleet_now_ms(void);
@@ -273,10 +276,15 @@
 void worker_update_from_answer(
     worker_t *worker, uint64_t born, const order_answer_t *answer);
 bool worker_is_usable(const worker_t *worker, int64_t now_ms);
+int worker_speed_now(const worker_t *worker, int speed_percent, int64_t now_ms);
+
+/* fleet_relocate.c */
+void fleet_relocate(fleet_t *fleet, int64_t now_ms);
 
 /* fleet_domains.c */
 void domains_init(fleet_t *fleet);
 void domains_update_worker(worker_t *worker);
+void domains_check_guarantees(fleet_t *fleet);
 void domains_update_gauges(fleet_t *fleet);
 void domains_log(const fleet_t *fleet);
 void domains_on_committed(fleet_t *fleet, const domain_service_t *command);
--- a/sched/fleet_round.c
+++ b/sched/fleet_round.c
@@ -68,6 +68,19 @@
 	    headroom_target(&round->fleet->headroom, capacity, round->now_ms);
 }
 
+/* Lowers the speeds of cold workers. */
+static void
+apply_cold(round_t *round)
+{
+	for (size_t i = 0; i < round->count; i++) {
+		plan_worker_t *plan_worker = &round->plan_workers[i];
+
+		plan_worker->speed_percent =
+		    worker_speed_now(round->workers[i],
+			plan_worker->speed_percent, round->now_ms);
+	}
+}
+
 /* Snapshots the workers and their resources; release with round_end. */
 void
 round_begin(round_t *round, fleet_t *fleet, int64_t now_ms)
@@ -96,6 +109,7 @@
 	}
 	apply_suspicion(round);
 	round_apply_speed(round);
+	apply_cold(round);
 	sum_accelerators(round);
 	domains_begin_round(round);
 }
--- a/sched/fleet_round.h
+++ b/sched/fleet_round.h
@@ -68,6 +68,7 @@
 void domains_begin_round(round_t *round);
 size_t domains_keep_in_service(round_t *round);
 bool domains_could_hold(const round_t *round, const plan_unit_t *unit);
+void domains_log_wait(const round_t *round, const waiting_step_t *item);
 
 /* fleet_waits.c */
 void waits_init(fleet_t *fleet);
--- a/sched/fleet_workers.c
+++ b/sched/fleet_workers.c
@@ -7,6 +7,7 @@
 #include "sched/fleet_private.h"
 
 #define MAX_MISSED_ANNOUNCEMENTS 3
+#define PERCENT 100
 /* Bits of a fencing token that count ended incarnations within a term. */
 #define FENCE_EPOCH_BITS 16
 #define MAX_FENCE_EPOCH ((UINT64_C(1) << FENCE_EPOCH_BITS) - 1)
@@ -162,6 +163,22 @@
 		suspicion_record_unhealthy(&worker->suspicion, now_ms);
 }
 
+/*
+ * Returns the speed to expect of a worker whose speed is speed_percent when it
+ * is warm, 0 for unknown; 0 if it is unknown and the worker is not cold.
+ */
+int
+worker_speed_now(const worker_t *worker, int speed_percent, int64_t now_ms)
+{
+	int stretch = worker->fleet->timing.cold_stretch_percent;
+
+	if (stretch <= PERCENT || now_ms >= worker->cold_until_ms)
+		return speed_percent;
+	if (speed_percent == 0)
+		speed_percent = PERCENT;
+	return MAX(speed_percent * PERCENT / stretch, 1);
+}
+
 /* Whether units may be placed on the worker. */
 bool
 worker_is_usable(const worker_t *worker, int64_t now_ms)
@@ -210,6 +227,7 @@
 	worker->ackable_end = 0;
 	worker->confirmed_ack = 0;
 	worker->clock = (worker_clock_t){0};
+	worker->cold_until_ms = 0;
 	worker->suspicion = (suspicion_t){0};
 	worker->speed = (speed_history_t){0};
 	worker->needs_poll = true;
@@ -353,6 +371,9 @@
 	}
 	worker->announcement_sequence = announcement->sequence;
 	worker->last_announced_ms = now_ms;
+	worker->cold_until_ms = announcement->cold_left_ms > 0
+				    ? now_ms + announcement->cold_left_ms
+				    : 0;
 	worker_clock_update(&worker->clock, announcement->clock_ms, now_ms);
 	if (!changed)
 		done(ctx, FLEET_OK);
--- a/sched/ledger.h
+++ b/sched/ledger.h
@@ -55,9 +55,10 @@
 	int64_t still_since_ms;    /* a unit's turn has come, none is at work */
 	int64_t ended_ms;          /* the leader noticed the end */
 	int64_t removal_proposed_ms; /* its removal was last proposed */
-	bool covered; /* urgent and within its tenant's guarantee */
-	bool begun;   /* a task of it was seen at work */
-	GList link;   /* in the list of open or of ended jobs */
+	bool covered;            /* urgent and within its tenant's guarantee */
+	bool begun;              /* a task of it was seen at work */
+	bool domain_wait_logged; /* that it waits for a failure domain */
+	GList link;              /* in the list of open or of ended jobs */
 };
 
 ledger_t *ledger_create(void);
--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -567,6 +567,7 @@
 	};
 	worker->clock_base_ms = CLOCK_BASE_MS;
 	worker->next_end = 1;
+	worker->percent = 50;
 	worker->refused =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	worker->tasks = g_ptr_array_new_with_free_func(free_task);
@@ -814,8 +815,16 @@
 void
 bed_submit_long_running(bed_t *bed, const char *id, int accelerators)
 {
-	step_spec_t step = {.count = 1,
+	bed_submit_lasting(bed, id, 1, accelerators, 0);
+}
+
+void
+bed_submit_lasting(
+    bed_t *bed, const char *id, int tasks, int accelerators, int miss_tolerance)
+{
+	step_spec_t step = {.count = tasks,
 	    .shape = {1000, 1000, accelerators},
+	    .miss_tolerance = miss_tolerance,
 	    .long_running = true};
 
 	submit_step(bed, "", id, "batch", &step);
--- a/tests/unit/fleet_bed.h
+++ b/tests/unit/fleet_bed.h
@@ -47,6 +47,7 @@
 	int delayed_starts;       /* so many wait for bed_deliver_delayed */
 	int delayed_polls;        /* same */
 	bool fails_tasks;         /* each task fails as soon as it starts */
+	int percent;              /* progress of its tasks */
 	const order_answer_t *forged_poll; /* if set, answers polls */
 	guint max_listed_ends; /* in the answer of a poll; 0: no limit */
 	int percent;          /* progress listed of each task */
@@ -107,6 +108,9 @@
     const char *queue, int tasks, int accelerators);
 /* Submits a long-running task to the queue "batch". */
 void bed_submit_long_running(bed_t *bed, const char *id, int accelerators);
+/* Same, several, of which so many may be missing at a time. */
+void bed_submit_lasting(bed_t *bed, const char *id, int tasks, int accelerators,
+    int miss_tolerance);
 void bed_cancel(bed_t *bed, const char *id);
 void bed_announce(bed_t *bed, size_t worker);
 /* Announces info in place of what the worker is. */
--- a/tests/unit/test_fleet_domains.c
+++ b/tests/unit/test_fleet_domains.c
@@ -192,6 +192,131 @@
 }
 END_TEST
 
+static int
+running_in_d1(const bed_t *bed)
+{
+	int running = 0;
+
+	for (size_t i = 0; i < WORKERS_OF_D1; i++)
+		running += (int)bed->workers[i].tasks->len;
+	return running;
+}
+
+static bool
+four_run(void *ctx)
+{
+	return bed_running(ctx, JOB) == 4;
+}
+
+static bool
+left_d1(void *ctx)
+{
+	return running_in_d1(ctx) == 0 && four_run(ctx);
+}
+
+/*
+ * Four long-running tasks in a failure domain that goes out of service, with
+ * room elsewhere.  Guards against tasks that stay though their step tolerates
+ * missing ones, and against stopping more than it tolerates (_i): the tasks at
+ * work are never fewer than that.
+ */
+START_TEST(long_running_tasks_move)
+{
+	bed_t bed;
+	int least = 4;
+
+	bed_open(&bed, WORKERS, 8);
+	bed_set_domain_service(&bed, "d2", true);
+	bed_submit_lasting(&bed, JOB, 4, 4, _i);
+	for (size_t i = 0; i < WORKERS; i++)
+		bed.workers[i].percent = 100;
+	WAIT(&bed, four_run);
+	bed_set_domain_service(&bed, "d2", false);
+	bed_set_domain_service(&bed, "d1", true);
+	for (int ms = 0; ms < (_i == 0 ? 1500 : 20000); ms += 2) {
+		bed_run_for(&bed, 2);
+		least = MIN(least, bed_running(&bed, JOB));
+		if (left_d1(&bed))
+			break;
+	}
+	ck_assert_int_ge(least, 4 - _i);
+	ck_assert_int_eq(running_in_d1(&bed), _i == 0 ? 4 : 0);
+	ck_assert(!bed.duplicate_run);
+	bed_close(&bed);
+}
+END_TEST
+
+/* Guards against moving long-running tasks that have nowhere to go. */
+START_TEST(no_move_without_room)
+{
+	bed_t bed;
+
+	bed_open(&bed, WORKERS, 8);
+	bed_submit_lasting(&bed, JOB, WORKERS, 8, 2);
+	for (size_t i = 0; i < WORKERS; i++)
+		bed.workers[i].percent = 100;
+	WAIT(&bed, all_run);
+	bed_set_domain_service(&bed, "d1", true);
+	bed_run_for(&bed, 1500);
+	ck_assert_int_eq(bed_starts(&bed), WORKERS);
+	ck_assert_int_eq(bed_running(&bed, JOB), WORKERS);
+	bed_close(&bed);
+}
+END_TEST
+
+/* Guards against an operator who does not learn that guarantees are at risk:
+ * 16 accelerators are guaranteed, 48 or 16 or 0 are in service. */
+START_TEST(guarantees_at_risk)
+{
+	counter_t *gauge;
+	bed_t bed;
+
+	bed_open(&bed, WORKERS, 8);
+	gauge = bed.fleet->guarantees_at_risk;
+	bed_set_domain_service(&bed, "d1", true);
+	bed_run_for(&bed, 120);
+	ck_assert_int_eq(counter_value(gauge), 0);
+	bed_set_domain_service(&bed, "d2", true);
+	bed_run_for(&bed, 120);
+	ck_assert_int_eq(counter_value(gauge), 1);
+	bed_set_domain_service(&bed, "d1", false);
+	bed_run_for(&bed, 120);
+	ck_assert_int_eq(counter_value(gauge), 0);
+	bed_close(&bed);
+}
+END_TEST
+
+static void
+ignore_outcome(void *ctx, fleet_outcome_t outcome)
+{
+}
+
+/* Guards against workers that count as cold for ever, or where the settings do
+ * not say how slow a cold one is. */
+START_TEST(cold_workers_are_slow)
+{
+	fleet_announcement_t announcement = {.cold_left_ms = 2000};
+	const worker_t *worker;
+	int64_t now_ms;
+	bed_t bed;
+
+	bed_open(&bed, 1, 8);
+	bed.fleet->timing.cold_stretch_percent = 200;
+	announcement.worker = bed.workers[0].info;
+	announcement.sequence = 1000;
+	fleet_announce(bed.fleet, &announcement, ignore_outcome, NULL);
+	worker = fleet_find_worker(bed.fleet, "w0");
+	now_ms = fleet_now_ms();
+	ck_assert_int_eq(worker_speed_now(worker, 0, now_ms), 50);
+	ck_assert_int_eq(worker_speed_now(worker, 60, now_ms), 30);
+	ck_assert_int_eq(worker_speed_now(worker, 0, now_ms + 2000), 0);
+	ck_assert_int_eq(worker_speed_now(worker, 60, now_ms + 2000), 60);
+	bed.fleet->timing.cold_stretch_percent = 0;
+	ck_assert_int_eq(worker_speed_now(worker, 60, now_ms), 60);
+	bed_close(&bed);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -204,6 +329,10 @@
 	tcase_add_test(tcase, start_being_committed);
 	tcase_add_loop_test(tcase, unanswered_start, 0, 2);
 	tcase_add_test(tcase, smaller_room);
+	tcase_add_loop_test(tcase, long_running_tasks_move, 0, 3);
+	tcase_add_test(tcase, no_move_without_room);
+	tcase_add_test(tcase, guarantees_at_risk);
+	tcase_add_test(tcase, cold_workers_are_slow);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_FORK);
 }
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -41,7 +41,7 @@
 {
 	static const sent_t sent = {ID,
 	    "{" SERVICE ADDRESS ZONE FIELD("version", "\"v1\"")
-		FIELD("slots", "8") STATE FIELD("coldLeftMs", "0.5")
+		FIELD("slots", "8") STATE FIELD("coldLeftMs", "1500.5")
 		    FIELD("remainingMs", "100") CAPACITY LABELS REST};
 	fleet_announcement_t read;
 
@@ -53,6 +53,7 @@
 	ck_assert_int_eq(read.worker.capacity.memory_mb, 32768);
 	ck_assert_uint_eq(read.worker.born, 9);
 	ck_assert_uint_eq(read.sequence, 4);
+	ck_assert_int_eq(read.cold_left_ms, 1500);
 	clear(&read);
 }
 END_TEST
