--- a/sched/fleet_workers.c
+++ b/sched/fleet_workers.c
@@ -174,7 +174,8 @@
 
 	if (stretch <= PERCENT || now_ms >= worker->cold_until_ms)
 		return speed_percent;
-	if (speed_percent == 0)
+	/* A fast worker is no faster than others while it is cold. */
+	if (speed_percent == 0 || speed_percent > PERCENT)
 		speed_percent = PERCENT;
 	return MAX(speed_percent * PERCENT / stretch, 1);
 }
--- a/tests/unit/test_fleet_domains.c
+++ b/tests/unit/test_fleet_domains.c
@@ -309,6 +309,7 @@
 	now_ms = fleet_now_ms();
 	ck_assert_int_eq(worker_speed_now(worker, 0, now_ms), 50);
 	ck_assert_int_eq(worker_speed_now(worker, 60, now_ms), 30);
+	ck_assert_int_eq(worker_speed_now(worker, 220, now_ms), 50);
 	ck_assert_int_eq(worker_speed_now(worker, 0, now_ms + 2000), 0);
 	ck_assert_int_eq(worker_speed_now(worker, 60, now_ms + 2000), 60);
 	bed.fleet->timing.cold_stretch_percent = 0;
