--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -543,6 +543,7 @@
 	g_ptr_array_unref(fleet->retired_workers);
 	g_hash_table_unref(fleet->workers);
 	g_hash_table_unref(fleet->departing);
+	g_hash_table_unref(fleet->domain_gauges);
 	g_ptr_array_unref(fleet->runs);
 	g_ptr_array_unref(fleet->proposal_waiters);
 	g_free(fleet);
--- a/sched/fleet_domains.c
+++ b/sched/fleet_domains.c
@@ -21,6 +21,8 @@
 void
 domains_init(fleet_t *fleet)
 {
+	fleet->domain_gauges =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	fleet->domains_out = gauge_get("fleet_domains_out_of_service",
 	    "failure domains that the operator took out of service");
 	fleet->tasks_out = gauge_get("fleet_tasks_out_of_service",
@@ -50,6 +52,33 @@
 	return worker->out_of_service ? "domain_out_of_service" : NULL;
 }
 
+/* Sets a gauge for each failure domain that is or was out of service. */
+static void
+update_domain_gauges(fleet_t *fleet)
+{
+	GHashTable *out = ledger_domains_out(fleet_ledger(fleet));
+	GHashTableIter iter;
+	gpointer domain;
+	gpointer gauge;
+
+	g_hash_table_iter_init(&iter, out);
+	while (g_hash_table_iter_next(&iter, &domain, NULL)) {
+		char *name;
+
+		if (g_hash_table_contains(fleet->domain_gauges, domain))
+			continue;
+		name = g_strdup_printf(
+		    "fleet_domain_out_of_service{domain=\"%s\"}",
+		    (char *)domain);
+		g_hash_table_insert(fleet->domain_gauges, g_strdup(domain),
+		    gauge_get(name, "1 while it is out of service"));
+		g_free(name);
+	}
+	g_hash_table_iter_init(&iter, fleet->domain_gauges);
+	while (g_hash_table_iter_next(&iter, &domain, &gauge))
+		counter_set(gauge, g_hash_table_contains(out, domain));
+}
+
 /* Updates the gauges, on each instance. */
 void
 domains_update_gauges(fleet_t *fleet)
@@ -61,6 +90,7 @@
 	int64_t tasks = 0;
 
 	counter_set(fleet->domains_out, domains);
+	update_domain_gauges(fleet);
 	g_hash_table_iter_init(&iter, fleet->workers);
 	while (domains > 0 && g_hash_table_iter_next(&iter, NULL, &value)) {
 		const worker_t *worker = value;
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -229,8 +229,9 @@
 	counter_t *wasted_core_ms[WASTE_CAUSES];
 	counter_t *submitted;
 	counter_t *rejected;
-	counter_t *domains_out; /* gauge: failure domains out of service */
-	counter_t *tasks_out;   /* gauge: tasks on workers there */
+	counter_t *domains_out;    /* gauge: failure domains out of service */
+	GHashTable *domain_gauges; /* of each that was: its name -> counter_t */
+	counter_t *tasks_out;      /* gauge: tasks on workers there */
 	counter_t *guarantees_at_risk; /* gauge: tenants */
 	int64_t next_relocation_ms;    /* no task moves before then */
 };
