--- a/tests/soak/faults.sh
+++ b/tests/soak/faults.sh
@@ -9,7 +9,7 @@
 		srand(seed)
 		kinds = split("kill term freeze wipe herd entry_kill " \
 		    "entry_term entry_freeze backend_freeze cut_callers " \
-		    "cut_backends cut_one_way silence", kind, " ")
+		    "cut_backends cut_one_way silence domain", kind, " ")
 		for (at = 0; at < seconds; at += pause) {
 			pause = 0.2 + rand() * 1.3
 			n = int(rand() * 3) + 1
@@ -60,6 +60,30 @@
 	) &
 }
 
+# order DOMAIN VERB: an order about a failure domain, until it is acknowledged.
+order() {
+	path=/api/evacuations/$1/$2
+	while :; do
+		for n in 1 2 3; do
+			"$BUILD/standin-http" POST "http://$NET.$n:$CONTROL$path" \
+			    "" >/dev/null 2>"$WORK/order"
+			[ "$(cat "$WORK/order")" != 200 ] || return 0
+		done
+		sleep 0.2
+	done
+}
+
+# take_out DOMAIN LENGTH: takes it out of service until LENGTH after the bound
+# for starts, and notes "DOMAIN FROM TO": no task may start there meanwhile.
+take_out() {
+	order "$1" begin
+	from=$(($(date +%s%3N) + EVAC_MS))
+	sleep "$((EVAC_MS / 1000))"
+	sleep "$2"
+	echo "$1 $from $(date +%s%3N)" >>"$WORK/out_of_service"
+	order "$1" finish
+}
+
 # apply KIND N LENGTH: N is 1 to 3.
 apply() {
 	entry=$(($2 % 2 + 4))
@@ -85,6 +109,12 @@
 	cut_backends) impair "$3" "cut control w$2" "cut w$2 control" \
 	    "cut workers p$2" ;;
 	cut_one_way) impair "$3" "cut w$2 control" ;;
+	domain)
+		# One at a time.
+		[ -z "${DOMAIN_PID:-}" ] || ! is_running "$DOMAIN_PID" || return 0
+		take_out "d$backend" "$3" &
+		DOMAIN_PID=$!
+		;;
 	silence) impair "$3" "silence control w$2" "silence workers p$2" ;;
 	esac
 }
@@ -112,4 +142,5 @@
 	done <"$WORK/schedule"
 	sleep 3
 	: >"$WORK/rules"
+	[ -z "${DOMAIN_PID:-}" ] || wait "$DOMAIN_PID"
 }
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -7,6 +7,8 @@
 seed=$1
 seconds=$2
 SETTLE_S=40
+EVAC_MS=5000
+BOUNDS=",\"evacMs\":$EVAC_MS"
 
 # start_relays: callers, backend servers and control instances meet by relay.
 start_relays() {
@@ -132,6 +134,8 @@
 broken=0
 # The end of the script shows what is wrong.
 check_runs >/dev/null || broken=1
+: >>"$WORK/out_of_service"
+awk -f tests/soak/check_domains.awk "$WORK/out_of_service" "$WORK/runs" || broken=1
 awk -f tests/soak/check_answers.awk "$WORK/seen" || broken=1
 for n in 1 2 3 4 5; do
 	! grep -l "ERROR: \|runtime error" "$WORK/p$n.log" || broken=1
--- a/tests/standin/platform_worker.c
+++ b/tests/standin/platform_worker.c
@@ -340,13 +340,15 @@
 announcement(platform_worker_t *worker)
 {
 	const platform_worker_options_t *options = &worker->options;
+	int group = options->number / WORKERS_PER_RACK;
+	char domain[16];
 	char rack[16];
 	json_t *body;
 
-	g_snprintf(
-	    rack, sizeof(rack), "r%d", options->number / WORKERS_PER_RACK);
+	g_snprintf(rack, sizeof(rack), "r%d", group);
+	g_snprintf(domain, sizeof(domain), "d%d", group + 1);
 	body = json_pack("{s:s,s:s,s:s,s:i,s:i,s:{s:i,s:i,s:i},s:[s,s]}",
-	    "service", "svc", "zone", "d1", "version", "v1", "slots", 8,
+	    "service", "svc", "zone", domain, "version", "v1", "slots", 8,
 	    "coldLeftMs", 0, "capacity", "cpu", 64000, "memMb", 64000, "gpu",
 	    options->accelerators, "labels", "a", rack);
 	json_object_set_new(body, "addr",
