--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -27,6 +27,8 @@
 	 */
 	int slow_worker_percent;
 	bool avoids_interference; /* keeps tasks apart that slow others down */
+	/* Run time on a cold worker, in percent; 0: none is treated as cold. */
+	int cold_stretch_percent;
 } fleet_timing_t;
 
 typedef enum {
--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -834,8 +834,16 @@
 void
 bed_submit_long_running(bed_t *bed, const char *id, int accelerators)
 {
-	step_spec_t step = {.count = 1,
+	bed_submit_lasting(bed, id, 1, accelerators, 0);
+}
+
+void
+bed_submit_lasting(
+    bed_t *bed, const char *id, int tasks, int accelerators, int miss_tolerance)
+{
+	step_spec_t step = {.count = tasks,
 	    .shape = {1000, 1000, accelerators},
+	    .miss_tolerance = miss_tolerance,
 	    .long_running = true};
 
 	submit_step(bed, "", id, "batch", &step);
--- a/tests/unit/fleet_bed.h
+++ b/tests/unit/fleet_bed.h
@@ -114,6 +114,9 @@
     const char *queue, int tasks, int accelerators);
 /* Submits a long-running task to the queue "batch". */
 void bed_submit_long_running(bed_t *bed, const char *id, int accelerators);
+/* Same, several, of which so many may be missing at a time. */
+void bed_submit_lasting(bed_t *bed, const char *id, int tasks, int accelerators,
+    int miss_tolerance);
 /*
  * Submits a task of an image to the queue "batch": a long-running one with a
  * latency target, or one on leftover CPU if accelerators is 0.
