--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -43,7 +43,7 @@
 {"ip":"$NET.$1","zone":"d$1","serves":["$serves"],"bootstrap":${BOOTSTRAP:-true},
  "internalPorts":[$RPC,$((RPC + 15))],"dataDir":"$WORK/p$1","heartbeatMs":500,
  "seeds":["$NET.1:$CONTROL","$NET.2:$CONTROL","$NET.3:$CONTROL"],
- "listen":{$listen},"faultTolerance":{"machines":1},
+ "listen":{$listen},"faultTolerance":{"machines":1},${PLATFORM_LIMITS:-}
  "bounds":{"graceS":6,"holdMaxMs":${HOLD_MS:-5000},"status_s":120${BOUNDS:-}}}
 SETTINGS
 }
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -1,7 +1,8 @@
 #!/bin/sh
 # Runs every unit test program and every scripted run under tests/cases, several
-# at a time.  Usage: tests/run.sh BUILD.  Tests listed in KNOWN-RED.txt are run
-# and printed but do not decide the verdict.
+# at a time, and then those that need the machine for themselves.  Usage:
+# tests/run.sh BUILD.  Tests listed in KNOWN-RED.txt are run and printed but do
+# not decide the verdict.
 set -u
 . tests/case.sh
 build=${1:-build}
@@ -39,9 +40,17 @@
 	fi
 }
 
-# Prints the names of all tests, the long ones first.
+# Prints the names of the tests that run one at a time: crowds of clients.
+list_exclusive_tests() {
+	for script in tests/cases/door_*.sh; do
+		echo "cases/$(basename "$script" .sh)"
+	done
+}
+
+# Prints the names of all other tests, the long ones first.
 list_tests() {
 	for script in tests/cases/*.sh; do
+		case $script in tests/cases/door_*) continue ;; esac
 		echo "cases/$(basename "$script" .sh)"
 	done
 	for program in "$build"/unit/test_* "$build"/fuzz/fuzz_*; do
@@ -56,8 +65,10 @@
 fi
 rm -rf "$logs"
 mkdir -p "$logs"
-list_tests | xargs -P "$jobs" -I{} sh "$0" "$build" --one {} |
-    tee "$logs/verdicts"
+{
+	list_tests | xargs -P "$jobs" -I{} sh "$0" "$build" --one {}
+	list_exclusive_tests | xargs -I{} sh "$0" "$build" --one {}
+} | tee "$logs/verdicts"
 passed=$(grep -c '^pass  ' "$logs/verdicts")
 failed=$(grep -c '^FAIL  ' "$logs/verdicts")
 known=$(grep -c '^KNOWN-RED  ' "$logs/verdicts")
