entry, common: memory for clients is budgeted

Bodies, answers, connections and decoded JSON were bounded one by one, so that many clients could make a process hold many times its memory. mem_budget divides the memory of a process into shares by holder; a listener takes room for a body as its bytes arrive, and what does not fit makes others go that stand still, or is refused with 503 and Retry-After, before the body is read if its length is known. Routes that take no body keep none. JSON is estimated from its text before it is decoded. A listener at its limit closes those that have been without a whole request for longest; it also accepts again at once when one of them ends, which libmicrohttpd does at its next run only. Heap freed by large trees goes back to the system.

door_node lowers memory_mb in its own settings, as the others do; its crowd and bounds are as before. test_control, test_operator and entry_fakes.h pass a NULL budget to the changed constructors.

--- a/common/settings.c
+++ b/common/settings.c
@@ -96,6 +96,11 @@
     {"max_connections", AT(max_connections), .type = OPTION_INTEGER,
 	.unit = "connections", .min = 8, .max = 65536, .default_integer = 4096,
 	.meaning = "connections accepted by each HTTP listener"},
+    {"memory_mb", AT(memory_mb), .type = OPTION_INTEGER, .unit = "MiB",
+	.min = 0, .max = 1048576, .default_integer = 0,
+	.meaning = "memory that the process may use, from which its bounds "
+		   "for clients follow; 0 for all that the control group or "
+		   "the machine has, 1024 at most"},
     {"queue_limit", AT(queue_limit), .type = OPTION_INTEGER, .unit = "requests",
 	.min = 1, .max = 1000000, .default_integer = 2048,
 	.meaning = "requests waiting in this instance at most"},
--- a/common/settings.h
+++ b/common/settings.h
@@ -46,6 +46,7 @@
 	int64_t short_reserved_slots;
 	int64_t max_body_bytes;
 	int64_t max_connections;
+	int64_t memory_mb; /* 0: what the machine or control group has */
 	int64_t queue_limit;
 	int64_t voters; /* 0: every replica votes */
 	bool may_found; /* false: an empty data folder is a lost disk */
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -8,6 +8,7 @@
 #include "common/chart.h"
 #include "common/log.h"
 #include "common/loop_watch.h"
+#include "common/mem_budget.h"
 #include "common/settings.h"
 #include "daemon/node.h"
 #include "platform/instance.h"
@@ -87,6 +88,7 @@
 	node_t *node;
 	int exit_code;
 
+	mem_trim_setup();
 	signal(SIGPIPE, SIG_IGN);
 	/* A write beyond the file size limit fails with EFBIG instead. */
 	signal(SIGXFSZ, SIG_IGN);
@@ -134,6 +136,7 @@
 	err_t err = {0};
 	instance_t *instance;
 
+	mem_trim_setup();
 	signal(SIGPIPE, SIG_IGN);
 	signal(SIGXFSZ, SIG_IGN);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -17,10 +17,12 @@
  * without an entry, which learns the real number. */
 #define WORKER_CONNECTIONS 64
 #define MAX_ANSWER_BYTES 4194304
+#define MIB 1048576
 
 struct node_t {
 	struct ev_loop *loop;
 	const settings_t *settings;
+	mem_budget_t *memory;
 	endpoint_t *endpoint;
 	replica_t *replica;
 	client_t *client; /* NULL when the placer uses the entry's */
@@ -96,7 +98,7 @@
 	replica_set_applied(node->replica, on_applied, node);
 	if (settings->role_entry) {
 		node->entry = entry_create(node->loop, settings, node->endpoint,
-		    node->replica, incarnation, err);
+		    node->replica, node->memory, incarnation, err);
 		if (node->entry == NULL)
 			return err->code;
 	}
@@ -113,7 +115,8 @@
 		if (node->placer == NULL)
 			return err->code;
 	}
-	node->op = operator_create(node->loop, settings, node->replica, err);
+	node->op = operator_create(
+	    node->loop, settings, node->replica, node->memory, err);
 	if (node->op == NULL)
 		return err->code;
 	operator_set_explain(node->op, explain, node);
@@ -133,6 +136,9 @@
 
 	node->loop = loop;
 	node->settings = settings;
+	node->memory = mem_budget_create(settings->memory_mb > 0
+					     ? settings->memory_mb * MIB
+					     : mem_budget_limit());
 	if (create_tasks(node, incarnation, err) != 0) {
 		node_destroy(node);
 		return NULL;
@@ -204,5 +210,6 @@
 	client_destroy(node->client);
 	replica_destroy(node->replica);
 	endpoint_destroy(node->endpoint);
+	mem_budget_destroy(node->memory);
 	g_free(node);
 }
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -419,20 +419,34 @@
 	ev_prepare_start(entry->loop, &entry->prepare);
 }
 
+static size_t
+body_limit(void *ctx, const http_request_t *http)
+{
+	const entry_t *entry = ctx;
+
+	return str_equal(http_method(http), STR_LIT("GET"))
+		   ? 0
+		   : (size_t)entry->settings->max_body_bytes;
+}
+
 /*
  * Creates the entry task and listens on the HTTP port.  Settings, endpoint and
  * replica must outlive it; their open calls may end after it.
  */
 entry_t *
 entry_create(struct ev_loop *loop, const settings_t *settings,
-    endpoint_t *endpoint, replica_t *replica, uint64_t incarnation, err_t *err)
+    endpoint_t *endpoint, replica_t *replica, mem_budget_t *memory,
+    uint64_t incarnation, err_t *err)
 {
 	listener_options_t options = {
 	    .address = settings->address,
 	    .port = (uint16_t)settings->http_port,
 	    .max_body_bytes = (size_t)settings->max_body_bytes,
-	    .max_connections = (unsigned)settings->max_connections,
+	    .body_limit = body_limit,
+	    .max_connections = MIN((unsigned)settings->max_connections,
+		mem_budget_connections(memory, MEM_CALLERS)),
 	    .idle_timeout_s = IDLE_TIMEOUT_S,
+	    .memory = mem_budget_share(memory, MEM_CALLERS),
 	};
 	entry_t *entry = g_new0(entry_t, 1);
 
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -4,6 +4,7 @@
 #include <stdint.h>
 
 #include "common/err.h"
+#include "common/mem_budget.h"
 #include "common/settings.h"
 #include "entry/client.h"
 #include "rpc/endpoint.h"
@@ -16,7 +17,8 @@
 typedef struct entry_t entry_t;
 
 entry_t *entry_create(struct ev_loop *loop, const settings_t *settings,
-    endpoint_t *endpoint, replica_t *replica, uint64_t incarnation, err_t *err);
+    endpoint_t *endpoint, replica_t *replica, mem_budget_t *memory,
+    uint64_t incarnation, err_t *err);
 void entry_destroy(entry_t *entry);
 uint16_t entry_port(const entry_t *entry);
 /*
--- a/entry/fields.c
+++ b/entry/fields.c
@@ -4,7 +4,11 @@
 #include <glib.h>
 #include <string.h>
 
+#include "common/json_bound.h"
+
 #define MAX_NAME_LEN 128
+/* Of a decoded body; one of 1 MiB with values of 6 characters takes as much. */
+#define MAX_TREE_BYTES (16 * 1024 * 1024)
 
 /* Tells whether text is a name as docs/INTERFACES.md defines it. */
 bool
@@ -139,8 +143,8 @@
     field_problem_t *problem)
 {
 	json_error_t error;
-	json_t *root =
-	    json_loadb(body.data, body.len, JSON_REJECT_DUPLICATES, &error);
+	json_t *root = json_load_bounded(
+	    body, JSON_REJECT_DUPLICATES, MAX_TREE_BYTES, &error);
 	const char *key;
 	json_t *value;
 
--- a/entry/listener.c
+++ b/entry/listener.c
@@ -1,110 +1,76 @@
 #define _GNU_SOURCE /* POLLRDHUP */
 
-#include "entry/listener.h"
-
 #include <arpa/inet.h>
 #include <errno.h>
-#include <glib.h>
-#include <microhttpd.h>
 #include <netinet/in.h>
 #include <poll.h>
-#include <stdarg.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "entry/listener_private.h"
+
 #define HEADER_LIMIT_BYTES 16384 /* request line and headers */
-#define MAX_HEADERS 4            /* added to one answer */
+/* Read beyond the limits before a client is cut rather than answered. */
+#define SLACK_BYTES 65536
 #define LISTEN_BACKLOG 1024
 #define GONE_CHECK_S 0.1
 /* Rounds of MHD_run before the loop gets its turn again. */
 #define MAX_RUNS 4
 
-struct listener_t {
-	struct ev_loop *loop;
-	struct MHD_Daemon *daemon;
-	listener_handler_t *handler;
-	void *ctx;
-	size_t max_body_bytes;
-	uint16_t port;
-	bool stopped;
-	bool closing;
-	bool run_needed;
-	ev_io epoll_watcher;
-	ev_timer timer;
-	ev_prepare prepare;
-	ev_timer gone_timer;
-	GQueue open; /* handed over and not yet answered */
-	GArray *polls;
-};
-
-typedef enum {
-	REQUEST_RECEIVING,
-	REQUEST_OPEN, /* handed over, connection suspended */
-	REQUEST_ANSWERED,
-} request_state_t;
-
-struct http_request_t {
-	listener_t *listener; /* NULL once the listener has ended */
-	struct MHD_Connection *connection;
-	request_state_t state;
-	bool in_handler;
-	bool too_large;
-	bool is_gone;
-	char *method;
-	char *path;
-	GByteArray *body;
-	struct MHD_Response *response;
-	int status;
-	char *header_names[MAX_HEADERS]; /* of the answer */
-	char *header_values[MAX_HEADERS];
-	int header_count;
-	void (*gone)(void *ctx);
-	void *gone_ctx;
-	GList link;
-};
-
-static void
-request_free(http_request_t *request)
-{
-	if (request->response != NULL)
-		MHD_destroy_response(request->response);
-	for (int i = 0; i < request->header_count; i++) {
-		g_free(request->header_names[i]);
-		g_free(request->header_values[i]);
-	}
-	if (request->body != NULL)
-		g_byte_array_unref(request->body);
-	g_free(request->method);
-	g_free(request->path);
-	g_free(request);
-}
-
 static http_request_t *
-request_create(listener_t *listener, struct MHD_Connection *connection,
-    const char *method, const char *url)
+request_create(http_connection_t *client, const char *method, const char *url)
 {
 	http_request_t *request = g_new0(http_request_t, 1);
-	const char *length;
-	long long bytes = 0;
+	listener_t *listener = client->listener;
 
 	request->listener = listener;
-	request->connection = connection;
+	request->connection = client->mhd;
+	request->client = client;
 	request->method = g_strdup(method);
 	request->path = g_strdup(url);
+	request->body.share = listener->memory;
 	request->link.data = request;
-	length = MHD_lookup_connection_value(
-	    connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
-	if (length != NULL && str_to_int64(str_from(length), &bytes) != 0)
-		bytes = 0;
-	if (bytes > (long long)listener->max_body_bytes)
-		request->too_large = true;
-	else if (bytes > 0)
-		request->body = g_byte_array_sized_new((guint)bytes + 1);
+	limits_request_began(request);
 	return request;
 }
 
+/* Returns the announced length of the body; 0 if there is none. */
+static size_t
+announced_bytes(const http_request_t *request)
+{
+	long long bytes = 0;
+	str_t length = http_header(request, MHD_HTTP_HEADER_CONTENT_LENGTH);
+
+	if (length.data == NULL || str_to_int64(length, &bytes) != 0)
+		return 0;
+	return (size_t)MAX(bytes, 0);
+}
+
+/* Decides from the header of a request what becomes of its body. */
+static void
+judge_header(http_request_t *request)
+{
+	listener_t *listener = request->listener;
+	size_t announced = announced_bytes(request);
+	size_t first = MIN(announced, REQUEST_BODY_STEP);
+
+	request->max_body_bytes =
+	    listener->body_limit != NULL
+		? listener->body_limit(listener->ctx, request)
+		: listener->max_body_bytes;
+	if (announced > MAX(request->max_body_bytes, listener->max_body_bytes))
+		request->body_fate = BODY_TOO_LARGE;
+	else if (request->max_body_bytes == 0)
+		request->body_fate = BODY_IGNORED;
+	else if (announced > request->max_body_bytes)
+		request->body_fate = BODY_TOO_LARGE;
+	else if (first > 0 && !limits_make_room(listener, first))
+		request->body_fate = BODY_NO_ROOM;
+	else if (announced > 0)
+		request->max_body_bytes = announced;
+}
+
 static enum MHD_Result
 queue_response(http_request_t *request)
 {
@@ -118,20 +84,55 @@
 	return result;
 }
 
+/* Keeps the next bytes of a body if its route and the memory allow it. */
 static void
 append_body(http_request_t *request, const char *data, size_t len)
 {
-	size_t held = request->body != NULL ? request->body->len : 0;
+	request_body_t *body = &request->body;
 
-	if (request->too_large)
+	request->received_bytes += len;
+	if (request->body_fate != BODY_KEPT)
 		return;
-	if (held + len > request->listener->max_body_bytes) {
-		request->too_large = true;
+	if (body->len + len > request->max_body_bytes) {
+		request->body_fate = BODY_TOO_LARGE;
+		request_body_clear(body);
 		return;
 	}
-	if (request->body == NULL)
-		request->body = g_byte_array_new();
-	g_byte_array_append(request->body, (const guint8 *)data, (guint)len);
+	/* Room may be made at the cost of this very request. */
+	if (!request->client->is_evicted && body->len + len > body->capacity)
+		limits_make_room(
+		    request->listener, MAX(body->capacity, REQUEST_BODY_STEP));
+	if (request->client->is_evicted || request_body_append(body, data, len,
+					       request->max_body_bytes) != 0) {
+		request->body_fate = BODY_NO_ROOM;
+		request_body_clear(body);
+	}
+}
+
+/* Answers a request whose body was not kept. */
+static void
+refuse_body(http_request_t *request)
+{
+	listener_t *listener = request->listener;
+
+	if (request->body_fate == BODY_TOO_LARGE) {
+		http_answer_error(request, MHD_HTTP_CONTENT_TOO_LARGE,
+		    "did_not_run", "too_large", "", 0,
+		    "the body is longer than %zu bytes",
+		    request->max_body_bytes);
+		return;
+	}
+	counter_add(listener->refused, 1);
+	http_add_header(request, MHD_HTTP_HEADER_RETRY_AFTER, "1");
+	http_answer_error(request, MHD_HTTP_SERVICE_UNAVAILABLE, "did_not_run",
+	    "busy", "", BUSY_RETRY_MS, "no memory for the body at present");
+}
+
+static bool
+is_refused(const http_request_t *request)
+{
+	return request->body_fate == BODY_TOO_LARGE ||
+	       request->body_fate == BODY_NO_ROOM;
 }
 
 /* Hands a whole request over; it stays open unless it is answered at once. */
@@ -143,11 +144,8 @@
 	request->state = REQUEST_OPEN;
 	g_queue_push_tail_link(&listener->open, &request->link);
 	request->in_handler = true;
-	if (request->too_large)
-		http_answer_error(request, MHD_HTTP_CONTENT_TOO_LARGE,
-		    "did_not_run", "too_large", "", 0,
-		    "the body is longer than %zu bytes",
-		    listener->max_body_bytes);
+	if (is_refused(request))
+		refuse_body(request);
 	else
 		listener->handler(listener->ctx, request);
 	request->in_handler = false;
@@ -159,6 +157,35 @@
 	return MHD_YES;
 }
 
+/*
+ * Begins a request whose header has arrived.  One that is refused is answered
+ * before its body is read, and its connection closes.
+ */
+static enum MHD_Result
+begin_request(listener_t *listener, struct MHD_Connection *connection,
+    const char *method, const char *url, http_request_t **begun)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+	    connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	http_request_t *request =
+	    request_create(info->socket_context, method, url);
+
+	*begun = request;
+	judge_header(request);
+	return is_refused(request) ? hand_over(request) : MHD_YES;
+}
+
+/* Takes part of a body; a client that goes on far beyond the limit is cut. */
+static enum MHD_Result
+receive_body(http_request_t *request, const char *data, size_t len)
+{
+	append_body(request, data, len);
+	return request->received_bytes >
+		       2 * request->listener->max_body_bytes + SLACK_BYTES
+		   ? MHD_NO
+		   : MHD_YES;
+}
+
 static enum MHD_Result
 on_access(void *ctx, struct MHD_Connection *connection, const char *url,
     const char *method, const char *version, const char *upload_data,
@@ -169,14 +196,14 @@
 
 	if (listener->closing)
 		return MHD_NO;
-	if (request == NULL) {
-		*con_cls = request_create(listener, connection, method, url);
-		return MHD_YES;
-	}
+	if (request == NULL)
+		return begin_request(listener, connection, method, url,
+		    (http_request_t **)con_cls);
 	if (*upload_size > 0) {
-		append_body(request, upload_data, *upload_size);
+		size_t len = *upload_size;
+
 		*upload_size = 0;
-		return MHD_YES;
+		return receive_body(request, upload_data, len);
 	}
 	if (request->state == REQUEST_ANSWERED)
 		return queue_response(request);
@@ -194,13 +221,25 @@
 	*con_cls = NULL;
 	if (request == NULL)
 		return;
+	limits_request_ended(request);
 	if (request->state == REQUEST_OPEN) {
 		/* Only at the end of the listener; the answer frees it. */
+		http_request_uncount(request);
 		request->listener = NULL;
 		request->connection = NULL;
 		return;
 	}
-	request_free(request);
+	http_request_free(request);
+}
+
+static void
+on_connection(void *ctx, struct MHD_Connection *connection,
+    void **socket_context, enum MHD_ConnectionNotificationCode code)
+{
+	if (code == MHD_CONNECTION_NOTIFY_STARTED)
+		*socket_context = limits_connected(ctx, connection);
+	else if (*socket_context != NULL)
+		limits_disconnected(*socket_context);
 }
 
 static void
@@ -378,8 +417,10 @@
 	listener->handler = handler;
 	listener->ctx = ctx;
 	listener->max_body_bytes = options->max_body_bytes;
+	listener->body_limit = options->body_limit;
 	listener->polls = g_array_new(FALSE, FALSE, sizeof(struct pollfd));
 	g_queue_init(&listener->open);
+	limits_start(listener, options);
 	listener->daemon = MHD_start_daemon(flags, options->port, NULL, NULL,
 	    on_access, listener, MHD_OPTION_SOCK_ADDR,
 	    (struct sockaddr *)&address, MHD_OPTION_CONNECTION_LIMIT,
@@ -387,7 +428,8 @@
 	    options->idle_timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
 	    (size_t)HEADER_LIMIT_BYTES, MHD_OPTION_LISTEN_BACKLOG_SIZE,
 	    (unsigned)LISTEN_BACKLOG, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
-	    NULL, MHD_OPTION_END);
+	    NULL, MHD_OPTION_NOTIFY_CONNECTION, on_connection, listener,
+	    MHD_OPTION_END);
 	if (listener->daemon == NULL) {
 		err_set(err, -EADDRINUSE, "listen", NULL,
 		    "cannot listen on %s port %u: %s", options->address,
@@ -441,6 +483,7 @@
 		MHD_resume_connection(request->connection);
 	}
 	MHD_stop_daemon(listener->daemon);
+	limits_stop(listener);
 	g_array_unref(listener->polls);
 	g_free(listener);
 }
@@ -458,143 +501,3 @@
 {
 	return listener->open.length;
 }
-
-/* Returns the method in upper case, as sent. */
-str_t
-http_method(const http_request_t *request)
-{
-	return str_from(request->method);
-}
-
-/* Returns the path without its query. */
-str_t
-http_path(const http_request_t *request)
-{
-	return str_from(request->path);
-}
-
-static str_t
-lookup(const http_request_t *request, enum MHD_ValueKind kind, const char *name)
-{
-	if (request->connection == NULL)
-		return (str_t){NULL, 0};
-	return str_from(
-	    MHD_lookup_connection_value(request->connection, kind, name));
-}
-
-/* Returns a header of the request; names are not case sensitive. */
-str_t
-http_header(const http_request_t *request, const char *name)
-{
-	return lookup(request, MHD_HEADER_KIND, name);
-}
-
-/* Returns a decoded argument of the query. */
-str_t
-http_query(const http_request_t *request, const char *name)
-{
-	return lookup(request, MHD_GET_ARGUMENT_KIND, name);
-}
-
-/* Returns the whole body. */
-str_t
-http_body(const http_request_t *request)
-{
-	if (request->body == NULL)
-		return (str_t){"", 0};
-	return (str_t){(const char *)request->body->data, request->body->len};
-}
-
-/*
- * Sets what is called when the client closes its connection, or its sending
- * side, before the answer; noticed within 0.1 s.  gone may answer this request.
- */
-void
-http_on_gone(http_request_t *request, void (*gone)(void *ctx), void *ctx)
-{
-	request->gone = gone;
-	request->gone_ctx = ctx;
-}
-
-/* Adds one of at most 4 headers to the answer, which comes later. */
-void
-http_add_header(http_request_t *request, const char *name, const char *value)
-{
-	g_return_if_fail(request->header_count < MAX_HEADERS);
-	request->header_names[request->header_count] = g_strdup(name);
-	request->header_values[request->header_count++] = g_strdup(value);
-}
-
-static void
-answer(http_request_t *request, int status, const char *content_type,
-    struct MHD_Response *response)
-{
-	listener_t *listener = request->listener;
-
-	if (listener == NULL) {
-		MHD_destroy_response(response);
-		request_free(request);
-		return;
-	}
-	MHD_add_response_header(
-	    response, MHD_HTTP_HEADER_CONTENT_TYPE, content_type);
-	for (int i = 0; i < request->header_count; i++)
-		MHD_add_response_header(response, request->header_names[i],
-		    request->header_values[i]);
-	request->response = response;
-	request->status = status;
-	request->state = REQUEST_ANSWERED;
-	request->gone = NULL;
-	g_queue_unlink(&listener->open, &request->link);
-	if (request->in_handler)
-		return;
-	MHD_resume_connection(request->connection);
-	listener->run_needed = true;
-}
-
-/* Answers with a JSON body; body is consumed. */
-void
-http_answer_json(http_request_t *request, int status, json_t *body)
-{
-	char *text = json_dumps(body, JSON_COMPACT);
-
-	json_decref(body);
-	answer(request, status, "application/json",
-	    MHD_create_response_from_buffer(
-		text != NULL ? strlen(text) : 0, text, MHD_RESPMEM_MUST_FREE));
-}
-
-/* Answers with bytes, which are copied. */
-void
-http_answer_bytes(
-    http_request_t *request, int status, const char *content_type, str_t body)
-{
-	answer(request, status, content_type,
-	    MHD_create_response_from_buffer(
-		body.len, (void *)body.data, MHD_RESPMEM_MUST_COPY));
-}
-
-/* Answers with the error body of docs/INTERFACES.md. */
-void
-http_answer_error(http_request_t *request, int status, const char *outcome,
-    const char *error, const char *path, int64_t retry_after_ms,
-    const char *format, ...)
-{
-	json_t *body = json_object();
-	va_list args;
-	char *text;
-
-	va_start(args, format);
-	text = g_strdup_vprintf(format, args);
-	va_end(args);
-	json_object_set_new(body, "outcome", json_string(outcome));
-	json_object_set_new(body, "error", json_string(error));
-	json_object_set_new(
-	    body, "text", json_stringn_nocheck(text, strlen(text)));
-	json_object_set_new(body, "path", json_string(path));
-	if (retry_after_ms > 0)
-		json_object_set_new(
-		    body, "retry_after_ms", json_integer(retry_after_ms));
-	g_free(text);
-	http_answer_json(request, status, body);
-}
--- a/entry/listener.h
+++ b/entry/listener.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "common/err.h"
+#include "common/mem_budget.h"
 #include "common/str.h"
 
 /*
@@ -15,16 +16,23 @@
 typedef struct listener_t listener_t;
 typedef struct http_request_t http_request_t;
 
+typedef void listener_handler_t(void *ctx, http_request_t *request);
+/* Returns the longest body of a request, by its header; 0: it has none, and
+ * what comes is read and let go. */
+typedef size_t listener_body_limit_t(void *ctx, const http_request_t *request);
+
 typedef struct {
 	const char *address;
 	uint16_t port; /* 0: chosen by the kernel */
 	size_t max_body_bytes;
+	listener_body_limit_t *body_limit; /* NULL: max_body_bytes for all */
+	/* Connections beyond it wait until one that does nothing was closed. */
 	unsigned max_connections;
+	int64_t min_idle_ms; /* such a one has this long; 0: 1 s */
 	unsigned idle_timeout_s;
+	mem_share_t *memory; /* of bodies and answers; NULL: not counted */
 } listener_options_t;
 
-typedef void listener_handler_t(void *ctx, http_request_t *request);
-
 listener_t *listener_create(struct ev_loop *loop,
     const listener_options_t *options, listener_handler_t *handler, void *ctx,
     err_t *err);
@@ -40,6 +48,8 @@
 str_t http_header(const http_request_t *request, const char *name);
 str_t http_query(const http_request_t *request, const char *name);
 str_t http_body(const http_request_t *request);
+/* Frees the body once it is no longer needed, ahead of the answer. */
+void http_drop_body(http_request_t *request);
 /* Called when the client has gone before the answer; the request still has to
  * be answered, which then only frees it. */
 void http_on_gone(http_request_t *request, void (*gone)(void *ctx), void *ctx);
--- a/entry/operator.c
+++ b/entry/operator.c
@@ -4,9 +4,12 @@
 #include <string.h>
 
 #include "common/clock.h"
+#include "common/json_bound.h"
 #include "entry/operator_private.h"
 
 #define MAX_OPERATOR_CONNECTIONS 64
+/* Of a decoded patch. */
+#define MAX_TREE_BYTES (16 * 1024 * 1024)
 #define IDLE_TIMEOUT_S 60
 #define BURN_SAMPLE_S 10.0 /* several times in a bucket of one minute */
 #define WAIT_POLL_S 0.02
@@ -165,8 +168,8 @@
 {
 	str_t bytes = http_body(request);
 	json_error_t where;
-	json_t *body = json_loadb(bytes.data != NULL ? bytes.data : "",
-	    bytes.len, JSON_REJECT_DUPLICATES, &where);
+	json_t *body = json_load_bounded(
+	    bytes, JSON_REJECT_DUPLICATES, MAX_TREE_BYTES, &where);
 	const char *key;
 	json_t *value;
 
@@ -230,6 +233,16 @@
 	operator_answer_waits(timer->data, false);
 }
 
+static size_t
+body_limit(void *ctx, const http_request_t *request)
+{
+	const operator_t *op = ctx;
+
+	return str_equal(http_method(request), STR_LIT("GET"))
+		   ? 0
+		   : (size_t)op->settings->max_body_bytes;
+}
+
 /*
  * Starts the operator routes on settings->operator_port.  settings and replica
  * must outlive it.  Returns NULL when a key file cannot be read or the port
@@ -237,15 +250,18 @@
  */
 operator_t *
 operator_create(struct ev_loop *loop, const settings_t *settings,
-    replica_t *replica, err_t *err)
+    replica_t *replica, mem_budget_t *memory, err_t *err)
 {
 	operator_t *op = g_new0(operator_t, 1);
 	listener_options_t options = {
 	    .address = settings->address,
 	    .port = (uint16_t)settings->operator_port,
 	    .max_body_bytes = (size_t)settings->max_body_bytes,
-	    .max_connections = MAX_OPERATOR_CONNECTIONS,
+	    .body_limit = body_limit,
+	    .max_connections = MIN(MAX_OPERATOR_CONNECTIONS,
+		mem_budget_connections(memory, MEM_OPERATORS)),
 	    .idle_timeout_s = IDLE_TIMEOUT_S,
+	    .memory = mem_budget_share(memory, MEM_OPERATORS),
 	};
 
 	op->loop = loop;
--- a/entry/operator.h
+++ b/entry/operator.h
@@ -4,6 +4,7 @@
 #include <stdint.h>
 
 #include "common/err.h"
+#include "common/mem_budget.h"
 #include "common/settings.h"
 #include "state/replica.h"
 
@@ -14,7 +15,7 @@
 typedef void operator_explain_t(void *ctx, const char *job, GString *out);
 
 operator_t *operator_create(struct ev_loop *loop, const settings_t *settings,
-    replica_t *replica, err_t *err);
+    replica_t *replica, mem_budget_t *memory, err_t *err);
 void operator_destroy(operator_t *op);
 void operator_set_explain(
     operator_t *op, operator_explain_t *explain, void *ctx);
--- a/tests/cases/door_node.sh
+++ b/tests/cases/door_node.sh
@@ -3,6 +3,7 @@
 . tests/lib.sh
 . tests/door.sh
 define_instance i1 d1 1 true
+EXTRA_SETTINGS="\"memory_mb\": $MEMORY_MB,"
 start_balancer
 start i1
 wait_for 20 "i1 ready" is_ready i1
--- a/tests/unit/entry_fakes.h
+++ b/tests/unit/entry_fakes.h
@@ -381,7 +381,7 @@
 		instance->replica->id = instance->settings->instance;
 		instance->endpoint->id = instance->settings->instance;
 		instance->entry = entry_create(loop, instance->settings,
-		    instance->endpoint, instance->replica, 0x5f, &err);
+		    instance->endpoint, instance->replica, NULL, 0x5f, &err);
 		if (instance->entry == NULL)
 			g_error("%s", err.text);
 	}
--- a/tests/unit/test_control.c
+++ b/tests/unit/test_control.c
@@ -67,7 +67,7 @@
 	test->site.descriptors.listeners = MAX_CONNECTIONS;
 	test->announcer = announcer_create(
 	    test->bed.loop, test->bed.endpoint, test->bed.fleet);
-	test->control = control_create(test->bed.loop, &test->site,
+	test->control = control_create(test->bed.loop, &test->site, NULL,
 	    test->bed.fleet, test->announcer, &err);
 	ck_assert_ptr_nonnull(test->control);
 }
--- a/tests/unit/test_operator.c
+++ b/tests/unit/test_operator.c
@@ -207,7 +207,7 @@
 	fixture.replica.raft = fixture.leader->raft;
 	driver_open(&fixture.replica.driver);
 	fixture.op = operator_create(
-	    fixture.loop, &fixture.settings, &fixture.replica, &err);
+	    fixture.loop, &fixture.settings, &fixture.replica, NULL, &err);
 	ck_assert_msg(fixture.op != NULL, "%s", err.text);
 	fixture.replica.op = fixture.op;
 	ev_async_init(&fixture.wake, stop_loop);
