rpc, raft: what is held for other instances is bounded by bytes

A connection to the port between instances could make the process hold a record of 16 MiB before it had said who it is, and 512 such connections took the place of every peer. Before HELLO a record has 16 KiB, from an instance that is no peer 2 MiB; beyond 128 connections without a HELLO the oldest is closed after a second.

--- a/common/mem_budget.c
+++ b/common/mem_budget.c
@@ -45,7 +45,6 @@
     [MEM_CALLERS] = {"callers", 10, 25},
     [MEM_OPERATORS] = {"operators", 10, 10},
     [MEM_READINESS] = {"readiness", 1, 2},
-    [MEM_PEERS] = {"peers", 10, 0},
 };
 
 static size_t freed_bytes;
--- a/common/mem_budget.h
+++ b/common/mem_budget.h
@@ -17,7 +17,6 @@
 	MEM_CALLERS,   /* bodies and answers of callers */
 	MEM_OPERATORS, /* those of operators and announcements */
 	MEM_READINESS, /* those of health checks and metrics */
-	MEM_PEERS,     /* records between instances */
 	MEM_HOLDERS,
 } mem_holder_t;
 
--- a/rpc/connection.c
+++ b/rpc/connection.c
@@ -448,6 +448,12 @@
 	return connection_create(set, fd, false, callbacks, ctx);
 }
 
+void
+connection_limit_records(connection_t *connection, size_t max_bytes)
+{
+	connection->reader.max_bytes = max_bytes;
+}
+
 /* Closes the connection without calling closed; NULL is allowed. */
 void
 connection_destroy(connection_t *connection)
--- a/rpc/connection.h
+++ b/rpc/connection.h
@@ -51,6 +51,8 @@
     void *ctx, err_t *err);
 connection_t *connection_accept(connection_set_t *set, int fd,
     const connection_callbacks_t *callbacks, void *ctx);
+/* Records above max_bytes are refused from now on. */
+void connection_limit_records(connection_t *connection, size_t max_bytes);
 void connection_destroy(connection_t *connection);
 void connection_send(
     connection_t *connection, GByteArray *bytes, connection_ticket_t *ticket);
--- a/rpc/endpoint.c
+++ b/rpc/endpoint.c
@@ -11,11 +11,20 @@
 #include "rpc/codec.h"
 #include "rpc/message.h"
 #include "rpc/peer.h"
+#include "rpc/record.h"
 
 #define LISTEN_BACKLOG 128
 /* Each instance needs one; the rest is for connections not yet given up. */
 /* Entry instances are not among the peers of the settings. */
 #define INCOMING_MAX (8 * SETTINGS_MAX_PEERS)
+/* Beyond this number, connections without a HELLO make room for new ones. */
+#define STRANGERS_MAX 128
+/* A caller that means well says HELLO as soon as it is connected. */
+#define STRANGER_MIN_MS 1000
+/* Records of callers that have not said HELLO, and of those that are no peer:
+ * one call of RPC_BATCH at a time, of earlier releases too. */
+#define HELLO_MAX_BYTES (16 * 1024)
+#define GUEST_MAX_BYTES (2 * 1024 * 1024)
 
 struct endpoint_t {
 	const settings_t *settings;
@@ -28,6 +37,7 @@
 	peer_set_t outgoing;
 	GPtrArray *peers;
 	GQueue incoming;
+	counter_t *strangers_closed;
 };
 
 /* A connection that another instance made for its calls. */
@@ -36,6 +46,7 @@
 	connection_t *connection;
 	peer_t *peer; /* NULL before HELLO, and for a guest */
 	char *guest;  /* name of a caller that is no peer, or NULL */
+	int64_t accepted_ms;
 	GQueue requests;
 } incoming_t;
 
@@ -214,6 +225,7 @@
 	} else if (peer == NULL && endpoint->outgoing.found != NULL &&
 		   !hello.self.is_replica) {
 		incoming->guest = g_strdup(hello.instance);
+		connection_limit_records(incoming->connection, GUEST_MAX_BYTES);
 		list_replicas(endpoint, &result);
 	} else if (peer == NULL) {
 		result.code = -EACCES;
@@ -223,6 +235,8 @@
 		    incoming->connection, result.code, "rpc hello", text);
 	} else {
 		incoming->peer = peer;
+		connection_limit_records(
+		    incoming->connection, RECORD_MAX_BYTES);
 		drop_older_connections(incoming);
 		if (endpoint->outgoing.found != NULL)
 			list_replicas(endpoint, &result);
@@ -307,6 +321,29 @@
 	serve_call(incoming, &message);
 }
 
+/* Closes the oldest connection without a HELLO if there are too many. */
+static void
+limit_strangers(endpoint_t *endpoint)
+{
+	incoming_t *oldest = NULL;
+	int count = 0;
+
+	for (GList *at = endpoint->incoming.head; at != NULL; at = at->next) {
+		incoming_t *incoming = at->data;
+
+		if (is_known(incoming))
+			continue;
+		if (oldest == NULL)
+			oldest = incoming;
+		count++;
+	}
+	if (count < STRANGERS_MAX ||
+	    clock_mono_ms() - oldest->accepted_ms < STRANGER_MIN_MS)
+		return;
+	counter_add(endpoint->strangers_closed, 1);
+	incoming_destroy(oldest);
+}
+
 static void
 on_acceptable(struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -320,15 +357,18 @@
 
 	while ((fd = accept4(endpoint->listen_fd, NULL, NULL,
 		    SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+		limit_strangers(endpoint);
 		if (endpoint->incoming.length >= INCOMING_MAX) {
 			close(fd);
 			continue;
 		}
 		incoming = g_new0(incoming_t, 1);
 		incoming->endpoint = endpoint;
+		incoming->accepted_ms = clock_mono_ms();
 		g_queue_init(&incoming->requests);
 		incoming->connection = connection_accept(
 		    &endpoint->connections, fd, &callbacks, incoming);
+		connection_limit_records(incoming->connection, HELLO_MAX_BYTES);
 		g_queue_push_tail(&endpoint->incoming, incoming);
 	}
 }
@@ -383,6 +423,8 @@
 		return NULL;
 	}
 	g_queue_init(&endpoint->incoming);
+	endpoint->strangers_closed = counter_get("rpc_strangers_closed_total",
+	    "connections closed that had not said who they are");
 	connection_set_init(&endpoint->connections, loop,
 	    settings->ping_interval_ms, settings->silent_after_ms);
 	endpoint->outgoing.connections = &endpoint->connections;
--- a/state/raft_internal.h
+++ b/state/raft_internal.h
@@ -10,6 +10,9 @@
 #define RAFT_CHUNK_BYTES (256 * 1024)
 /* Full batches sent to one member and not yet acknowledged. */
 #define RAFT_WINDOW_BATCHES 4
+/* Their bytes, beside the last batch; a member whose disk refuses writes holds
+ * as many in memory. */
+#define RAFT_WINDOW_BYTES (8 * 1024 * 1024)
 /*
  * Entries kept before the snapshot index, so that members slightly behind need
  * no snapshot.
--- a/state/raft_replication.c
+++ b/state/raft_replication.c
@@ -116,16 +116,33 @@
 	return peer->match;
 }
 
-static void
-send_pipelined(raft_t *raft, raft_peer_t *peer)
+/* Whether a member has been sent as much as it may have unacknowledged. */
+static bool
+window_is_full(const raft_t *raft, const raft_peer_t *peer)
 {
 	uint64_t window = (uint64_t)RAFT_WINDOW_BATCHES * raft->max_batch;
+	uint64_t bytes = 0;
+
+	if (peer->next - 1 - peer->match >= window)
+		return true;
+	for (uint64_t index = peer->match + 1; index < peer->next; index++) {
+		const raft_entry_t *entry = raft_log_get(raft, index);
 
+		if (entry != NULL)
+			bytes += entry->data.body_t_len;
+		if (bytes >= RAFT_WINDOW_BYTES)
+			return true;
+	}
+	return false;
+}
+
+static void
+send_pipelined(raft_t *raft, raft_peer_t *peer)
+{
 	while (peer->mode == PEER_REPLICATE) {
 		uint64_t waiting = raft_log_last(raft) + 1 - peer->next;
-		uint64_t in_flight = peer->next - 1 - peer->match;
 
-		if (waiting == 0 || in_flight >= window ||
+		if (waiting == 0 || window_is_full(raft, peer) ||
 		    (waiting < raft->max_batch &&
 			peer->next - 1 > batch_base(peer)))
 			return;
--- a/tests/unit/test_limits.c
+++ b/tests/unit/test_limits.c
@@ -44,9 +44,8 @@
 		while (mem_share_take(share, 4096))
 			;
 		sum += mem_share_held(share);
-		if (i != MEM_PEERS)
-			sum += mem_budget_connections(budget, (mem_holder_t)i) *
-			       (size_t)(18 * 1024);
+		sum += mem_budget_connections(budget, (mem_holder_t)i) *
+		       (size_t)(18 * 1024);
 	}
 	ck_assert_uint_lt(sum, 75 * MIB);
 	mem_budget_destroy(budget);
--- a/tests/unit/test_raft.c
+++ b/tests/unit/test_raft.c
@@ -379,6 +379,44 @@
 }
 END_TEST
 
+/* Guards against large entries that pile up on a member whose disk refuses. */
+START_TEST(window_in_bytes)
+{
+	const uint64_t terms[] = {1};
+	GByteArray *large = g_byte_array_new();
+	size_t sent = 0;
+	uint64_t index;
+	uint64_t term;
+	fixture_t f;
+
+	g_byte_array_set_size(large, RAFT_WINDOW_BYTES / 128);
+	memset(large->data, 'x', large->len);
+	start(&f, 1, 1, "", terms, 1);
+	elect(&f);
+	sync_all(&f);
+	acknowledge(&f, "b", 2);
+	g_ptr_array_set_size(f.sent, 0);
+	for (int i = 0; i < 300; i++) {
+		ck_assert_int_eq(raft_propose(f.raft, large->data, large->len,
+				     &index, &term),
+		    0);
+		raft_tick(f.raft, ++f.now_ms);
+	}
+	for (guint i = 0; i < f.sent->len; i++) {
+		const raft_message_t *message = g_ptr_array_index(f.sent, i);
+
+		for (u_int n = 0; strcmp(message->to, "b") == 0 &&
+				  n < message->entries.entries_len;
+		     n++)
+			sent += message->entries.entries_val[n].data.body_t_len;
+	}
+	ck_assert_uint_gt(sent, 0);
+	ck_assert_uint_le(sent, RAFT_WINDOW_BYTES + RAFT_BATCH_BYTES);
+	g_byte_array_unref(large);
+	stop(&f);
+}
+END_TEST
+
 /* Guards against committing an entry of an older term by counting replicas. */
 START_TEST(old_term_entry_not_counted)
 {
@@ -879,6 +917,7 @@
 	tcase_add_test(tcase, acknowledge_after_sync);
 	tcase_add_test(tcase, truncation_during_sync);
 	tcase_add_test(tcase, leader_commits_after_sync);
+	tcase_add_test(tcase, window_in_bytes);
 	tcase_add_test(tcase, old_term_entry_not_counted);
 	tcase_add_test(tcase, replaced_disk_excluded);
 	tcase_add_test(tcase, late_prevote_reply_ignored);
