--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -287,6 +287,7 @@
 void worker_update_from_answer(
     worker_t *worker, uint64_t born, const order_answer_t *answer);
 bool worker_is_usable(const worker_t *worker, int64_t now_ms);
+bool worker_is_cold(const worker_t *worker);
 int worker_speed_now(const worker_t *worker, int speed_percent, int64_t now_ms);
 
 /* fleet_relocate.c */
--- a/sched/fleet_round.c
+++ b/sched/fleet_round.c
@@ -75,9 +75,8 @@
 	for (size_t i = 0; i < round->count; i++) {
 		plan_worker_t *plan_worker = &round->plan_workers[i];
 
-		plan_worker->speed_percent =
-		    worker_speed_now(round->workers[i],
-			plan_worker->speed_percent, round->now_ms);
+		plan_worker->speed_percent = worker_speed_now(round->workers[i],
+		    plan_worker->speed_percent, round->now_ms);
 	}
 }
 
--- a/sched/fleet_speed.c
+++ b/sched/fleet_speed.c
@@ -63,8 +63,8 @@
 /* ---- learning ---- */
 
 /*
- * Whether nothing but the worker's speed holds the member back.  A task far
- * from its data is slow anywhere.
+ * Whether nothing but the worker's lasting speed holds the member back.  A task
+ * far from its data is slow anywhere, one on a cold worker for a while.
  */
 static bool
 tells_speed(const member_t *member)
@@ -73,7 +73,7 @@
 
 	return is_on(member->run->fleet) && !step->long_running &&
 	       !step->uses_leftover_cpu && step->latency_target_ms == 0 &&
-	       member->pace == PACE_FULL &&
+	       member->pace == PACE_FULL && !worker_is_cold(member->worker) &&
 	       (step->data_rack[0] == '\0' ||
 		   g_str_equal(step->data_rack, member->worker->info.rack));
 }
--- a/sched/fleet_workers.c
+++ b/sched/fleet_workers.c
@@ -163,6 +163,14 @@
 		suspicion_record_unhealthy(&worker->suspicion, now_ms);
 }
 
+/* Whether the worker has said that it is slow for some time after its start. */
+bool
+worker_is_cold(const worker_t *worker)
+{
+	return worker->fleet->timing.cold_stretch_percent > PERCENT &&
+	       fleet_now_ms() < worker->cold_until_ms;
+}
+
 /*
  * Returns the speed to expect of a worker whose speed is speed_percent when it
  * is warm, 0 for unknown; 0 if it is unknown and the worker is not cold.
