entry: a crowd makes room at once, and its memory goes back

With 2,000 clients at the readiness address none of the health checks was answered, and none 2 s after: at its limit a listener closed 9 of 64 connections in 0.1 s, 1,024 more waited before the check, and of each a body was read that nobody takes. A listener now chooses all that make room in one pass, a quarter of its connections at a time; a client that sends more than 64 KiB where no body is taken is cut; the queue of new connections is twice the listener's limit. The heap that many connections took goes back to the system.

--- a/common/mem_budget.c
+++ b/common/mem_budget.c
@@ -10,8 +10,6 @@
 #include "common/evlog.h"
 
 #define PERCENT 100
-/* What the HTTP library and the loop keep for one connection. */
-#define CONNECTION_BYTES (18 * 1024)
 #define MIN_CONNECTIONS 8
 /* No door needs more, and other programs share a large machine. */
 #define MAX_TOTAL_BYTES (INT64_C(1) << 30)
@@ -150,7 +148,7 @@
 		return UINT_MAX;
 	bytes =
 	    budget->total_bytes * holders[holder].connections_percent / PERCENT;
-	return (unsigned)MAX(bytes / CONNECTION_BYTES, MIN_CONNECTIONS);
+	return (unsigned)MAX(bytes / MEM_CONNECTION_BYTES, MIN_CONNECTIONS);
 }
 
 mem_share_t *
--- a/common/mem_budget.h
+++ b/common/mem_budget.h
@@ -13,6 +13,9 @@
 typedef struct mem_budget_t mem_budget_t;
 typedef struct mem_share_t mem_share_t;
 
+/* What the HTTP library and the loop keep for one connection. */
+#define MEM_CONNECTION_BYTES (18 * 1024)
+
 typedef enum {
 	MEM_CALLERS,   /* bodies and answers of callers */
 	MEM_OPERATORS, /* those of operators and announcements */
--- a/entry/eviction.c
+++ b/entry/eviction.c
@@ -1,6 +1,7 @@
 #include "entry/eviction.h"
 
 #include <glib.h>
+#include <stdlib.h>
 
 #include "common/clock.h"
 
@@ -37,29 +38,52 @@
 	return weights;
 }
 
+/* An eligible client and what its source takes. */
+typedef struct {
+	size_t index;
+	size_t weight;
+	int64_t since_ms;
+} ranked_t;
+
+static int
+compare_ranked(const void *a, const void *b)
+{
+	const ranked_t *left = a;
+	const ranked_t *right = b;
+
+	if (left->weight != right->weight)
+		return left->weight > right->weight ? -1 : 1;
+	if (left->since_ms != right->since_ms)
+		return left->since_ms < right->since_ms ? -1 : 1;
+	return left->index < right->index ? -1 : left->index > right->index;
+}
+
 size_t
 eviction_choose(const eviction_candidate_t *candidates, size_t count,
-    eviction_reason_t reason, int64_t before_ms)
+    eviction_reason_t reason, int64_t before_ms, size_t *chosen,
+    size_t max_chosen)
 {
 	GHashTable *weights = weigh_sources(candidates, count, reason);
-	size_t best = EVICT_NONE;
-	size_t best_weight = 0;
+	ranked_t *ranked = g_new(ranked_t, count + 1);
+	size_t eligible = 0;
 
 	for (size_t i = 0; i < count; i++) {
-		size_t weight = GPOINTER_TO_SIZE(
-		    g_hash_table_lookup(weights, &candidates[i].source));
-
 		if (!is_eligible(&candidates[i], reason, before_ms))
 			continue;
-		if (best == EVICT_NONE || weight > best_weight ||
-		    (weight == best_weight &&
-			candidates[i].since_ms < candidates[best].since_ms)) {
-			best = i;
-			best_weight = weight;
-		}
+		ranked[eligible++] = (ranked_t){
+		    .index = i,
+		    .weight = GPOINTER_TO_SIZE(
+			g_hash_table_lookup(weights, &candidates[i].source)),
+		    .since_ms = candidates[i].since_ms,
+		};
 	}
+	qsort(ranked, eligible, sizeof(*ranked), compare_ranked);
+	eligible = MIN(eligible, max_chosen);
+	for (size_t i = 0; i < eligible; i++)
+		chosen[i] = ranked[i].index;
+	g_free(ranked);
 	g_hash_table_unref(weights);
-	return best;
+	return eligible;
 }
 
 bool
--- a/entry/eviction.h
+++ b/entry/eviction.h
@@ -21,16 +21,16 @@
 	EVICT_FOR_BYTES,
 } eviction_reason_t;
 
-/* No choice. */
-#define EVICT_NONE SIZE_MAX
-
 /*
- * Returns the client that has been without a whole request for longest, among
- * those of the source that takes most (connections or bytes).  Clients younger
- * than before_ms are spared, as theirs may still be on its way.
+ * Fills chosen with the indexes of at most max_chosen clients and returns their
+ * number.  First come those of the source that takes most (connections or
+ * bytes), and among them those that have been without a whole request for
+ * longest.  Clients younger than before_ms are spared, as theirs may still be
+ * on its way.
  */
 size_t eviction_choose(const eviction_candidate_t *candidates, size_t count,
-    eviction_reason_t reason, int64_t before_ms);
+    eviction_reason_t reason, int64_t before_ms, size_t *chosen,
+    size_t max_chosen);
 
 /*
  * Whether a transfer is slower than any client inside the limits would be: it
--- a/entry/listener.c
+++ b/entry/listener.c
@@ -13,7 +13,9 @@
 #define HEADER_LIMIT_BYTES 16384 /* request line and headers */
 /* Read beyond the limits before a client is cut rather than answered. */
 #define SLACK_BYTES 65536
-#define LISTEN_BACKLOG 1024
+/* Twice the connections: more would only wait behind a crowd. */
+#define MIN_BACKLOG 64
+#define MAX_BACKLOG 1024
 #define GONE_CHECK_S 0.1
 /* Rounds of MHD_run before the loop gets its turn again. */
 #define MAX_RUNS 4
@@ -175,15 +177,19 @@
 	return is_refused(request) ? hand_over(request) : MHD_YES;
 }
 
-/* Takes part of a body; a client that goes on far beyond the limit is cut. */
+/*
+ * Takes part of a body.  A client that goes on far beyond the limit, or where
+ * no body is taken, is cut.
+ */
 static enum MHD_Result
 receive_body(http_request_t *request, const char *data, size_t len)
 {
+	size_t most = request->body_fate == BODY_IGNORED
+			  ? 0
+			  : 2 * request->listener->max_body_bytes;
+
 	append_body(request, data, len);
-	return request->received_bytes >
-		       2 * request->listener->max_body_bytes + SLACK_BYTES
-		   ? MHD_NO
-		   : MHD_YES;
+	return request->received_bytes > most + SLACK_BYTES ? MHD_NO : MHD_YES;
 }
 
 static enum MHD_Result
@@ -403,6 +409,8 @@
 	listener_t *listener;
 	const union MHD_DaemonInfo *info;
 	struct sockaddr_storage address;
+	unsigned backlog =
+	    CLAMP(2 * options->max_connections, MIN_BACKLOG, MAX_BACKLOG);
 	unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
 
 	if (parse_address(options, &address) < 0) {
@@ -426,9 +434,9 @@
 	    (struct sockaddr *)&address, MHD_OPTION_CONNECTION_LIMIT,
 	    options->max_connections, MHD_OPTION_CONNECTION_TIMEOUT,
 	    options->idle_timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-	    (size_t)HEADER_LIMIT_BYTES, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-	    (unsigned)LISTEN_BACKLOG, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
-	    NULL, MHD_OPTION_NOTIFY_CONNECTION, on_connection, listener,
+	    (size_t)HEADER_LIMIT_BYTES, MHD_OPTION_LISTEN_BACKLOG_SIZE, backlog,
+	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
+	    MHD_OPTION_NOTIFY_CONNECTION, on_connection, listener,
 	    MHD_OPTION_END);
 	if (listener->daemon == NULL) {
 		err_set(err, -EADDRINUSE, "listen", NULL,
--- a/entry/listener_limits.c
+++ b/entry/listener_limits.c
@@ -1,4 +1,5 @@
 #include <netinet/in.h>
+#include <stdint.h>
 #include <sys/socket.h>
 #include <xxhash.h>
 
@@ -8,7 +9,7 @@
 /* How often room is made while no more connections may be opened. */
 #define ROOM_INTERVAL_S 0.1
 /* Part of the connections that one round of it may close. */
-#define ROOM_DIVISOR 8
+#define ROOM_DIVISOR 4
 #define SWEEP_INTERVAL_S 1.0
 /* After a pause of this process, bytes may have arrived that were not read. */
 #define SWEEP_PAUSE_MS 3000
@@ -55,9 +56,9 @@
 	shutdown(info->connect_fd, SHUT_RDWR);
 }
 
-/* Lists the clients in the order of the queue. */
+/* Lists the clients, and what the choice needs to know of each. */
 static eviction_candidate_t *
-list_candidates(const listener_t *listener)
+list_candidates(const listener_t *listener, http_connection_t **clients)
 {
 	eviction_candidate_t *candidates =
 	    g_new(eviction_candidate_t, listener->connections.length + 1);
@@ -65,8 +66,9 @@
 
 	for (GList *at = listener->connections.head; at != NULL;
 	     at = at->next) {
-		const http_connection_t *client = at->data;
+		http_connection_t *client = at->data;
 
+		clients[count] = client;
 		candidates[count++] = (eviction_candidate_t){
 		    .source = client->source,
 		    .since_ms = client->since_ms,
@@ -77,36 +79,52 @@
 	return candidates;
 }
 
-/* Ends one connection of those that may go; false when there is none. */
+/* Whether those who may go have made room; bytes 0 for connections. */
 static bool
-evict_one(listener_t *listener, eviction_reason_t reason)
+has_room(const listener_t *listener, size_t bytes)
 {
-	eviction_candidate_t *candidates = list_candidates(listener);
-	size_t choice =
-	    eviction_choose(candidates, listener->connections.length, reason,
-		clock_mono_ms() - listener->min_idle_ms);
+	return bytes > 0 && mem_share_has(listener->memory, bytes);
+}
 
+/* Ends up to most connections of those that may go, until there is room. */
+static bool
+evict_some(
+    listener_t *listener, eviction_reason_t reason, size_t bytes, size_t most)
+{
+	size_t count = listener->connections.length;
+	http_connection_t **clients = g_new(http_connection_t *, count + 1);
+	eviction_candidate_t *candidates = list_candidates(listener, clients);
+	size_t *chosen = g_new(size_t, count + 1);
+	size_t found = eviction_choose(candidates, count, reason,
+	    clock_mono_ms() - listener->min_idle_ms, chosen, MIN(most, count));
+
+	for (size_t i = 0; i < found && !has_room(listener, bytes); i++)
+		evict(clients[chosen[i]]);
+	g_free(chosen);
 	g_free(candidates);
-	if (choice == EVICT_NONE)
-		return false;
-	evict(g_queue_peek_nth(&listener->connections, (guint)choice));
-	return true;
+	g_free(clients);
+	return has_room(listener, bytes);
 }
 
 bool
 limits_make_room(listener_t *listener, size_t bytes)
 {
-	if (listener->memory == NULL)
-		return true;
-	while (!mem_share_has(listener->memory, bytes)) {
-		if (!evict_one(listener, EVICT_FOR_BYTES))
-			return false;
-	}
-	return true;
+	return listener->memory == NULL ||
+	       mem_share_has(listener->memory, bytes) ||
+	       evict_some(listener, EVICT_FOR_BYTES, bytes, SIZE_MAX);
 }
 
 /* ---- connections ---- */
 
+static void
+start_sweep(listener_t *listener)
+{
+	if (ev_is_active(&listener->sweep_timer))
+		return;
+	listener->swept_ms = clock_mono_ms();
+	ev_timer_again(listener->loop, &listener->sweep_timer);
+}
+
 /* Clients of one address share it; ports do not count. */
 static uint64_t
 source_of(struct MHD_Connection *connection)
@@ -129,15 +147,13 @@
 on_room_timer(struct ev_loop *loop, ev_timer *watcher, int events)
 {
 	listener_t *listener = watcher->data;
-	unsigned most =
-	    listener->max_connections / ROOM_DIVISOR + 1; /* at least one */
 
 	if (listener->connections.length < listener->max_connections) {
 		ev_timer_stop(loop, watcher);
 		return;
 	}
-	while (most-- > 0 && evict_one(listener, EVICT_FOR_CONNECTION))
-		;
+	evict_some(listener, EVICT_FOR_CONNECTION, 0,
+	    listener->max_connections / ROOM_DIVISOR + 1);
 }
 
 http_connection_t *
@@ -168,6 +184,11 @@
 	 * looks whether it may only at the start of a run. */
 	if (listener->connections.length >= listener->max_connections)
 		listener->run_needed = true;
+	if (listener->connections.length >=
+	    listener->max_connections / ROOM_DIVISOR) {
+		mem_note_freed(MEM_CONNECTION_BYTES);
+		start_sweep(listener);
+	}
 	g_queue_unlink(&listener->connections, &client->link);
 	g_free(client);
 }
@@ -224,10 +245,7 @@
 
 	if (request->client != NULL)
 		request->client->since_ms = clock_mono_ms();
-	if (!ev_is_active(&listener->sweep_timer)) {
-		listener->swept_ms = clock_mono_ms();
-		ev_timer_again(listener->loop, &listener->sweep_timer);
-	}
+	start_sweep(listener);
 }
 
 void
--- a/tests/unit/test_limits.c
+++ b/tests/unit/test_limits.c
@@ -45,7 +45,7 @@
 			;
 		sum += mem_share_held(share);
 		sum += mem_budget_connections(budget, (mem_holder_t)i) *
-		       (size_t)(18 * 1024);
+		       (size_t)MEM_CONNECTION_BYTES;
 	}
 	ck_assert_uint_lt(sum, 75 * MIB);
 	mem_budget_destroy(budget);
@@ -169,22 +169,40 @@
 	candidates[CROWD].since_ms = 1;
 }
 
+/* Returns the first of all that would go, CROWD + 1 for none. */
+static size_t
+first_to_go(const eviction_candidate_t *candidates, eviction_reason_t reason,
+    int64_t before_ms)
+{
+	size_t chosen[CROWD + 1];
+
+	return eviction_choose(candidates, CROWD + 1, reason, before_ms, chosen,
+		   CROWD + 1) > 0
+		   ? chosen[0]
+		   : CROWD + 1;
+}
+
 /* Guards against a client that pays for the crowd of another address. */
 START_TEST(crowd_makes_room)
 {
 	eviction_candidate_t candidates[CROWD + 1];
+	size_t chosen[CROWD + 1];
 
 	fill(candidates);
 	ck_assert_uint_eq(eviction_choose(candidates, CROWD + 1,
-			      EVICT_FOR_CONNECTION, NOW_MS),
-	    0);
-	ck_assert_uint_eq(
-	    eviction_choose(candidates, CROWD + 1, EVICT_FOR_BYTES, NOW_MS), 0);
+			      EVICT_FOR_CONNECTION, NOW_MS, chosen, CROWD + 1),
+	    CROWD + 1);
+	/* The crowd's oldest first, the single client last. */
+	for (size_t i = 0; i <= CROWD; i++)
+		ck_assert_uint_eq(chosen[i], i);
+	ck_assert_uint_eq(eviction_choose(candidates, CROWD + 1,
+			      EVICT_FOR_CONNECTION, NOW_MS, chosen, 2),
+	    2);
+	ck_assert_uint_eq(first_to_go(candidates, EVICT_FOR_BYTES, NOW_MS), 0);
 	/* One that holds more than the whole crowd. */
 	candidates[CROWD].held_bytes = 1000;
 	ck_assert_uint_eq(
-	    eviction_choose(candidates, CROWD + 1, EVICT_FOR_BYTES, NOW_MS),
-	    CROWD);
+	    first_to_go(candidates, EVICT_FOR_BYTES, NOW_MS), CROWD);
 }
 END_TEST
 
@@ -195,23 +213,19 @@
 
 	fill(candidates);
 	candidates[0].may_go = false;
-	ck_assert_uint_eq(eviction_choose(candidates, CROWD + 1,
-			      EVICT_FOR_CONNECTION, NOW_MS),
-	    1);
-	candidates[1].held_bytes = 0;
 	ck_assert_uint_eq(
-	    eviction_choose(candidates, CROWD + 1, EVICT_FOR_BYTES, NOW_MS), 2);
+	    first_to_go(candidates, EVICT_FOR_CONNECTION, NOW_MS), 1);
+	candidates[1].held_bytes = 0;
+	ck_assert_uint_eq(first_to_go(candidates, EVICT_FOR_BYTES, NOW_MS), 2);
 	ck_assert_uint_eq(
-	    eviction_choose(candidates, CROWD + 1, EVICT_FOR_CONNECTION, 1),
-	    EVICT_NONE);
+	    first_to_go(candidates, EVICT_FOR_CONNECTION, 1), CROWD + 1);
 	for (size_t i = 0; i <= CROWD; i++)
 		candidates[i].may_go = false;
-	ck_assert_uint_eq(eviction_choose(candidates, CROWD + 1,
-			      EVICT_FOR_CONNECTION, NOW_MS),
-	    EVICT_NONE);
 	ck_assert_uint_eq(
-	    eviction_choose(candidates, 0, EVICT_FOR_CONNECTION, NOW_MS),
-	    EVICT_NONE);
+	    first_to_go(candidates, EVICT_FOR_CONNECTION, NOW_MS), CROWD + 1);
+	ck_assert_uint_eq(eviction_choose(candidates, 0, EVICT_FOR_CONNECTION,
+			      NOW_MS, NULL, 0),
+	    0);
 }
 END_TEST
 
