gateway: an instance that is cut off stops being ready sooner

Cause: an instance stayed ready for 2.5 s after the leader's last answer, and the load balancer needs two misses more, so that callers of a failure domain that is cut off for 5 s met instances that could not serve them for most of that time. Change: a probe without an answer is repeated after 0.2 s; two in a row end readiness, 1.7 s after the last answer. The decision and its intervals are in sched/outage.

--- a/sched/gateway.c
+++ b/sched/gateway.c
@@ -13,11 +13,6 @@
 
 #define ATTEMPT_TIMEOUT_MS 800
 #define RETRY_DELAY_MS 30
-#define PROBE_INTERVAL_S 1.0
-#define PROBE_INTERVAL_NO_LEADER_S 0.2
-#define PROBE_TIMEOUT_MS 400
-/* More than two probe intervals: one failed probe does not end readiness. */
-#define READY_WINDOW_MS 2500
 
 struct gateway_t {
 	struct ev_loop *loop;
@@ -131,7 +126,7 @@
 gateway_is_ready(const gateway_t *gateway)
 {
 	return gateway->leader_heard_ms != 0 &&
-	       clock_mono_ms() - gateway->leader_heard_ms < READY_WINDOW_MS;
+	       outage_is_ready(leader_silent_ms(gateway));
 }
 
 typedef struct {
@@ -159,6 +154,13 @@
 	}
 }
 
+static void
+schedule_probe(gateway_t *gateway, int64_t delay_ms)
+{
+	gateway->probe.repeat = (double)delay_ms / CLOCK_MS_PER_S;
+	ev_timer_again(gateway->loop, &gateway->probe);
+}
+
 static void
 on_probe_done(void *ctx, const err_t *err, void *result)
 {
@@ -166,10 +168,12 @@
 	gateway_t *gateway = probe->gateway;
 
 	gateway->probe_pending = false;
-	if (result != NULL)
+	if (result != NULL) {
 		update_leader(gateway, probe->target, result);
-	else
+	} else {
 		forget_failed_leader(gateway, probe->target);
+		schedule_probe(gateway, OUTAGE_PROBE_RETRY_MS);
+	}
 	wake_calls(gateway);
 	g_free(probe);
 }
@@ -191,7 +195,7 @@
 	g_strlcpy(probe->target, target, sizeof(probe->target));
 	gateway->probe_pending = true;
 	endpoint_call(gateway->endpoint, target, RPC_BATCH, &call,
-	    PROBE_TIMEOUT_MS, on_probe_done, probe);
+	    OUTAGE_PROBE_TIMEOUT_MS, on_probe_done, probe);
 }
 
 static void
@@ -213,10 +217,9 @@
 	const char *target;
 
 	log_readiness(gateway);
-	watcher->repeat = gateway_is_ready(gateway)
-			      ? PROBE_INTERVAL_S
-			      : PROBE_INTERVAL_NO_LEADER_S;
-	ev_timer_again(loop, watcher);
+	schedule_probe(gateway, gateway_is_ready(gateway)
+				    ? OUTAGE_PROBE_INTERVAL_MS
+				    : OUTAGE_PROBE_RETRY_MS);
 	target = choose_target(gateway);
 	if (target != NULL)
 		send_probe(gateway, target);
@@ -413,10 +416,9 @@
 	    counter_get("gateway_calls_total{outcome=\"unknown\"}", "");
 	gateway->took = histogram_get(
 	    "gateway_call_seconds", "time until a call was answered");
-	ev_timer_init(&gateway->probe, on_probe, PROBE_INTERVAL_NO_LEADER_S,
-	    PROBE_INTERVAL_NO_LEADER_S);
+	ev_timer_init(&gateway->probe, on_probe, 0, 0);
 	gateway->probe.data = gateway;
-	ev_timer_start(loop, &gateway->probe);
+	schedule_probe(gateway, OUTAGE_PROBE_RETRY_MS);
 	return gateway;
 }
 
--- a/sched/outage.c
+++ b/sched/outage.c
@@ -13,6 +13,8 @@
 #define MIN_RETRY_AFTER_MS 1000
 /* Callers try a few times only, but a leader may be back at any moment. */
 #define MAX_RETRY_AFTER_MS 4000
+/* An answer comes within it, also from another region. */
+#define ROUND_TRIP_MS 100
 /* Far above a round trip, below the interval of pings between instances. */
 #define MAX_SILENCE_MS 200
 
@@ -45,3 +47,11 @@
 {
 	return silent_ms > MAX_SILENCE_MS;
 }
+
+/* One probe may fail: the next one, sent soon after it, tells. */
+bool
+outage_is_ready(int64_t silent_ms)
+{
+	return silent_ms < OUTAGE_PROBE_INTERVAL_MS + OUTAGE_PROBE_TIMEOUT_MS +
+			       OUTAGE_PROBE_RETRY_MS + ROUND_TRIP_MS;
+}
--- a/sched/outage.h
+++ b/sched/outage.h
@@ -3,6 +3,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* How often an instance asks whether the leader still answers. */
+#define OUTAGE_PROBE_INTERVAL_MS 1000
+/* The same while it does not, or right after a probe without an answer. */
+#define OUTAGE_PROBE_RETRY_MS 200
+#define OUTAGE_PROBE_TIMEOUT_MS 400
+
 /*
  * Decides how long an instance holds a caller's call, and when the caller
  * should come back, while no leader answers.  Load pattern: a burst of callers
@@ -29,3 +35,10 @@
  * before it is sent a call.
  */
 bool outage_needs_probe(int64_t silent_ms);
+/*
+ * Whether the instance offers itself to new callers although no leader has
+ * answered it for so long.  Load pattern: a failure domain is cut off for
+ * seconds; as long as its instances say that they are ready, its callers are
+ * not sent to those that still reach a leader.
+ */
+bool outage_is_ready(int64_t silent_ms);
--- a/tests/unit/test_outage.c
+++ b/tests/unit/test_outage.c
@@ -90,6 +90,22 @@
 }
 END_TEST
 
+/*
+ * Load pattern: a failure domain is cut off, or a single probe is lost.  Guards
+ * against instances that offer themselves to callers whom they cannot serve,
+ * and against an instance that gives up being ready for one lost probe.
+ */
+START_TEST(readiness_ends_with_the_second_lost_probe)
+{
+	int64_t first_ms = OUTAGE_PROBE_INTERVAL_MS + OUTAGE_PROBE_TIMEOUT_MS;
+	int64_t second_ms = OUTAGE_PROBE_RETRY_MS + OUTAGE_PROBE_TIMEOUT_MS;
+
+	ck_assert(outage_is_ready(0));
+	ck_assert(outage_is_ready(first_ms + OUTAGE_PROBE_RETRY_MS));
+	ck_assert(!outage_is_ready(first_ms + second_ms));
+}
+END_TEST
+
 int
 main(void)
 {
@@ -99,6 +115,7 @@
 	tcase_add_loop_test(tcase, callers_outlast_the_outage, 0, 4);
 	tcase_add_test(tcase, an_election_is_waited_for);
 	tcase_add_test(tcase, only_doubtful_calls_are_held);
+	tcase_add_test(tcase, readiness_ends_with_the_second_lost_probe);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_NOFORK);
 }
