tests: the fleet's bed has the election timeout of the product

With 50 ms a loop that stood still for as long lost its leadership (one replica, check of the quorum), and what a leader keeps in memory was forgotten.

--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -636,8 +636,7 @@
 
 	memset(bed, 0, sizeof(*bed));
 	bed->loop = ev_loop_new(0);
-	bed->system = system_create(
-	    1, 1, ",\"election_timeout_ms\":50,\"heartbeat_ms\":10");
+	bed->system = system_create(1, 1, "");
 	bed->endpoint = endpoint_create(
 	    bed->loop, bed->system->settings[0], 1, serve, bed, &err);
 	ck_assert(bed->endpoint != NULL);
