fleet: a new leader places units on workers that have answered it

Cause: a new leader took every worker of the ledger for reachable until a poll of it had run out, a second later. Change: such a worker takes units once it has answered a poll of this leader.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -143,6 +143,7 @@
 		worker = worker_create(fleet, info);
 		worker->registered = true;
 		worker->needs_poll = true;
+		worker->unconfirmed = true;
 	}
 	recover_runs(fleet, ledger_open_jobs(ledger));
 	recover_runs(fleet, ledger_ended_jobs(ledger));
--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -448,6 +448,7 @@
 			evlog(
 			    "worker_back", "{s:s}", "worker", worker->info.id);
 		worker->reachable = true;
+		worker->unconfirmed = false;
 		worker->next_poll_ms = now_ms;
 		/* The worker restarted before its announcement arrived. */
 		if (answer->born > worker->info.born) {
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -62,6 +62,10 @@
 	int64_t lease_expiry_ms; /* local time by which its lease has expired */
 	/* The last poll was answered; initially false if it is unknown. */
 	bool reachable;
+	/* Known from an earlier leader only; it has answered no poll of this
+	 * one.
+	 */
+	bool unconfirmed;
 	/* Same, by the present incarnation; initially false. */
 	bool poll_confirmed;
 	bool draining;
--- a/sched/fleet_workers.c
+++ b/sched/fleet_workers.c
@@ -188,14 +188,18 @@
 	return MAX(speed_percent * PERCENT / stretch, 1);
 }
 
-/* Whether units may be placed on the worker. */
+/*
+ * Whether units may be placed on the worker. One that a new leader has read
+ * from the ledger may have been cut off for long, although its announcements
+ * arrive: a gang with one member there would be lost until its lease has ended.
+ */
 bool
 worker_is_usable(const worker_t *worker, int64_t now_ms)
 {
 	return worker->registered && !worker->draining &&
 	       !worker->out_of_service && worker->reachable &&
-	       !worker->retire_pending && !worker->leaving &&
-	       worker_clock_is_known(&worker->clock) &&
+	       !worker->unconfirmed && !worker->retire_pending &&
+	       !worker->leaving && worker_clock_is_known(&worker->clock) &&
 	       now_ms - worker->last_announced_ms <
 		   worker->fleet->timing.worker_announce_interval_ms *
 		       MAX_MISSED_ANNOUNCEMENTS;
--- a/tests/unit/test_fleet_restarts.c
+++ b/tests/unit/test_fleet_restarts.c
@@ -1,6 +1,7 @@
 #include <check.h>
 
 #include "common/clock.h"
+#include "common/counters.h"
 #include "tests/unit/fleet_bed.h"
 #include "tests/unit/runner.h"
 
@@ -347,6 +348,29 @@
 }
 END_TEST
 
+/*
+ * Setting: orders reach only worker _i, though the announcements of all arrive,
+ * when a new leader takes over. Guards against a task that is placed on one of
+ * the others, where it is lost until its lease has ended.
+ */
+START_TEST(new_leader_waits_for_first_poll)
+{
+	bed_t bed;
+
+	bed_open(&bed, 4, 8);
+	for (int i = 0; i < 4; i++)
+		bed.workers[i].unreachable = i != _i;
+	bed.poll_delay_ms = 200;
+	bed_restart_fleet(&bed);
+	bed_submit(&bed, JOB, "urgent", 1, 8, false);
+	WAIT(&bed, job_has_1_task);
+	ck_assert_int_eq(bed.workers[_i].starts, 1);
+	ck_assert_int_eq(counter_value(counter_get("fleet_starts_total", "")),
+	    bed.workers[_i].starts);
+	bed_close(&bed);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -364,6 +388,7 @@
 	tcase_add_test(tcase, leader_change_after_restart_shown_by_poll);
 	tcase_add_test(tcase, delayed_start_after_end);
 	tcase_add_test(tcase, delayed_start_after_stop);
+	tcase_add_loop_test(tcase, new_leader_waits_for_first_poll, 0, 4);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_FORK);
 }
