--- a/tests/unit/test_fleet_domains.c
+++ b/tests/unit/test_fleet_domains.c
@@ -11,12 +11,18 @@
 
 #define TEST_TIMEOUT_S 60
 #define JOB "00000000000000aa"
-#define OTHER "00000000000000bb"
 #define WORKERS 6
 #define WORKERS_OF_D1 4
 
 #define WAIT(bed, met) ck_assert(system_wait((bed)->loop, (met), (bed)))
 
+static void
+wait_for_running(bed_t *bed, int tasks)
+{
+	while (bed_running(bed, JOB) != tasks)
+		bed_run_for(bed, 1);
+}
+
 static int
 starts_in_d1(const bed_t *bed)
 {
@@ -27,24 +33,6 @@
 	return starts;
 }
 
-static bool
-one_runs(void *ctx)
-{
-	return bed_running(ctx, JOB) == 1;
-}
-
-static bool
-two_run(void *ctx)
-{
-	return bed_running(ctx, JOB) == 2;
-}
-
-static bool
-all_run(void *ctx)
-{
-	return bed_running(ctx, JOB) == WORKERS;
-}
-
 static bool
 has_unanswered_start(void *ctx)
 {
@@ -65,8 +53,10 @@
 	return bed->fleet->runs->len > 0 && bed->fleet->proposal != NULL;
 }
 
-/* Guards against starts there by a planner, a new leader or for a worker that
- * joins, and against a domain that stays out when it is back in service. */
+/*
+ * Guards against starts there by a planner, a new leader or for a worker that
+ * joins, and against a domain that stays out when it is back in service.
+ */
 START_TEST(no_start_until_back)
 {
 	bed_t bed;
@@ -74,7 +64,7 @@
 	bed_open(&bed, WORKERS, 8);
 	bed_set_domain_service(&bed, "d1", true);
 	bed_submit(&bed, JOB, "batch", WORKERS, 8, false);
-	WAIT(&bed, two_run);
+	wait_for_running(&bed, 2);
 	ck_assert_int_gt(
 	    counter_value(bed.fleet->waits[WAIT_OUT_OF_SERVICE]), 0);
 	bed_restart_fleet(&bed);
@@ -82,7 +72,7 @@
 	bed_run_for(&bed, 200);
 	ck_assert_int_eq(starts_in_d1(&bed), 0);
 	bed_set_domain_service(&bed, "d1", false);
-	WAIT(&bed, all_run);
+	wait_for_running(&bed, WORKERS);
 	bed_close(&bed);
 }
 END_TEST
@@ -94,7 +84,7 @@
 
 	bed_open(&bed, WORKERS, 8);
 	bed_submit_near(&bed, "r0", JOB, "batch", 1, 8);
-	WAIT(&bed, one_runs);
+	wait_for_running(&bed, 1);
 	bed_set_domain_service(&bed, "d1", true);
 	bed_run_for(&bed, 200);
 	ck_assert_int_eq(bed_running(&bed, JOB), 1);
@@ -120,7 +110,7 @@
 	WAIT(&bed, is_being_committed);
 	ledger_apply_domain_service(fleet_ledger(bed.fleet), &order);
 	domains_on_committed(bed.fleet, &order);
-	WAIT(&bed, one_runs);
+	wait_for_running(&bed, 1);
 	ck_assert_int_eq(starts_in_d1(&bed), 0);
 	bed_close(&bed);
 }
@@ -146,7 +136,7 @@
 		bed_restart_fleet(&bed);
 	for (size_t i = 0; i < WORKERS_OF_D1; i++)
 		bed.workers[i].loses_starts = false;
-	WAIT(&bed, one_runs);
+	wait_for_running(&bed, 1);
 	ck_assert_int_eq(starts_in_d1(&bed), 0);
 	ck_assert(!bed.duplicate_run);
 	bed_close(&bed);
@@ -202,18 +192,6 @@
 	return running;
 }
 
-static bool
-four_run(void *ctx)
-{
-	return bed_running(ctx, JOB) == 4;
-}
-
-static bool
-left_d1(void *ctx)
-{
-	return running_in_d1(ctx) == 0 && four_run(ctx);
-}
-
 /* Returns how many of the four tasks are missing while some are moved. */
 static int
 missing_while_moved(const bed_t *bed)
@@ -247,13 +225,13 @@
 	bed_submit_lasting(&bed, JOB, 4, 4, _i);
 	for (size_t i = 0; i < WORKERS; i++)
 		bed.workers[i].percent = 100;
-	WAIT(&bed, four_run);
+	wait_for_running(&bed, 4);
 	bed_set_domain_service(&bed, "d2", false);
 	bed_set_domain_service(&bed, "d1", true);
 	for (int ms = 0; ms < (_i == 0 ? 1500 : 20000); ms += 2) {
 		bed_run_for(&bed, 2);
 		missing = MAX(missing, missing_while_moved(&bed));
-		if (left_d1(&bed))
+		if (running_in_d1(&bed) == 0 && bed_running(&bed, JOB) == 4)
 			break;
 	}
 	ck_assert_int_le(missing, _i);
@@ -272,7 +250,7 @@
 	bed_submit_lasting(&bed, JOB, WORKERS, 8, 2);
 	for (size_t i = 0; i < WORKERS; i++)
 		bed.workers[i].percent = 100;
-	WAIT(&bed, all_run);
+	wait_for_running(&bed, WORKERS);
 	bed_set_domain_service(&bed, "d1", true);
 	bed_run_for(&bed, 1500);
 	ck_assert_int_eq(bed_starts(&bed), WORKERS);
@@ -281,8 +259,10 @@
 }
 END_TEST
 
-/* Guards against an operator who does not learn that guarantees are at risk:
- * 16 accelerators are guaranteed, 48 or 16 or 0 are in service. */
+/*
+ * Guards against an operator who does not learn that guarantees are at risk:
+ * 16 accelerators are guaranteed, 48 or 16 or 0 are in service.
+ */
 START_TEST(guarantees_at_risk)
 {
 	counter_t *gauge;
@@ -308,8 +288,10 @@
 {
 }
 
-/* Guards against workers that count as cold for ever, or where the settings do
- * not say how slow a cold one is. */
+/*
+ * Guards against workers that count as cold for ever, or where the settings do
+ * not say how slow a cold one is.
+ */
 START_TEST(cold_workers_are_slow)
 {
 	fleet_announcement_t announcement = {.cold_left_ms = 2000};
