--- a/sched/fleet.h
+++ b/sched/fleet.h
@@ -66,7 +66,7 @@
 void fleet_replace_config(
     fleet_t *fleet, fleet_config_t *config, fleet_done_t *done, void *ctx);
 void fleet_read_config(fleet_t *fleet, fleet_read_done_t *done, void *ctx);
-/* Whether a worker of the failure domain was ever registered. */
+/* Whether a worker, present or gone not long ago, names the failure domain. */
 bool fleet_knows_domain(const fleet_t *fleet, const char *domain);
 /* done is called with FLEET_OK once the order is committed. */
 void fleet_set_domain_service(fleet_t *fleet, const char *domain,
--- a/sched/fleet_domains.c
+++ b/sched/fleet_domains.c
@@ -10,6 +10,7 @@
  * may finish.
  */
 
+/* An order of the operator that is being committed. */
 typedef struct {
 	char *domain;
 	bool out_of_service;
@@ -146,7 +147,9 @@
 {
 	const ledger_t *ledger = fleet_ledger(fleet);
 	const fleet_config_t *config = ledger_config(ledger);
-	int in_service = 0;
+	bool all_in_service =
+	    g_hash_table_size(ledger_domains_out(ledger)) == 0;
+	int in_service = accelerators_in_service(fleet);
 	int guaranteed = 0;
 	int tenants = 0;
 
@@ -156,11 +159,7 @@
 		guaranteed += tenant->guaranteed_accelerators;
 		tenants += tenant->guaranteed_accelerators > 0;
 	}
-	if (g_hash_table_size(ledger_domains_out(ledger)) > 0)
-		in_service = accelerators_in_service(fleet);
-	else
-		tenants = 0;
-	if (guaranteed <= in_service)
+	if (all_in_service || guaranteed <= in_service)
 		tenants = 0;
 	if (tenants > 0 && counter_value(fleet->guarantees_at_risk) == 0)
 		log_guarantees(config, guaranteed, in_service);
