plan: only urgent work prefers fast workers; headroom counts their speed

It takes usual and fast ones alike now; a free accelerator of a fast worker covers more of the headroom.

--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -80,13 +80,19 @@
 	g_free(places);
 }
 
-/* Whether placing the unit preserves the headroom for urgent work. */
+/*
+ * Whether placing the unit preserves the headroom for urgent work, which takes
+ * less room on fast workers as it ends sooner there.
+ */
 static bool
 leaves_headroom(const round_t *round, const waiting_step_t *item)
 {
+	int64_t needed =
+	    waiting_accelerators(item) + round->headroom_accelerators;
+
 	return !waiting_respects_headroom(item) ||
-	       round->free_accelerators - waiting_accelerators(item) >=
-		   round->headroom_accelerators;
+	       (needed * PLAN_USUAL_SPEED_PERCENT <= round->free_speed &&
+		   waiting_accelerators(item) <= round->free_accelerators);
 }
 
 /*
@@ -193,7 +199,7 @@
 		queue_start(round, item, unit);
 		round->started++;
 		round_subtract_chosen(round, plan->step);
-		round->free_accelerators -= waiting_accelerators(item);
+		round_subtract_free(round, plan->step);
 		return true;
 	}
 	if (try_plan(round, item, plan, PLAN_RELEASING)) {
--- a/sched/fleet_round.c
+++ b/sched/fleet_round.c
@@ -55,12 +55,13 @@
 
 	for (size_t i = 0; i < round->count; i++) {
 		const plan_worker_t *plan_worker = &round->plan_workers[i];
+		int free = MAX(plan_worker->free.accelerators, 0);
 
 		if (!plan_worker->usable)
 			continue;
 		capacity += plan_worker->worker->capacity.accelerators;
-		round->free_accelerators +=
-		    MAX(plan_worker->free.accelerators, 0);
+		round->free_accelerators += free;
+		round->free_speed += (int64_t)free * round_speed(round, i);
 		round->releasing_accelerators +=
 		    plan_worker->releasing.accelerators;
 	}
@@ -212,6 +213,21 @@
 	    waiting_accelerators(item));
 }
 
+/* Subtracts what the last plan chose from the sums of free accelerators. */
+void
+round_subtract_free(round_t *round, const step_spec_t *step)
+{
+	for (size_t i = 0; i < pool_choice_size(round->pool); i++) {
+		size_t worker = pool_choice(round->pool, i);
+		int taken = round->plan_workers[worker].chosen *
+			    step->shape.accelerators;
+
+		round->free_accelerators -= taken;
+		round->free_speed -=
+		    (int64_t)taken * round_speed(round, worker);
+	}
+}
+
 /*
  * Subtracts what the last plan chose from the free resources. A worker on trial
  * that was chosen takes no more units this round.
--- a/sched/fleet_round.h
+++ b/sched/fleet_round.h
@@ -36,6 +36,7 @@
 	GArray *blocked;       /* plan_unit_t that could not be placed */
 	size_t started;        /* units */
 	int free_accelerators; /* of usable workers */
+	int64_t free_speed;    /* same, each with its speed in percent */
 	int releasing_accelerators; /* of runs being stopped */
 	int headroom_accelerators;  /* kept free for urgent work */
 	GArray *out_of_service;     /* size_t, usable but for their domain */
@@ -64,6 +65,7 @@
 void round_prepare_step(round_t *round, const waiting_step_t *item);
 void round_choose_reserve(round_t *round, const waiting_step_t *item);
 void round_subtract_chosen(round_t *round, const step_spec_t *step);
+void round_subtract_free(round_t *round, const step_spec_t *step);
 bool round_is_over_budget(const round_t *round);
 
 /* fleet_domains.c */
@@ -86,6 +88,7 @@
 
 /* fleet_speed.c */
 void round_apply_speed(round_t *round);
+int round_speed(const round_t *round, size_t worker);
 
 /* fleet_preempt.c */
 bool round_preempt(
--- a/sched/fleet_speed.c
+++ b/sched/fleet_speed.c
@@ -245,6 +245,15 @@
 	    round->now_ms + MAX(FIT_INTERVAL_MS, took_ms * FIT_REST_FACTOR);
 }
 
+/* Returns the speed of a worker in percent of the usual one. */
+int
+round_speed(const round_t *round, size_t worker)
+{
+	int percent = round->plan_workers[worker].speed_percent;
+
+	return percent > 0 ? percent : PLAN_USUAL_SPEED_PERCENT;
+}
+
 /* Sets the speeds that are known, unless too many workers are unlike. */
 void
 round_apply_speed(round_t *round)
--- a/sched/plan.c
+++ b/sched/plan.c
@@ -71,7 +71,7 @@
 	if (unit->needed_speed_percent == 0 || speed == 0)
 		return PLAN_SPEED_USUAL;
 	if (speed > PLAN_USUAL_SPEED_PERCENT)
-		return unit->prefers_fast ? PLAN_SPEED_FIRST : PLAN_SPEED_LAST;
+		return unit->prefers_fast ? PLAN_SPEED_FIRST : PLAN_SPEED_USUAL;
 	return speed < unit->needed_speed_percent || unit->prefers_fast
 		   ? PLAN_TOO_SLOW
 		   : PLAN_SPEED_FIRST;
--- a/sched/plan.h
+++ b/sched/plan.h
@@ -15,13 +15,12 @@
 
 /*
  * How the speed of a worker suits a unit; lower is better.  A unit that is
- * short of time prefers fast workers; one with time to spare leaves them to
- * others.
+ * short of time prefers fast workers, one with time to spare slow ones that
+ * suffice.
  */
 typedef enum {
-	PLAN_SPEED_FIRST, /* fast, or for a unit with time to spare, slow */
+	PLAN_SPEED_FIRST,
 	PLAN_SPEED_USUAL,
-	PLAN_SPEED_LAST, /* faster than a unit with time to spare needs */
 	PLAN_TOO_SLOW,
 	PLAN_SPEED_CLASSES,
 } plan_speed_class_t;
--- a/sched/plan_gang.c
+++ b/sched/plan_gang.c
@@ -54,7 +54,7 @@
 	if (by_speed[PLAN_SPEED_FIRST] >= members ||
 	    (usual_alone && usual_is_best(search)))
 		return SUITS_BEST;
-	if (usual_alone || by_speed[PLAN_SPEED_LAST] >= members)
+	if (usual_alone)
 		return SUITS_LIKE_SPEED;
 	if (in_time >= members)
 		return SUITS_IN_TIME;
--- a/tests/unit/test_fleet_speed.c
+++ b/tests/unit/test_fleet_speed.c
@@ -15,7 +15,10 @@
 #define SLOW 7 /* index of the slow worker */
 #define ACCELERATORS 8
 #define TASK_MS 1200
+/* At least that of sched/fleet_speed.c. */
+#define FIT_INTERVAL_MS 600
 #define JOB "00000000000000aa"
+#define FIRST "00000000000000dd"
 #define PROMPT "00000000000000bb"
 #define LAST "00000000000000cc"
 
@@ -33,12 +36,20 @@
 	return bed_running(ctx, JOB) == WORKERS * ACCELERATORS;
 }
 
+/* Tasks whose lease lapsed on a busy machine run again: these end too. */
 static bool
 job_ended(void *ctx)
 {
+	bed_end_tasks(ctx, JOB, RUN_DONE);
 	return bed_state(ctx, JOB) == BATCH_STATE_COMPLETED;
 }
 
+static bool
+first_runs(void *ctx)
+{
+	return bed_running(ctx, FIRST) == 1;
+}
+
 static bool
 others_are_full(void *ctx)
 {
@@ -76,6 +87,11 @@
 	bed_run_for(bed, TASK_MS);
 	end_on(bed, SLOW);
 	WAIT(bed, job_ended);
+	/* A planning round, which estimates the speeds. */
+	bed_run_for(bed, FIT_INTERVAL_MS);
+	bed_submit(bed, FIRST, "batch", 1, 1, false);
+	WAIT(bed, first_runs);
+	bed_end_tasks(bed, FIRST, RUN_DONE);
 	bed_submit(bed, PROMPT, "prompt", WORKERS - 1, ACCELERATORS, false);
 	WAIT(bed, others_are_full);
 }
