--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -366,6 +366,12 @@
 }
 END_TEST
 
+static bool
+three_run(void *ctx)
+{
+	return bed_running(ctx, NULL) == 3;
+}
+
 /*
  * Setting: the fleet is full, and the only worker with room fails every
  * task. Guards against a worker that uses up the attempts of all waiting jobs,
@@ -402,8 +408,7 @@
 	while (failing->tasks->len == 0)
 		bed_run_for(&bed, 5);
 	bed_end_tasks(&bed, NULL, RUN_DONE);
-	bed_run_for(&bed, 50);
-	ck_assert_int_eq(bed_running(&bed, NULL), 3);
+	WAIT(&bed, three_run);
 	bed_close(&bed);
 }
 END_TEST
@@ -533,8 +538,7 @@
 	open_filled_to_headroom(&bed, 100);
 	ck_assert_int_lt(bed_running(&bed, OTHER), 32);
 	bed_submit_long_running(&bed, THIRD, 1);
-	bed_run_for(&bed, 100);
-	ck_assert(third_has_1_task(&bed));
+	WAIT(&bed, third_has_1_task);
 	bed_close(&bed);
 }
 END_TEST
