--- a/common/json_bound.c
+++ b/common/json_bound.c
@@ -5,6 +5,7 @@
 #include "common/mem_budget.h"
 
 #define MAX_DEPTH 64
+#define MAX_MEMBERS 1024 /* of one object */
 /* Allocations of jansson 2.14 on a machine of 64 bits, with their overhead. */
 #define OBJECT_BYTES 320 /* with its first table of members */
 #define ARRAY_BYTES 160  /* with its first table of items */
@@ -48,6 +49,7 @@
 size_t
 json_tree_bytes(str_t text)
 {
+	int members[MAX_DEPTH + 1] = {0}; /* of the open object at each depth */
 	size_t bytes = 0;
 	size_t at = 0;
 	int depth = 0;
@@ -76,7 +78,11 @@
 			bytes += ITEM_BYTES;
 		if ((c == '{' || c == '[') && ++depth > MAX_DEPTH)
 			return SIZE_MAX;
-		if (c == '}' || c == ']')
+		if (c == '{' || c == '[')
+			members[depth] = 0;
+		if (c == ':' && ++members[depth] > MAX_MEMBERS)
+			return SIZE_MAX;
+		if ((c == '}' || c == ']') && depth > 0)
 			depth--;
 		at++;
 	}
--- a/common/json_bound.h
+++ b/common/json_bound.h
@@ -12,7 +12,8 @@
  */
 
 /* Upper bound of the bytes that the tree of a text takes; SIZE_MAX when it is
- * nested too deeply. */
+ * nested too deeply or an object has more than 1,024 members, whose table would
+ * take long to build. */
 size_t json_tree_bytes(str_t text);
 /* json_loadb with a bound on the tree; NULL, with the reason in error unless
  * that is NULL, when it is exceeded. */
