tests: stale_poll waits until all have started

On a busy machine 58 of 60 tasks had started 10 ms after the last ends (2 of 6 runs, six at a time). The check that no task starts twice stays: 60 starts, 20 ms later too.

--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -242,6 +242,12 @@
 }
 END_TEST
 
+static bool
+all_have_started(void *ctx)
+{
+	return bed_starts(ctx) >= 60;
+}
+
 /*
  * Guards against treating a task as lost because a poll sent just before its
  * start does not list it. The answer of the poll arrives after that of the
@@ -263,6 +269,8 @@
 			bed_run_for(&bed, 10);
 		}
 	}
+	WAIT(&bed, all_have_started);
+	bed_run_for(&bed, 20);
 	ck_assert(!bed.duplicate_run);
 	ck_assert_int_eq(bed_starts(&bed), 60);
 	bed_close(&bed);
