--- a/common/json_bound.c
+++ b/common/json_bound.c
@@ -5,7 +5,7 @@
 #include "common/mem_budget.h"
 
 #define MAX_DEPTH 64
-#define MAX_MEMBERS 1024 /* of one object */
+#define MAX_MEMBERS 10000 /* of one object; as many as tenants */
 /* Allocations of jansson 2.14 on a machine of 64 bits, with their overhead. */
 #define OBJECT_BYTES 320 /* with its first table of members */
 #define ARRAY_BYTES 160  /* with its first table of items */
--- a/entry/http_request.c
+++ b/entry/http_request.c
@@ -84,7 +84,9 @@
 void
 http_drop_body(http_request_t *request)
 {
-	request_body_clear(&request->body);
+	g_free(request->body.data);
+	request->body.data = NULL;
+	request->body.len = 0;
 }
 
 /*
--- a/entry/listener.c
+++ b/entry/listener.c
@@ -160,6 +160,8 @@
 		return;
 	}
 	listener->turn_body_bytes += request->body.len;
+	/* The handler sets what is called when the client has gone. */
+	request->is_gone = false;
 	listener->handler(listener->ctx, request);
 }
 
--- a/entry/listener.h
+++ b/entry/listener.h
@@ -48,7 +48,10 @@
 str_t http_header(const http_request_t *request, const char *name);
 str_t http_query(const http_request_t *request, const char *name);
 str_t http_body(const http_request_t *request);
-/* Frees the body once it is no longer needed, ahead of the answer. */
+/*
+ * Frees the body ahead of the answer; its bytes stay counted, for what was
+ * decoded from it.
+ */
 void http_drop_body(http_request_t *request);
 /* Called when the client has gone before the answer; the request still has to
  * be answered, which then only frees it. */
--- a/entry/listener_limits.c
+++ b/entry/listener_limits.c
@@ -51,8 +51,11 @@
 	if (client->request != NULL)
 		http_request_uncount(client->request);
 	if (client->request != NULL &&
-	    client->request->state == REQUEST_RECEIVING)
+	    client->request->state == REQUEST_RECEIVING) {
 		request_body_clear(&client->request->body);
+		/* The rest of the body may have arrived already. */
+		client->request->body_fate = BODY_NO_ROOM;
+	}
 	shutdown(info->connect_fd, SHUT_RDWR);
 }
 
--- a/sched/crowding.c
+++ b/sched/crowding.c
@@ -21,7 +21,7 @@
 #define MAX_SENSITIVITY 4.0
 /* Evidence that suffices to act on. */
 #define MIN_SAMPLES 4.0
-#define MIN_STANDARD_ERRORS 2.0
+#define MIN_STANDARD_ERRORS 3.0
 #define PAIRS_PER_KIND 2
 #define PERCENT 100
 #define MAX_SLOWDOWN_PERCENT 1000
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -324,23 +324,20 @@
 } member_order_t;
 
 /* fleet_runs.c */
-member_order_t *member_order_begin(member_t *member);
-void member_order_end(member_order_t *order);
 run_t *run_create(fleet_t *fleet, ledger_unit_t *unit, uint32_t number,
     const unit_place_t *places);
-void run_on_start_committed(run_t *run);
+/* The resources of the run count as soon to be free from now on. */
+void run_release(run_t *run);
 void run_drop(run_t *run);
+/* Once all members have ended, reports the end of the run and retires it. */
+void run_retire_if_ended(run_t *run);
+void run_after_member_end(run_t *run, const char *reason);
 void fleet_reap_runs(fleet_t *fleet);
-/* Frees orders whose transport was shut down without an answer. */
-void fleet_drop_orders(fleet_t *fleet);
 void unit_detach_run(ledger_unit_t *unit);
-/*
- * Stops a run, which may be NULL, because its unit was completed by an earlier
- * one.
- */
-void run_supersede(run_t *run, uint32_t ended_run);
-void run_stop(run_t *run, const char *reason);
-void run_tick(run_t *run, int64_t now_ms);
+task_name_t member_task(const member_t *member);
+/* Ends the member's part in its worker's accounts. */
+void member_detach(member_t *member);
+void member_note_begun(member_t *member);
 void member_reported_running(
     member_t *member, const running_task_t *task, int64_t now_ms);
 void member_ended(member_t *member, run_outcome_t how, const char *checkpoint);
@@ -348,8 +345,21 @@
 void member_forget_stop(member_t *member);
 bool member_may_still_start(const member_t *member);
 bool member_may_start_later(const member_t *member, int64_t now_ms);
+
+/* fleet_orders.c */
+member_order_t *member_order_begin(member_t *member);
+void member_order_end(member_order_t *order);
+void run_on_start_committed(run_t *run);
+/*
+ * Stops a run, which may be NULL, because its unit was completed by an earlier
+ * one.
+ */
+void run_supersede(run_t *run, uint32_t ended_run);
+void run_stop(run_t *run, const char *reason);
+void run_tick(run_t *run, int64_t now_ms);
 void member_not_started(member_t *member);
-task_name_t member_task(const member_t *member);
+/* Frees orders whose transport was shut down without an answer. */
+void fleet_drop_orders(fleet_t *fleet);
 
 /* fleet_plan.c */
 /* Returns false if the round ended with its budget. */
--- a/sched/fleet_speed.c
+++ b/sched/fleet_speed.c
@@ -179,7 +179,7 @@
 static const char *
 name_of(int percent)
 {
-	if (percent == 0)
+	if (percent == 0 || percent == PLAN_USUAL_SPEED_PERCENT)
 		return "usual";
 	return percent < PLAN_USUAL_SPEED_PERCENT ? "slow" : "fast";
 }
@@ -189,7 +189,7 @@
 {
 	int percent = worker->speed.percent;
 
-	if (name_of(before) == name_of(percent))
+	if (strcmp(name_of(before), name_of(percent)) == 0)
 		return;
 	counter_add(worker->fleet->speed_changes, 1);
 	evlog("worker_speed", "{s:s,s:s,s:s,s:i,s:s}", "worker",
--- a/sched/gateway.c
+++ b/sched/gateway.c
@@ -170,11 +170,11 @@
 	gateway->probe_pending = false;
 	if (result != NULL) {
 		update_leader(gateway, probe->target, result);
+		wake_calls(gateway);
 	} else {
 		forget_failed_leader(gateway, probe->target);
 		schedule_probe(gateway, OUTAGE_PROBE_RETRY_MS);
 	}
-	wake_calls(gateway);
 	g_free(probe);
 }
 
--- a/sched/headroom.c
+++ b/sched/headroom.c
@@ -9,7 +9,7 @@
 /* The rest of the capacity always stays open to batch work. */
 #define MAX_SHARE_PERCENT 30
 #define PERCENT 100
-/* Callers that were told to come back after a second have done so by then. */
+/* A new leader does not know the demand; it keeps the most for so long. */
 #define UNKNOWN_MS 2000
 
 /* Moves the window up to now_ms and clears the slots that it enters. */
--- a/sched/pool.c
+++ b/sched/pool.c
@@ -308,9 +308,10 @@
 		lists_create(&pool->lists[kind], count);
 	/* The lists grow at the head: the first worker ends up first. */
 	for (size_t i = count; i-- > 0;) {
+		if (!workers[i].usable)
+			continue;
 		pool->is_uneven |= workers[i].speed_percent > 0;
-		if (workers[i].usable)
-			index_insert(pool, i);
+		index_insert(pool, i);
 	}
 	pool->choice = g_array_new(FALSE, FALSE, sizeof(size_t));
 	pool->passed_over = POOL_NONE;
--- a/sched/waste.c
+++ b/sched/waste.c
@@ -27,6 +27,7 @@
     {"already_done", WASTE_SUPERSEDED},
     {"worker_draining", WASTE_DRAINED},
     {"worker_left", WASTE_DRAINED},
+    {"domain_out_of_service", WASTE_DRAINED},
     {"cancelled", WASTE_CANCELLED},
     {"job_ended", WASTE_CANCELLED},
     {"failed", WASTE_FAILED},
