Names: crowds of clients, connections without a HELLO, counters of the fleet

The crowd and the bounds of the tests are unchanged. fleet_create had grown over a screen; its counters are made in create_counters.

--- a/bench/door_table.sh
+++ b/bench/crowd_table.sh
@@ -2,12 +2,12 @@
 # What crowds of clients that do not behave do to an entry instance with 120 MB
 # and to a control instance with 384 MB: resident memory at most and after, and
 # whether one ordinary request was answered within 3 s, while the crowd stayed
-# and 2 s after.  Usage: sh bench/door_table.sh BUILD CLIENTS.
+# and 2 s after.  Usage: sh bench/crowd_table.sh BUILD CLIENTS.
 set -u
 cd "$(dirname "$0")/.." || exit 1
 export CHERVILHOLD_BUILD="${1:-build}"
 . tests/platform.sh
-. tests/door.sh
+. tests/crowd.sh
 CROWD=${2:-300}
 ENTRY_LIMITS='"limits":{"memoryMb":120,"maxFds":3075},'
 CONTROL_LIMITS='"limits":{"memoryMb":384,"maxFds":4096},'
--- a/common/mem_budget.c
+++ b/common/mem_budget.c
@@ -11,7 +11,7 @@
 
 #define PERCENT 100
 #define MIN_CONNECTIONS 8
-/* No door needs more, and other programs share a large machine. */
+/* No listener needs more, and other programs share a large machine. */
 #define MAX_TOTAL_BYTES (INT64_C(1) << 30)
 /* A full share is reported as free again below this part of it. */
 #define FREE_AGAIN_PERCENT 75
--- a/rpc/endpoint.c
+++ b/rpc/endpoint.c
@@ -18,9 +18,9 @@
 /* Entry instances are not among the peers of the settings. */
 #define INCOMING_MAX (8 * SETTINGS_MAX_PEERS)
 /* Beyond this number, connections without a HELLO make room for new ones. */
-#define STRANGERS_MAX 128
-/* A caller that means well says HELLO as soon as it is connected. */
-#define STRANGER_MIN_MS 1000
+#define UNIDENTIFIED_MAX 128
+/* Time to say HELLO after the connection was accepted. */
+#define HELLO_MIN_MS 1000
 /* Records of callers that have not said HELLO, and of those that are no peer:
  * one call of RPC_BATCH at a time, of earlier releases too. */
 #define HELLO_MAX_BYTES (16 * 1024)
@@ -37,7 +37,7 @@
 	peer_set_t outgoing;
 	GPtrArray *peers;
 	GQueue incoming;
-	counter_t *strangers_closed;
+	counter_t *unidentified_closed;
 };
 
 /* A connection that another instance made for its calls. */
@@ -323,7 +323,7 @@
 
 /* Closes the oldest connection without a HELLO if there are too many. */
 static void
-limit_strangers(endpoint_t *endpoint)
+limit_unidentified(endpoint_t *endpoint)
 {
 	incoming_t *oldest = NULL;
 	int count = 0;
@@ -337,10 +337,10 @@
 			oldest = incoming;
 		count++;
 	}
-	if (count < STRANGERS_MAX ||
-	    clock_mono_ms() - oldest->accepted_ms < STRANGER_MIN_MS)
+	if (count < UNIDENTIFIED_MAX ||
+	    clock_mono_ms() - oldest->accepted_ms < HELLO_MIN_MS)
 		return;
-	counter_add(endpoint->strangers_closed, 1);
+	counter_add(endpoint->unidentified_closed, 1);
 	incoming_destroy(oldest);
 }
 
@@ -357,7 +357,7 @@
 
 	while ((fd = accept4(endpoint->listen_fd, NULL, NULL,
 		    SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
-		limit_strangers(endpoint);
+		limit_unidentified(endpoint);
 		if (endpoint->incoming.length >= INCOMING_MAX) {
 			close(fd);
 			continue;
@@ -423,8 +423,9 @@
 		return NULL;
 	}
 	g_queue_init(&endpoint->incoming);
-	endpoint->strangers_closed = counter_get("rpc_strangers_closed_total",
-	    "connections closed that had not said who they are");
+	endpoint->unidentified_closed =
+	    counter_get("rpc_unidentified_closed_total",
+		"connections closed that had not said who they are");
 	connection_set_init(&endpoint->connections, loop,
 	    settings->ping_interval_ms, settings->silent_after_ms);
 	endpoint->outgoing.connections = &endpoint->connections;
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -445,31 +445,9 @@
 
 /* ---- create and destroy ---- */
 
-/*
- * Creates the fleet. replica must outlive it, and the caller must call
- * fleet_applied for each command that the replica applies.
- */
-fleet_t *
-fleet_create(struct ev_loop *loop, replica_t *replica,
-    const fleet_timing_t *timing, const order_transport_t *orders)
+static void
+create_counters(fleet_t *fleet)
 {
-	fleet_t *fleet = g_new0(fleet_t, 1);
-
-	fleet->loop = loop;
-	fleet->replica = replica;
-	fleet->timing = *timing;
-	fleet->orders = *orders;
-	fleet->workers = g_hash_table_new(g_str_hash, g_str_equal);
-	fleet->departing =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	fleet->runs = g_ptr_array_new();
-	fleet->retired_runs = g_ptr_array_new();
-	fleet->retired_workers = g_ptr_array_new();
-	g_queue_init(&fleet->leaves);
-	g_queue_init(&fleet->member_orders);
-	fleet->proposal_waiters = g_ptr_array_new_with_free_func(g_free);
-	g_queue_init(&fleet->pending_calls);
-	fleet->tickets = tickets_create();
 	fleet_speed_init(fleet);
 	fleet_crowding_init(fleet);
 	fleet->first_start_latency[false] =
@@ -513,6 +491,34 @@
 	waits_init(fleet);
 	domains_init(fleet);
 	fleet_waste_init(fleet);
+}
+
+/*
+ * Creates the fleet. replica must outlive it, and the caller must call
+ * fleet_applied for each command that the replica applies.
+ */
+fleet_t *
+fleet_create(struct ev_loop *loop, replica_t *replica,
+    const fleet_timing_t *timing, const order_transport_t *orders)
+{
+	fleet_t *fleet = g_new0(fleet_t, 1);
+
+	fleet->loop = loop;
+	fleet->replica = replica;
+	fleet->timing = *timing;
+	fleet->orders = *orders;
+	fleet->workers = g_hash_table_new(g_str_hash, g_str_equal);
+	fleet->departing =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	fleet->runs = g_ptr_array_new();
+	fleet->retired_runs = g_ptr_array_new();
+	fleet->retired_workers = g_ptr_array_new();
+	g_queue_init(&fleet->leaves);
+	g_queue_init(&fleet->member_orders);
+	fleet->proposal_waiters = g_ptr_array_new_with_free_func(g_free);
+	g_queue_init(&fleet->pending_calls);
+	fleet->tickets = tickets_create();
+	create_counters(fleet);
 	ev_timer_init(&fleet->tick, on_tick, TICK_FOLLOWER_S, TICK_FOLLOWER_S);
 	fleet->tick.data = fleet;
 	ev_timer_init(&fleet->work_timer, on_work_timer, 0, 0);
--- a/sched/fleet_speed.c
+++ b/sched/fleet_speed.c
@@ -39,9 +39,9 @@
 fleet_speed_init(fleet_t *fleet)
 {
 	fleet->slow_workers = gauge_get("fleet_slow_workers",
-	    "workers known to run below the usual speed of their kin");
+	    "workers known to run below the usual speed of their service");
 	fleet->fast_workers = gauge_get("fleet_fast_workers",
-	    "workers known to run above the usual speed of their kin");
+	    "workers known to run above the usual speed of their service");
 	fleet->speed_changes = counter_get("fleet_speed_changes_total",
 	    "workers that became slow, fast or usual");
 }
--- a/tests/cases/door_control.sh
+++ b/tests/cases/crowd_control.sh
@@ -2,7 +2,7 @@
 # configuration can be read and replaced while they stay, and they take no
 # memory there.
 . tests/platform.sh
-. tests/door.sh
+. tests/crowd.sh
 version=1
 # Both ask the instance under attack, which may send the caller on to the leader.
 reads_config() {
@@ -23,7 +23,7 @@
 	note "$1: the operator is served"
 }
 while_attacked=operator_is_served
-door_open
+crowd_open
 attack 1 "$CONTROL" idle
 for path in /api/config/replace /api/instances/i-1/heartbeat /none; do
 	note "$path"
--- a/tests/cases/door_fields.sh
+++ b/tests/cases/crowd_fields.sh
@@ -1,9 +1,9 @@
 # Guards against whole bodies of legal size with very many short fields that take
 # the memory of an entry instance, or leave it there.
 . tests/platform.sh
-. tests/door.sh
+. tests/crowd.sh
 while_attacked=ordinary_job
-door_open
+crowd_open
 for kind in objects members; do
 	attack 4 "$FRONT" "$kind" --path /q/00000000000000ff
 done
--- a/tests/cases/door_node.sh
+++ b/tests/cases/crowd_node.sh
@@ -1,7 +1,7 @@
 # Guards against the same crowds at the product's own interface: callers' and
 # operators' addresses of one instance.
 . tests/lib.sh
-. tests/door.sh
+. tests/crowd.sh
 define_instance i1 d1 1 true
 EXTRA_SETTINGS="\"memory_mb\": $MEMORY_MB,"
 start_balancer
--- a/tests/cases/door_readiness.sh
+++ b/tests/cases/crowd_readiness.sh
@@ -1,13 +1,13 @@
 # Guards against clients at the address that says ready: it goes on answering
 # while they stay, and they take no memory there.
 . tests/platform.sh
-. tests/door.sh
+. tests/crowd.sh
 still_ready() {
 	wait_for 60 "$1: readiness" is_entry_ready
 	note "$1: ready"
 }
 while_attacked=still_ready
-door_open
+crowd_open
 for kind in idle half whole chunked objects; do
 	attack 4 "$READY" "$kind" --path /api/readyz
 done
--- a/tests/cases/door_requests.sh
+++ b/tests/cases/crowd_requests.sh
@@ -1,9 +1,9 @@
 # Guards against clients that send too much, ahead, slowly or by halves, at an
 # entry instance and at a control instance.
 . tests/platform.sh
-. tests/door.sh
+. tests/crowd.sh
 while_attacked=ordinary_job
-door_open
+crowd_open
 for kind in over headers half slow; do
 	attack 4 "$FRONT" "$kind" --path /q/00000000000000ff
 	attack 1 "$CONTROL" "$kind" --path /api/config/replace
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -42,7 +42,7 @@
 
 # Prints the names of the tests that run one at a time: crowds of clients.
 list_exclusive_tests() {
-	for script in tests/cases/door_*.sh; do
+	for script in tests/cases/crowd_*.sh; do
 		echo "cases/$(basename "$script" .sh)"
 	done
 }
@@ -50,7 +50,7 @@
 # Prints the names of all other tests, the long ones first.
 list_tests() {
 	for script in tests/cases/*.sh; do
-		case $script in tests/cases/door_*) continue ;; esac
+		case $script in tests/cases/crowd_*) continue ;; esac
 		echo "cases/$(basename "$script" .sh)"
 	done
 	for program in "$build"/unit/test_* "$build"/fuzz/fuzz_*; do
