--- a/tests/cases/crowd_bodies.sh
+++ b/tests/cases/crowd_bodies.sh
@@ -3,7 +3,7 @@
 . tests/platform.sh
 . tests/crowd.sh
 while_attacked=ordinary_job
-crowd_open
+small_platform_open
 for path in /q/00000000000000ff /none/00000000000000ff; do
 	note "$path"
 	for kind in whole pieces chunked; do
--- a/tests/cases/crowd_connections.sh
+++ b/tests/cases/crowd_connections.sh
@@ -4,7 +4,7 @@
 . tests/crowd.sh
 CROWD=700
 while_attacked=ordinary_job
-crowd_open
+small_platform_open
 for kind in idle half whole; do
 	CROWD_BYTES=1000
 	attack 4 "$FRONT" "$kind" --path /q/00000000000000ff
--- a/tests/cases/crowd_control.sh
+++ b/tests/cases/crowd_control.sh
@@ -23,7 +23,7 @@
 	note "$1: the operator is served"
 }
 while_attacked=operator_is_served
-crowd_open
+small_platform_open
 attack 1 "$CONTROL" idle
 for path in /api/config/replace /api/instances/i-1/heartbeat /none; do
 	note "$path"
--- a/tests/cases/crowd_readiness.sh
+++ b/tests/cases/crowd_readiness.sh
@@ -7,7 +7,7 @@
 	note "$1: ready"
 }
 while_attacked=still_ready
-crowd_open
+small_platform_open
 for kind in idle half whole chunked objects; do
 	attack 4 "$READY" "$kind" --path /api/readyz
 done
--- a/tests/cases/crowd_requests.sh
+++ b/tests/cases/crowd_requests.sh
@@ -3,7 +3,7 @@
 . tests/platform.sh
 . tests/crowd.sh
 while_attacked=ordinary_job
-crowd_open
+small_platform_open
 for kind in over headers half slow; do
 	attack 4 "$FRONT" "$kind" --path /q/00000000000000ff
 	attack 1 "$CONTROL" "$kind" --path /api/config/replace
--- a/tests/crowd.sh
+++ b/tests/crowd.sh
@@ -97,8 +97,8 @@
 	note "$1: a job is taken and runs"
 }
 
-# crowd_open: the platform, and a job of an earlier caller that goes on.
-crowd_open() {
+# small_platform_open: the platform, and a job of an earlier caller that goes on.
+small_platform_open() {
 	platform_open 2 8
 	EARLIER=00000000000000ee
 	[ "$(platform_submit q "$EARLIER" 1 1 8000)" = 200 ] ||
