fleet: work is not kept waiting because only slow workers are free

Cause: the headroom rule weighed the unit's own accelerators at the usual speed against the free ones at theirs, so that work that only fits on slow workers was never placed, even with no headroom to keep. Change: what would be left, at the mean speed of what is free, has to hold the headroom. On an even fleet this is the rule of before.

--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -87,12 +87,14 @@
 static bool
 leaves_headroom(const round_t *round, const waiting_step_t *item)
 {
-	int64_t needed =
-	    waiting_accelerators(item) + round->headroom_accelerators;
+	int free = round->free_accelerators;
+	int left = free - waiting_accelerators(item);
+	/* What is left has the mean speed of what is free. */
+	int64_t needed = (int64_t)round->headroom_accelerators * free *
+			 PLAN_USUAL_SPEED_PERCENT;
 
 	return !waiting_respects_headroom(item) ||
-	       (needed * PLAN_USUAL_SPEED_PERCENT <= round->free_speed &&
-		   waiting_accelerators(item) <= round->free_accelerators);
+	       (left >= 0 && needed <= round->free_speed * left);
 }
 
 /*
