--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,69 +1,83 @@
 #!/bin/sh
-# Jobs of a hundred bytes each fill the memory of every control instance for
-# good.  This script plays the platform: it kills a process above memoryMb and
-# starts it again a second later.  TROUBLE=0: the same jobs with 10 tasks each.
+# One backend server is cut off for 5 s while its task ends; from then on it
+# gets no work any more.  TROUBLE=0: without the cut.
 . "$(dirname "$0")/../lib-2.sh"
-JOBS=40
-COUNT=100000
-[ "$TROUBLE" != 0 ] || COUNT=10
-WATCH_S=30
-start_deployment 8 8
-submit_small 0
-wait_until 10 is_state a 00000000000000a0 completed ||
-    cannot_run "a job did not end on a calm system"
-record "GET /a/00000000000000a0 -> $STATUS $ANSWER"
+CUT_S=5
+[ -x "$BIN/standin-relay" ] || cannot_run "$BIN/standin-relay is missing"
 
-# The platform for the control instances: kills and restarts, as DEPLOY.md says.
-KILLS=0
-police() {
-	for control in $CONTROLS; do
-		pid=$(pid_of "$control")
-		if ! is_ours "$pid"; then
-			eval "due=\${RESTART_$control:-0}"
-			[ "$(date +%s)" -gt "$due" ] || continue
-			start_instance "$control"
-			record "control instance $control starts again"
-			continue
-		fi
-		rss_kb=$(awk '/^VmRSS/ { print $2 }' "/proc/$pid/status")
-		[ "${rss_kb:-0}" -gt $((MEMORY_MB * 1024)) ] || continue
-		kill -KILL "$pid"
-		KILLS=$((KILLS + 1))
-		eval "KILLS_$control=\$((\${KILLS_$control:-0} + 1))"
-		eval "RESTART_$control=$(date +%s)"
-		record "control instance $control uses $rss_kb KB: killed"
-	done
+# start_worker NUMBER OUTPUT OPTION...: one more backend server.
+start_worker() {
+	number=$1
+	output=$2
+	shift 2
+	"$BIN/standin-platform_worker" --address "$NET.100" --port $WORKERS \
+	    --first "$number" --count 1 --accelerators 8 \
+	    --commands $((COMMANDS - number)) --hold-max-ms 6000 "$@" \
+	    >"$output" 2>>"$WORK/workers.log" &
+	PIDS="$PIDS $!"
 }
 
-# An ordinary job of tenant a that needs all of the first backend server's time.
-submit a 00000000000000aa '{"spec":"45000","steps":[{"count":1,"cpu":1000,
- "memMb":100,"gpu":1,"estMs":45000}]}' || cannot_run "no job was accepted"
-n=0
-while [ $n -lt $JOBS ]; do
-	n=$((n + 1))
-	submit b "$(printf 00000000000000%02x $((n + 160)))" "{\"spec\":\"1000\",
-	 \"steps\":[{\"count\":$COUNT,\"cpu\":64000,\"memMb\":100,\"gpu\":8,
-	 \"estMs\":1000}]}" || :
-	police
-	[ $KILLS -lt 4 ] || break
+# Six backend servers: 0 to 3 in rack r0, 4 in rack r1, 8 in rack r2.  A rack is
+# a label, too.  All calls from and to number 4 pass through a relay.
+start_deployment 4 8
+: >"$WORK/rules"
+: >"$WORK/worker4.out"
+# shellcheck disable=SC2086
+set --
+links="--link $NET.101:$((WORKERS + 4))=$NET.100:$((WORKERS + 4)),core,w04"
+for control in $CONTROLS; do
+	at=$NET.101:$((18000 + control))
+	links="$links --link $at=$NET.$control:$CONTROL,w04,core"
+	set -- "$@" --control "$at"
 done
-record "traffic ends"
-end=$(($(date +%s) + WATCH_S))
-while [ "$(date +%s)" -lt $end ]; do
-	police
-	sleep 0.2
+# shellcheck disable=SC2086
+"$BIN/standin-relay" $links --control "$WORK/rules" >"$WORK/relay.log" 2>&1 &
+PIDS="$PIDS $!"
+start_worker 4 "$WORK/worker4.out" --advertise "$NET.101" "$@"
+# shellcheck disable=SC2086
+start_worker 8 "$WORK/worker8.out" $controls
+sleep 2
+
+# job MS ACCELERATORS: a job of one task for rack r1.
+job() {
+	echo "{\"spec\":\"$1\",\"steps\":[{\"count\":1,\"cpu\":1000,
+	 \"memMb\":100,\"gpu\":$2,\"estMs\":$1,\"requires\":\"r1\"}]}"
+}
+
+submit a 00000000000000a0 "$(job 300 8)" || cannot_run "no job was accepted"
+wait_until 10 is_state a 00000000000000a0 completed ||
+    cannot_run "a job did not end on a calm system"
+record "GET /a/00000000000000a0 -> $STATUS $ANSWER"
+submit a 00000000000000a1 "$(job 4000 8)" || cannot_run "no job was accepted"
+wait_until 5 grep -q "^start 00000000000000a1" "$WORK/worker4.out" ||
+    cannot_run "the job was not started"
+sleep 1.7
+if [ "$TROUBLE" != 0 ]; then
+	printf 'cut core w04\ncut w04 core\n' >"$WORK/rules"
+	record "backend server 4 is cut off from all control instances"
+fi
+sleep $CUT_S
+: >"$WORK/rules"
+record "backend server 4 is reached again"
+wait_until 15 is_state a 00000000000000a1 completed
+record "GET /a/00000000000000a1 -> $STATUS $ANSWER"
+# All is calm, and backend server 4 is idle: half of it would do for each.
+for number in 2 3; do
+	submit a "00000000000000a$number" "$(job 300 4)" ||
+	    cannot_run "no job was accepted"
 done
-record_runs
-OFTEN=0
-for control in $CONTROLS; do
-	eval "kills=\${KILLS_$control:-0}"
-	record "control instance $control was above $MEMORY_MB MB $kills times"
-	[ "$kills" -lt 3 ] || OFTEN=$((OFTEN + 1))
+sleep 15
+WAITING=""
+for number in 2 3; do
+	look a "00000000000000a$number"
+	record "GET /a/00000000000000a$number -> $STATUS $ANSWER"
+	[ "$STATUS $STATE" = "200 completed" ] || WAITING="$WAITING a$number"
 done
-[ $OFTEN -lt 2 ] || broken "$OFTEN of 4 control instances were above" \
-    "$MEMORY_MB MB three times or more, $KILLS times in all, also after the" \
-    "traffic had ended"
-look a 00000000000000aa
-record "GET /a/00000000000000aa -> $STATUS $ANSWER"
-[ "$STATUS" = 200 ] || broken "an accepted job is not known: $STATUS"
-held "no control instance used too much memory"
+record "what backend server 4 ran:"
+cat "$WORK/worker4.out" >>"$RECORD"
+record "what the leader noted of job a1:"
+grep -h '00000000000000a1' "$WORK"/*.events | grep -v '"call"\|"commit"' |
+    cut -c1-200 >>"$RECORD"
+[ -z "$WAITING" ] || broken "15 s after a cut of $CUT_S s, with an idle" \
+    "backend server for them, accepted jobs were not started:$WAITING"
+held "the jobs after the cut were run"
