--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -227,7 +227,8 @@
 		call POST "$NET.$ENTRY:$FRONT" "/$1/$2" "$3" \
 		    "Host: h.example" "Authorization: Bearer key-of-tenant-$1" \
 		    "X-Deadline-Ms: 3000"
-		record "POST /$1/$2 (tenant $1) -> $STATUS $ANSWER"
+		record "POST /$1/$2 (tenant $1, attempt $attempt) ->" \
+		    "$STATUS $ANSWER"
 		case $STATUS in 2??) return 0 ;; 4?[0-8]) return 1 ;; esac
 		sleep 1
 	done
