--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,38 +3,12 @@
 # gets no work any more.  TROUBLE=0: without the cut.
 . "$(dirname "$0")/../lib-2.sh"
 CUT_S=5
-[ -x "$BIN/standin-relay" ] || cannot_run "$BIN/standin-relay is missing"
-
-# start_worker NUMBER OUTPUT OPTION...: one more backend server.
-start_worker() {
-	number=$1
-	output=$2
-	shift 2
-	"$BIN/standin-platform_worker" --address "$NET.100" --port $WORKERS \
-	    --first "$number" --count 1 --accelerators 8 \
-	    --commands $((COMMANDS - number)) --hold-max-ms 6000 "$@" \
-	    >"$output" 2>>"$WORK/workers.log" &
-	PIDS="$PIDS $!"
-}
 
 # Six backend servers: 0 to 3 in rack r0, 4 in rack r1, 8 in rack r2.  A rack is
 # a label, too.  All calls from and to number 4 pass through a relay.
 start_deployment 4 8
-: >"$WORK/rules"
-: >"$WORK/worker4.out"
-# shellcheck disable=SC2086
-set --
-links="--link $NET.101:$((WORKERS + 4))=$NET.100:$((WORKERS + 4)),core,w04"
-for control in $CONTROLS; do
-	at=$NET.101:$((18000 + control))
-	links="$links --link $at=$NET.$control:$CONTROL,w04,core"
-	set -- "$@" --control "$at"
-done
-# shellcheck disable=SC2086
-"$BIN/standin-relay" $links --control "$WORK/rules" >"$WORK/relay.log" 2>&1 &
-PIDS="$PIDS $!"
-start_worker 4 "$WORK/worker4.out" --advertise "$NET.101" "$@"
-# shellcheck disable=SC2086
+start_behind_relay 4 "$WORK/worker4.out"
+# shellcheck disable=SC2154,SC2086
 start_worker 8 "$WORK/worker8.out" $controls
 sleep 2
 
@@ -52,13 +26,9 @@
 wait_until 5 grep -q "^start 00000000000000a1" "$WORK/worker4.out" ||
     cannot_run "the job was not started"
 sleep 1.7
-if [ "$TROUBLE" != 0 ]; then
-	printf 'cut core w04\ncut w04 core\n' >"$WORK/rules"
-	record "backend server 4 is cut off from all control instances"
-fi
+[ "$TROUBLE" = 0 ] || cut_off 4
 sleep $CUT_S
-: >"$WORK/rules"
-record "backend server 4 is reached again"
+heal
 wait_until 15 is_state a 00000000000000a1 completed
 record "GET /a/00000000000000a1 -> $STATUS $ANSWER"
 # All is calm, and backend server 4 is idle: half of it would do for each.
--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -182,10 +182,56 @@
 	PIDS="$PIDS $!"
 }
 
+# start_worker NUMBER OUTPUT OPTION...: one more backend server.
+start_worker() {
+	number=$1
+	output=$2
+	shift 2
+	"$BIN/standin-platform_worker" --address "$NET.100" --port $WORKERS \
+	    --first "$number" --count 1 --accelerators 8 \
+	    --commands $((COMMANDS - number)) --hold-max-ms 6000 "$@" \
+	    >"$output" 2>>"$WORK/workers.log" &
+	PIDS="$PIDS $!"
+}
+
+# start_behind_relay NUMBER OUTPUT: one more backend server; all calls from and to
+# it pass through a relay.
+start_behind_relay() {
+	name=w0$1
+	at=$((WORKERS + $1))
+	: >"$WORK/rules"
+	: >"$2"
+	links="--link $NET.101:$at=$NET.100:$at,core,$name"
+	detours=""
+	for control in $CONTROLS; do
+		at=$NET.101:$((18000 + control))
+		links="$links --link $at=$NET.$control:${CONTROL},$name,core"
+		detours="$detours --control $at"
+	done
+	# shellcheck disable=SC2086
+	"$BIN/standin-relay" $links --control "$WORK/rules" \
+	    >"$WORK/relay.log" 2>&1 &
+	PIDS="$PIDS $!"
+	# shellcheck disable=SC2086
+	start_worker "$1" "$2" --advertise "$NET.101" $detours
+}
+
+# cut_off NUMBER, heal: nothing passes between that backend server and the
+# control instances; everything does.
+cut_off() {
+	printf 'cut core w0%s\ncut w0%s core\n' "$1" "$1" >"$WORK/rules"
+	record "backend server $1 is cut off from all control instances"
+}
+
+heal() {
+	: >"$WORK/rules"
+	record "the cut ends"
+}
+
 # start_deployment WORKERS ACCELERATORS: everything, ready to take jobs.
 start_deployment() {
 	for program in chervilholdd standin-http standin-json \
-	    standin-platform_worker; do
+	    standin-platform_worker standin-relay; do
 		[ -x "$BIN/$program" ] || cannot_run "$BIN/$program is missing"
 	done
 	for control in $CONTROLS; do
