--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -363,22 +363,6 @@
 		run_on_start_committed(run);
 }
 
-/*
- * Drops the run if the ledger refused its start because the job had ended,
- * which frees the resources reserved for it. A run that on_start_committed left
- * uncommitted was refused.
- */
-static void
-drop_run_if_refused(fleet_t *fleet, const unit_start_t *start)
-{
-	const ledger_unit_t *unit =
-	    ledger_unit(fleet_ledger(fleet), &start->unit);
-	run_t *run = unit != NULL ? unit->leader_run : NULL;
-
-	if (run != NULL && !run->start_committed && run->number == start->run)
-		run_drop(run);
-}
-
 static void
 stop_runs_of(fleet_t *fleet, const char *job, const char *reason)
 {
@@ -419,12 +403,9 @@
 	switch (command->kind) {
 	case COMMAND_FLEET_EVENTS:
 		on_ends_committed(fleet, events);
-		for (u_int i = 0; i < events->starts.starts_len; i++) {
+		for (u_int i = 0; i < events->starts.starts_len; i++)
 			on_start_committed(
 			    fleet, &events->starts.starts_val[i]);
-			drop_run_if_refused(
-			    fleet, &events->starts.starts_val[i]);
-		}
 		break;
 	case COMMAND_BATCH_CANCEL:
 		stop_runs_of(
@@ -464,6 +445,8 @@
 	fleet->rounds_cut = counter_get("fleet_rounds_cut_total",
 	    "planning rounds that ended with their time budget");
 	fleet->starts = counter_get("fleet_starts_total", "starts sent");
+	fleet->runs_refused = counter_get("fleet_runs_refused_total",
+	    "runs dropped as the ledger refused their start");
 	fleet->stops = counter_get("fleet_stops_total", "stops sent");
 	fleet->polls = counter_get("fleet_polls_total", "polls of workers");
 	fleet->ends_done = counter_get("fleet_ends_total{how=\"done\"}", "");
@@ -515,6 +498,7 @@
 	fleet->retired_workers = g_ptr_array_new();
 	g_queue_init(&fleet->leaves);
 	g_queue_init(&fleet->member_orders);
+	fleet->queued_runs = g_ptr_array_new();
 	fleet->proposal_waiters = g_ptr_array_new_with_free_func(g_free);
 	g_queue_init(&fleet->pending_calls);
 	fleet->tickets = tickets_create();
@@ -554,6 +538,7 @@
 	g_hash_table_unref(fleet->departing);
 	g_hash_table_unref(fleet->domain_gauges);
 	g_ptr_array_unref(fleet->runs);
+	g_ptr_array_unref(fleet->queued_runs);
 	g_ptr_array_unref(fleet->proposal_waiters);
 	g_free(fleet);
 }
--- a/sched/fleet_events.c
+++ b/sched/fleet_events.c
@@ -19,6 +19,7 @@
 struct fleet_proposal_t {
 	fleet_t *fleet; /* NULL once the fleet is destroyed */
 	uint64_t term;
+	GPtrArray *runs; /* run_t whose starts it holds */
 	GPtrArray *waiters;
 };
 
@@ -38,9 +39,12 @@
 		(list)->field##_val[(list)->field##_len++] = (value);    \
 	} while (0)
 
-/* Queues the start of a run for the next proposal. */
+/*
+ * Queues the start of a run for the next proposal. Its outcome decides whether
+ * the run is kept.
+ */
 void
-fleet_event_start(fleet_t *fleet, const run_t *run)
+fleet_event_start(fleet_t *fleet, run_t *run)
 {
 	unit_start_t start = {
 	    .unit = copy_name(run->job, &run->name),
@@ -56,6 +60,8 @@
 		start.places.places_val[i].born = info->born;
 	}
 	APPEND(&fleet->events.starts, starts, unit_start_t, start);
+	run->start_undecided = true;
+	g_ptr_array_add(fleet->queued_runs, run);
 }
 
 /* Returns the checkpoint of the member that progressed furthest, or "". */
@@ -155,9 +161,19 @@
 	g_ptr_array_set_size(waiters, 0);
 }
 
+/* Ends the wait of the runs for the outcome of their starts. */
+static void
+settle_starts(GPtrArray *runs)
+{
+	for (guint i = 0; i < runs->len; i++)
+		run_settle_start(g_ptr_array_index(runs, i));
+	g_ptr_array_set_size(runs, 0);
+}
+
 static void
 proposal_free(fleet_proposal_t *proposal)
 {
+	g_ptr_array_unref(proposal->runs);
 	g_ptr_array_unref(proposal->waiters);
 	g_free(proposal);
 }
@@ -180,6 +196,7 @@
 		if (fleet->term == proposal->term)
 			fleet_step_down(fleet, "proposal_failed");
 	}
+	settle_starts(proposal->runs);
 	proposal_free(proposal);
 	fleet_schedule_work(fleet);
 }
@@ -196,6 +213,8 @@
 	proposal = g_new0(fleet_proposal_t, 1);
 	proposal->fleet = fleet;
 	proposal->term = fleet->term;
+	proposal->runs = fleet->queued_runs;
+	fleet->queued_runs = g_ptr_array_new();
 	proposal->waiters = fleet->proposal_waiters;
 	fleet->proposal_waiters = g_ptr_array_new_with_free_func(g_free);
 	command.command_t_u.fleet_events = fleet->events;
@@ -210,6 +229,7 @@
 void
 fleet_events_clear(fleet_t *fleet, fleet_outcome_t outcome)
 {
+	settle_starts(fleet->queued_runs);
 	codec_free((xdrproc_t)xdr_fleet_events_t, &fleet->events);
 	memset(&fleet->events, 0, sizeof(fleet->events));
 	notify_waiters(fleet->proposal_waiters, outcome);
@@ -221,6 +241,7 @@
 {
 	if (fleet->proposal == NULL)
 		return;
+	settle_starts(fleet->proposal->runs);
 	notify_waiters(fleet->proposal->waiters, FLEET_NO_ANSWER);
 	fleet->proposal->fleet = NULL;
 	fleet->proposal = NULL;
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -161,6 +161,8 @@
 	int member_count;
 	member_t *members;
 	bool start_committed;
+	/* Its start is queued or proposed, so that its outcome is not known. */
+	bool start_undecided;
 	bool stopping; /* requested; sent once the start is committed */
 	bool end_proposed;
 	bool any_done; /* a member is done, which completes the unit */
@@ -201,6 +203,7 @@
 	GQueue leaves;               /* leave_t, see fleet_leave.c */
 	GQueue member_orders;        /* member_order_t in flight */
 	fleet_events_t events;       /* to be proposed */
+	GPtrArray *queued_runs;      /* run_t whose starts are in events */
 	GPtrArray *proposal_waiters; /* waiters for the next proposal */
 	fleet_proposal_t *proposal;  /* in flight */
 	ev_timer tick;
@@ -216,6 +219,7 @@
 	histogram_t *round_time; /* of planning rounds */
 	counter_t *rounds_cut;   /* ended by their budget */
 	counter_t *starts;
+	counter_t *runs_refused; /* by the ledger */
 	counter_t *stops;
 	counter_t *polls;
 	counter_t *ends_done;
@@ -260,7 +264,7 @@
 void fleet_step_down(fleet_t *fleet, const char *why);
 
 /* fleet_events.c */
-void fleet_event_start(fleet_t *fleet, const run_t *run);
+void fleet_event_start(fleet_t *fleet, run_t *run);
 /* final: the queue allows no further attempt. */
 void fleet_event_end(
     fleet_t *fleet, const run_t *run, unit_result_t result, bool final);
@@ -329,6 +333,7 @@
 /* The resources of the run count as soon to be free from now on. */
 void run_release(run_t *run);
 void run_drop(run_t *run);
+void run_settle_start(run_t *run);
 /* Once all members have ended, reports the end of the run and retires it. */
 void run_retire_if_ended(run_t *run);
 void run_after_member_end(run_t *run, const char *reason);
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -88,14 +88,15 @@
 	g_ptr_array_add(run->fleet->retired_runs, run);
 }
 
-/* Frees retired runs that no order and no unit refers to. */
+/* Frees retired runs that no order, unit or proposal refers to. */
 void
 fleet_reap_runs(fleet_t *fleet)
 {
 	for (guint i = fleet->retired_runs->len; i-- > 0;) {
 		run_t *run = g_ptr_array_index(fleet->retired_runs, i);
 
-		if (run->orders_in_flight > 0 || run->unit != NULL)
+		if (run->orders_in_flight > 0 || run->unit != NULL ||
+		    run->start_undecided)
 			continue;
 		g_ptr_array_remove_index_fast(fleet->retired_runs, i);
 		run_free(run);
@@ -156,6 +157,24 @@
 	run_retire(run);
 }
 
+/*
+ * Handles the outcome of the proposal that held the run's start.  A run that is
+ * still uncommitted was refused by the ledger, as its unit or job had ended; it
+ * is dropped, whether or not a unit refers to it.
+ */
+void
+run_settle_start(run_t *run)
+{
+	run->start_undecided = false;
+	if (run->retired || run->start_committed)
+		return;
+	counter_add(run->fleet->runs_refused, 1);
+	evlog("run_refused", "{s:s,s:i,s:i,s:i,s:i}", "job", run->job,
+	    "occurrence", run->name.occurrence, "step", run->name.step, "unit",
+	    run->name.unit, "run", (int)run->number);
+	run_drop(run);
+}
+
 static int
 max_attempts_of(const run_t *run)
 {
--- a/tests/unit/once/once.h
+++ b/tests/unit/once/once.h
@@ -247,6 +247,7 @@
 void check_started(task_t *task);
 void check_acknowledged(life_t *life, const end_t *end);
 void check_committed(world_t *world, const command_t *command);
+void check_runs_owned(world_t *world, const fleet_t *fleet);
 void check_fail(world_t *world, const char *job, const char *format, ...)
     G_GNUC_PRINTF(3, 4);
 void unit_free(void *data);
--- a/tests/unit/once/once_check.c
+++ b/tests/unit/once/once_check.c
@@ -1,6 +1,7 @@
 #include <stdarg.h>
 #include <string.h>
 
+#include "sched/fleet_private.h"
 #include "tests/unit/once/once.h"
 
 /*
@@ -134,3 +135,21 @@
 			    MAX(unit->committed_run, start->run);
 	}
 }
+
+/*
+ * Checks that each run whose start is not committed waits for a proposal that
+ * is queued or in flight: any other one would hold its place for ever.
+ */
+void
+check_runs_owned(world_t *world, const fleet_t *fleet)
+{
+	for (guint i = 0; i < fleet->runs->len; i++) {
+		const run_t *run = g_ptr_array_index(fleet->runs, i);
+
+		if (!run->start_committed && !run->start_undecided)
+			check_fail(world, run->job,
+			    "run %u of step %d holds its place, and no "
+			    "proposal has its start",
+			    run->number, run->name.step);
+	}
+}
--- a/tests/unit/once/once_replica.c
+++ b/tests/unit/once/once_replica.c
@@ -101,6 +101,8 @@
 		instance->applied++;
 		finish_applied(instance);
 	}
+	if (instance->fleet != NULL)
+		check_runs_owned(instance->world, instance->fleet);
 }
 
 static void
--- a/tests/unit/test_once.c
+++ b/tests/unit/test_once.c
@@ -36,6 +36,8 @@
     {ONCE_ALL_BUT_LATE, 1001608, 1},
     {ONCE_ALL_BUT_LATE, 3001207, 1},
     {"loss,answer_lost,slow,cut,cut_one_way,rebirth", 994, 1},
+    /* A late end counts together with the start of the next run. */
+    {"cut,slow", 323, 1},
 };
 
 int
