--- a/rpc/protocol.h
+++ b/rpc/protocol.h
@@ -21,6 +21,7 @@
 #define MAX_MEMBERS 64
 #define MAX_ANNOUNCED 512
 #define MAX_BATCH 4096
+#define MAX_JOB_TASKS 100000
 #define MAX_STEPS 256
 #define MAX_LABELS 32
 
@@ -55,6 +56,7 @@
 	COMMAND_BATCH_CANCEL = 18,
 	COMMAND_FLEET_EVENTS = 19,
 	COMMAND_DOMAIN_SERVICE = 20,
+	COMMAND_GANG_START = 21,
 };
 typedef enum command_kind_t command_kind_t;
 
@@ -372,6 +374,25 @@
 };
 typedef struct unit_start_t unit_start_t;
 
+struct place_range_t {
+	name_t worker;
+	u_quad_t born;
+	int members;
+};
+typedef struct place_range_t place_range_t;
+
+typedef struct {
+	u_int place_ranges_t_len;
+	place_range_t *place_ranges_t_val;
+} place_ranges_t;
+
+struct gang_start_t {
+	unit_name_t unit;
+	u_int run;
+	place_ranges_t places;
+};
+typedef struct gang_start_t gang_start_t;
+
 enum unit_result_t {
 	UNIT_RESULT_DONE = 0,
 	UNIT_RESULT_FAILED = 1,
@@ -466,6 +487,21 @@
 };
 typedef struct domains_out_t domains_out_t;
 
+struct gang_record_t {
+	name_t job;
+	u_int unit;
+	place_ranges_t places;
+};
+typedef struct gang_record_t gang_record_t;
+
+struct gang_places_t {
+	struct {
+		u_int gangs_len;
+		gang_record_t *gangs_val;
+	} gangs;
+};
+typedef struct gang_places_t gang_places_t;
+
 struct command_t {
 	command_kind_t kind;
 	union {
@@ -489,6 +525,7 @@
 		name_t batch_cancel;
 		fleet_events_t fleet_events;
 		domain_service_t domain_service;
+		gang_start_t gang_start;
 	} command_t_u;
 };
 typedef struct command_t command_t;
@@ -889,6 +926,9 @@
 extern  bool_t xdr_unit_name_t (XDR *, unit_name_t*);
 extern  bool_t xdr_unit_place_t (XDR *, unit_place_t*);
 extern  bool_t xdr_unit_start_t (XDR *, unit_start_t*);
+extern  bool_t xdr_place_range_t (XDR *, place_range_t*);
+extern  bool_t xdr_place_ranges_t (XDR *, place_ranges_t*);
+extern  bool_t xdr_gang_start_t (XDR *, gang_start_t*);
 extern  bool_t xdr_unit_result_t (XDR *, unit_result_t*);
 extern  bool_t xdr_unit_end_t (XDR *, unit_end_t*);
 extern  bool_t xdr_fleet_events_t (XDR *, fleet_events_t*);
@@ -898,6 +938,8 @@
 extern  bool_t xdr_fleet_snapshot_t (XDR *, fleet_snapshot_t*);
 extern  bool_t xdr_retired_queues_t (XDR *, retired_queues_t*);
 extern  bool_t xdr_domains_out_t (XDR *, domains_out_t*);
+extern  bool_t xdr_gang_record_t (XDR *, gang_record_t*);
+extern  bool_t xdr_gang_places_t (XDR *, gang_places_t*);
 extern  bool_t xdr_command_t (XDR *, command_t*);
 extern  bool_t xdr_command_result_t (XDR *, command_result_t*);
 extern  bool_t xdr_raft_kind_t (XDR *, raft_kind_t*);
@@ -964,6 +1006,9 @@
 extern bool_t xdr_unit_name_t ();
 extern bool_t xdr_unit_place_t ();
 extern bool_t xdr_unit_start_t ();
+extern bool_t xdr_place_range_t ();
+extern bool_t xdr_place_ranges_t ();
+extern bool_t xdr_gang_start_t ();
 extern bool_t xdr_unit_result_t ();
 extern bool_t xdr_unit_end_t ();
 extern bool_t xdr_fleet_events_t ();
@@ -973,6 +1018,8 @@
 extern bool_t xdr_fleet_snapshot_t ();
 extern bool_t xdr_retired_queues_t ();
 extern bool_t xdr_domains_out_t ();
+extern bool_t xdr_gang_record_t ();
+extern bool_t xdr_gang_places_t ();
 extern bool_t xdr_command_t ();
 extern bool_t xdr_command_result_t ();
 extern bool_t xdr_raft_kind_t ();
--- a/rpc/protocol.x
+++ b/rpc/protocol.x
@@ -11,6 +11,7 @@
 const MAX_MEMBERS = 64;
 const MAX_ANNOUNCED = 512;
 const MAX_BATCH = 4096;
+const MAX_JOB_TASKS = 100000;
 const MAX_STEPS = 256;
 const MAX_LABELS = 32;
 
@@ -41,7 +42,8 @@
 	COMMAND_BATCH_SUBMIT = 17,
 	COMMAND_BATCH_CANCEL = 18,
 	COMMAND_FLEET_EVENTS = 19,
-	COMMAND_DOMAIN_SERVICE = 20
+	COMMAND_DOMAIN_SERVICE = 20,
+	COMMAND_GANG_START = 21
 };
 
 /* RFC 7396 merge patch against version base. */
@@ -317,6 +319,22 @@
 	unit_place_t places<MAX_BATCH>;
 };
 
+/* Consecutive members of a unit on one incarnation of a worker. */
+struct place_range_t {
+	name_t worker;
+	unsigned hyper born;
+	int members;
+};
+
+typedef place_range_t place_ranges_t<MAX_JOB_TASKS>;
+
+/* The start of a gang with more members than unit_start_t has places. */
+struct gang_start_t {
+	unit_name_t unit;
+	unsigned int run;
+	place_ranges_t places;
+};
+
 enum unit_result_t {
 	UNIT_RESULT_DONE = 0,
 	UNIT_RESULT_FAILED = 1,
@@ -346,7 +364,10 @@
 	bool out_of_service;
 };
 
-/* A unit in a snapshot. */
+/*
+ * A unit in a snapshot.  The places of a gang with more members than fit are in
+ * gang_places_t.
+ */
 struct unit_record_t {
 	int state;
 	unsigned int run;
@@ -373,11 +394,23 @@
 	fleet_queue_t queues<BODY_MAX_LEN>;
 };
 
-/* Follows retired_queues_t where there are any. */
+/* Follows retired_queues_t where there are any, or where more follows. */
 struct domains_out_t {
 	name_t domains<BODY_MAX_LEN>;
 };
 
+/* A gang with more members than unit_record_t has places; unit is its index. */
+struct gang_record_t {
+	name_t job;
+	unsigned int unit;
+	place_ranges_t places;
+};
+
+/* Follows domains_out_t where there are any. */
+struct gang_places_t {
+	gang_record_t gangs<BODY_MAX_LEN>;
+};
+
 union command_t switch (command_kind_t kind) {
 case COMMAND_NOOP:
 	void;
@@ -421,6 +454,8 @@
 	fleet_events_t fleet_events;
 case COMMAND_DOMAIN_SERVICE:
 	domain_service_t domain_service;
+case COMMAND_GANG_START:
+	gang_start_t gang_start;
 };
 
 /* Outcome of a command; code is 0 or a negative errno value. */
--- a/rpc/protocol_xdr.c
+++ b/rpc/protocol_xdr.c
@@ -849,6 +849,45 @@
 	return TRUE;
 }
 
+bool_t
+xdr_place_range_t (XDR *xdrs, place_range_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_name_t (xdrs, &objp->worker))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->born))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->members))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_place_ranges_t (XDR *xdrs, place_ranges_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->place_ranges_t_val, (u_int *) &objp->place_ranges_t_len, MAX_JOB_TASKS,
+		sizeof (place_range_t), (xdrproc_t) xdr_place_range_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gang_start_t (XDR *xdrs, gang_start_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_unit_name_t (xdrs, &objp->unit))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->run))
+		 return FALSE;
+	 if (!xdr_place_ranges_t (xdrs, &objp->places))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_unit_result_t (XDR *xdrs, unit_result_t *objp)
 {
@@ -1028,6 +1067,31 @@
 	return TRUE;
 }
 
+bool_t
+xdr_gang_record_t (XDR *xdrs, gang_record_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_name_t (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->unit))
+		 return FALSE;
+	 if (!xdr_place_ranges_t (xdrs, &objp->places))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gang_places_t (XDR *xdrs, gang_places_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->gangs.gangs_val, (u_int *) &objp->gangs.gangs_len, BODY_MAX_LEN,
+		sizeof (gang_record_t), (xdrproc_t) xdr_gang_record_t))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_command_t (XDR *xdrs, command_t *objp)
 {
@@ -1118,6 +1182,10 @@
 		 if (!xdr_domain_service_t (xdrs, &objp->command_t_u.domain_service))
 			 return FALSE;
 		break;
+	case COMMAND_GANG_START:
+		 if (!xdr_gang_start_t (xdrs, &objp->command_t_u.gang_start))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -72,11 +72,26 @@
 
 /* ---- leadership ---- */
 
+/* Whether a worker of the run has restarted since it was placed. */
+static bool
+has_restarted_worker(const run_t *run, const place_ranges_t *places)
+{
+	const member_t *member = run->members;
+
+	for (u_int i = 0; i < places->place_ranges_t_len; i++) {
+		const place_range_t *range = &places->place_ranges_t_val[i];
+
+		if (member->worker->info.born != range->born)
+			return true;
+		member += range->members;
+	}
+	return false;
+}
+
 static void
 recover_run(fleet_t *fleet, ledger_unit_t *unit)
 {
-	run_t *run = run_create(fleet, unit, unit->run, unit->places);
-	bool restarted = false;
+	run_t *run = run_create(fleet, unit, unit->run, &unit->places);
 
 	run->start_committed = true;
 	for (int i = 0; i < run->member_count; i++) {
@@ -85,12 +100,10 @@
 		/* The previous leader may have sent the start. */
 		member->state = MEMBER_SENT;
 		member->starts_unanswered = 1;
-		if (member->worker->info.born != unit->places[i].born)
-			restarted = true;
 	}
 	if (ledger_job_has_ended(unit->job))
 		run_stop(run, "job_ended");
-	else if (restarted)
+	else if (has_restarted_worker(run, &unit->places))
 		run_stop(run, "worker_restarted");
 }
 
@@ -347,19 +360,18 @@
 /* ---- committed commands ---- */
 
 static void
-on_start_committed(fleet_t *fleet, const unit_start_t *start)
+on_start_committed(fleet_t *fleet, const unit_name_t *name, uint32_t number)
 {
-	ledger_unit_t *unit = ledger_unit(fleet_ledger(fleet), &start->unit);
+	ledger_unit_t *unit = ledger_unit(fleet_ledger(fleet), name);
 	run_t *run;
 
-	if (unit == NULL || unit->state != UNIT_PLACED ||
-	    unit->run != start->run)
+	if (unit == NULL || unit->state != UNIT_PLACED || unit->run != number)
 		return;
 	run = unit->leader_run;
 	/* The start was proposed before this leadership began. */
 	if (run == NULL)
 		recover_run(fleet, unit);
-	else if (run->number == start->run && !run->start_committed)
+	else if (run->number == number && !run->start_committed)
 		run_on_start_committed(run);
 }
 
@@ -392,20 +404,31 @@
 	}
 }
 
+static void
+on_events_committed(fleet_t *fleet, const fleet_events_t *events)
+{
+	on_ends_committed(fleet, events);
+	for (u_int i = 0; i < events->starts.starts_len; i++) {
+		const unit_start_t *start = &events->starts.starts_val[i];
+
+		on_start_committed(fleet, &start->unit, start->run);
+	}
+}
+
 /* Updates runs after a committed command; does nothing on followers. */
 void
 fleet_applied(fleet_t *fleet, const command_t *command)
 {
-	const fleet_events_t *events = &command->command_t_u.fleet_events;
+	const gang_start_t *gang = &command->command_t_u.gang_start;
 
 	if (!fleet->leading)
 		return;
 	switch (command->kind) {
 	case COMMAND_FLEET_EVENTS:
-		on_ends_committed(fleet, events);
-		for (u_int i = 0; i < events->starts.starts_len; i++)
-			on_start_committed(
-			    fleet, &events->starts.starts_val[i]);
+		on_events_committed(fleet, &command->command_t_u.fleet_events);
+		break;
+	case COMMAND_GANG_START:
+		on_start_committed(fleet, &gang->unit, gang->run);
 		break;
 	case COMMAND_BATCH_CANCEL:
 		stop_runs_of(
@@ -498,8 +521,7 @@
 	fleet->retired_workers = g_ptr_array_new();
 	g_queue_init(&fleet->leaves);
 	g_queue_init(&fleet->member_orders);
-	fleet->queued_runs = g_ptr_array_new();
-	fleet->proposal_waiters = g_ptr_array_new_with_free_func(g_free);
+	g_queue_init(&fleet->batches);
 	g_queue_init(&fleet->pending_calls);
 	fleet->tickets = tickets_create();
 	create_counters(fleet);
@@ -538,8 +560,6 @@
 	g_hash_table_unref(fleet->departing);
 	g_hash_table_unref(fleet->domain_gauges);
 	g_ptr_array_unref(fleet->runs);
-	g_ptr_array_unref(fleet->queued_runs);
-	g_ptr_array_unref(fleet->proposal_waiters);
 	g_free(fleet);
 }
 
--- a/sched/fleet_events.c
+++ b/sched/fleet_events.c
@@ -4,11 +4,12 @@
 #include "common/log.h"
 #include "rpc/codec.h"
 #include "sched/fleet_private.h"
+#include "sched/places.h"
 
 /*
- * The leader commits its decisions and observations in batches, one proposal at
- * a time and only within its term. A proposal committed in a later term could
- * contradict a decision of the next leader.
+ * The leader commits its decisions and observations in batches, in their order,
+ * one proposal at a time and only within its term. A proposal committed in a
+ * later term could contradict a decision of the next leader.
  */
 
 typedef struct {
@@ -16,13 +17,65 @@
 	void *ctx;
 } waiter_t;
 
-struct fleet_proposal_t {
+/* A command that is queued or proposed, and who waits for it. */
+struct fleet_batch_t {
 	fleet_t *fleet; /* NULL once the fleet is destroyed */
-	uint64_t term;
+	uint64_t term;  /* in which it was proposed */
+	command_t command;
 	GPtrArray *runs; /* run_t whose starts it holds */
 	GPtrArray *waiters;
 };
 
+/* ---- batches ---- */
+
+static fleet_batch_t *
+batch_add(fleet_t *fleet, command_kind_t kind)
+{
+	fleet_batch_t *batch = g_new0(fleet_batch_t, 1);
+
+	batch->fleet = fleet;
+	batch->command.kind = kind;
+	batch->runs = g_ptr_array_new();
+	batch->waiters = g_ptr_array_new_with_free_func(g_free);
+	g_queue_push_tail(&fleet->batches, batch);
+	return batch;
+}
+
+static void
+batch_clear_command(fleet_batch_t *batch)
+{
+	codec_free((xdrproc_t)xdr_command_t, &batch->command);
+	batch->command = (command_t){.kind = COMMAND_NOOP};
+}
+
+static void
+batch_free(fleet_batch_t *batch)
+{
+	batch_clear_command(batch);
+	g_ptr_array_unref(batch->runs);
+	g_ptr_array_unref(batch->waiters);
+	g_free(batch);
+}
+
+/* Returns the last queued batch if it takes events, else a new one. */
+static fleet_batch_t *
+open_batch(fleet_t *fleet)
+{
+	fleet_batch_t *last = g_queue_peek_tail(&fleet->batches);
+
+	if (last != NULL && last->command.kind == COMMAND_FLEET_EVENTS)
+		return last;
+	return batch_add(fleet, COMMAND_FLEET_EVENTS);
+}
+
+static fleet_events_t *
+batch_events(fleet_batch_t *batch)
+{
+	return &batch->command.command_t_u.fleet_events;
+}
+
+/* ---- events ---- */
+
 static unit_name_t
 copy_name(const char *job, const unit_name_t *name)
 {
@@ -39,12 +92,8 @@
 		(list)->field##_val[(list)->field##_len++] = (value);    \
 	} while (0)
 
-/*
- * Queues the start of a run for the next proposal. Its outcome decides whether
- * the run is kept.
- */
-void
-fleet_event_start(fleet_t *fleet, run_t *run)
+static void
+add_start(fleet_batch_t *batch, const run_t *run)
 {
 	unit_start_t start = {
 	    .unit = copy_name(run->job, &run->name),
@@ -59,9 +108,40 @@
 		start.places.places_val[i].worker = g_strdup(info->id);
 		start.places.places_val[i].born = info->born;
 	}
-	APPEND(&fleet->events.starts, starts, unit_start_t, start);
+	APPEND(&batch_events(batch)->starts, starts, unit_start_t, start);
+}
+
+static void
+set_gang_start(fleet_batch_t *batch, const run_t *run)
+{
+	gang_start_t *start = &batch->command.command_t_u.gang_start;
+
+	start->unit = copy_name(run->job, &run->name);
+	start->run = run->number;
+	for (int i = 0; i < run->member_count; i++) {
+		const fleet_worker_t *info = &run->members[i].worker->info;
+
+		places_add(&start->places, info->id, info->born, 1);
+	}
+}
+
+/*
+ * Queues the start of a run for a proposal, whose outcome decides whether the
+ * run is kept. A large gang has a command of its own.
+ */
+void
+fleet_event_start(fleet_t *fleet, run_t *run)
+{
+	bool is_large = run->member_count > MAX_BATCH;
+	fleet_batch_t *batch =
+	    is_large ? batch_add(fleet, COMMAND_GANG_START) : open_batch(fleet);
+
+	if (is_large)
+		set_gang_start(batch, run);
+	else
+		add_start(batch, run);
 	run->start_undecided = true;
-	g_ptr_array_add(fleet->queued_runs, run);
+	g_ptr_array_add(batch->runs, run);
 }
 
 /* Returns the checkpoint of the member that progressed furthest, or "". */
@@ -80,6 +160,15 @@
 	return best != NULL ? best->checkpoint : "";
 }
 
+static void
+add_end(fleet_t *fleet, unit_end_t end)
+{
+	fleet_events_t *events = batch_events(open_batch(fleet));
+
+	APPEND(&events->ends, ends, unit_end_t, end);
+	fleet_schedule_work(fleet);
+}
+
 /*
  * Queues the end of a run for the next proposal; final means that the queue
  * allows no further attempt.
@@ -96,8 +185,7 @@
 	    .checkpoint = g_strdup(furthest_checkpoint(run)),
 	};
 
-	APPEND(&fleet->events.ends, ends, unit_end_t, end);
-	fleet_schedule_work(fleet);
+	add_end(fleet, end);
 }
 
 void
@@ -110,8 +198,7 @@
 	    .checkpoint = g_strdup(""),
 	};
 
-	APPEND(&fleet->events.ends, ends, unit_end_t, end);
-	fleet_schedule_work(fleet);
+	add_end(fleet, end);
 }
 
 /*
@@ -122,15 +209,16 @@
 fleet_event_worker(
     fleet_t *fleet, const fleet_worker_t *worker, fleet_done_t *done, void *ctx)
 {
+	fleet_batch_t *batch = open_batch(fleet);
 	fleet_worker_t copy;
 
 	fleet_worker_copy(&copy, worker);
-	APPEND(&fleet->events.workers, workers, fleet_worker_t, copy);
+	APPEND(&batch_events(batch)->workers, workers, fleet_worker_t, copy);
 	if (done != NULL) {
 		waiter_t *waiter = g_new0(waiter_t, 1);
 
 		*waiter = (waiter_t){done, ctx};
-		g_ptr_array_add(fleet->proposal_waiters, waiter);
+		g_ptr_array_add(batch->waiters, waiter);
 	}
 	fleet_schedule_work(fleet);
 }
@@ -139,15 +227,27 @@
 void
 fleet_event_forget(fleet_t *fleet, const char *job)
 {
-	APPEND(&fleet->events.forgotten, forgotten, name_t, g_strdup(job));
+	fleet_events_t *events = batch_events(open_batch(fleet));
+
+	APPEND(&events->forgotten, forgotten, name_t, g_strdup(job));
 }
 
-static bool
-is_empty(const fleet_events_t *events)
+/* ---- proposals ---- */
+
+/* Whether ends of runs are queued, or a proposal is in flight. */
+bool
+fleet_is_proposing_ends(const fleet_t *fleet)
 {
-	return events->workers.workers_len == 0 &&
-	       events->starts.starts_len == 0 && events->ends.ends_len == 0 &&
-	       events->forgotten.forgotten_len == 0;
+	if (fleet->proposal != NULL)
+		return true;
+	for (GList *at = fleet->batches.head; at != NULL; at = at->next) {
+		fleet_batch_t *batch = at->data;
+
+		if (batch->command.kind == COMMAND_FLEET_EVENTS &&
+		    batch_events(batch)->ends.ends_len > 0)
+			return true;
+	}
+	return false;
 }
 
 static void
@@ -170,69 +270,57 @@
 	g_ptr_array_set_size(runs, 0);
 }
 
-static void
-proposal_free(fleet_proposal_t *proposal)
-{
-	g_ptr_array_unref(proposal->runs);
-	g_ptr_array_unref(proposal->waiters);
-	g_free(proposal);
-}
-
 static void
 on_proposed(void *ctx, const err_t *err, const command_result_t *result)
 {
-	fleet_proposal_t *proposal = ctx;
-	fleet_t *fleet = proposal->fleet;
+	fleet_batch_t *batch = ctx;
+	fleet_t *fleet = batch->fleet;
 
 	if (fleet == NULL) {
-		proposal_free(proposal);
+		batch_free(batch);
 		return;
 	}
 	fleet->proposal = NULL;
 	notify_waiters(
-	    proposal->waiters, err->code == 0 ? FLEET_OK : FLEET_NO_ANSWER);
+	    batch->waiters, err->code == 0 ? FLEET_OK : FLEET_NO_ANSWER);
 	if (err->code != 0) {
 		log_err(LOG_WARNING, err);
-		if (fleet->term == proposal->term)
+		if (fleet->term == batch->term)
 			fleet_step_down(fleet, "proposal_failed");
 	}
-	settle_starts(proposal->runs);
-	proposal_free(proposal);
+	settle_starts(batch->runs);
+	batch_free(batch);
+	fleet_events_propose(fleet);
 	fleet_schedule_work(fleet);
 }
 
-/* Proposes the queued events unless a proposal is in flight. */
+/* Proposes the first queued batch unless a proposal is in flight. */
 void
 fleet_events_propose(fleet_t *fleet)
 {
-	command_t command = {.kind = COMMAND_FLEET_EVENTS};
-	fleet_proposal_t *proposal;
+	fleet_batch_t *batch;
 
-	if (fleet->proposal != NULL || is_empty(&fleet->events))
+	if (fleet->proposal != NULL || fleet->batches.length == 0)
 		return;
-	proposal = g_new0(fleet_proposal_t, 1);
-	proposal->fleet = fleet;
-	proposal->term = fleet->term;
-	proposal->runs = fleet->queued_runs;
-	fleet->queued_runs = g_ptr_array_new();
-	proposal->waiters = fleet->proposal_waiters;
-	fleet->proposal_waiters = g_ptr_array_new_with_free_func(g_free);
-	command.command_t_u.fleet_events = fleet->events;
-	memset(&fleet->events, 0, sizeof(fleet->events));
-	fleet->proposal = proposal;
+	batch = g_queue_pop_head(&fleet->batches);
+	batch->term = fleet->term;
+	fleet->proposal = batch;
 	replica_propose_in_term(
-	    fleet->replica, &command, fleet->term, on_proposed, proposal);
-	codec_free((xdrproc_t)xdr_command_t, &command);
+	    fleet->replica, &batch->command, fleet->term, on_proposed, batch);
+	batch_clear_command(batch);
 }
 
-/* Discards queued events and reports outcome to their waiters. */
+/* Discards the queued batches and reports outcome to their waiters. */
 void
 fleet_events_clear(fleet_t *fleet, fleet_outcome_t outcome)
 {
-	settle_starts(fleet->queued_runs);
-	codec_free((xdrproc_t)xdr_fleet_events_t, &fleet->events);
-	memset(&fleet->events, 0, sizeof(fleet->events));
-	notify_waiters(fleet->proposal_waiters, outcome);
+	fleet_batch_t *batch;
+
+	while ((batch = g_queue_pop_head(&fleet->batches)) != NULL) {
+		settle_starts(batch->runs);
+		notify_waiters(batch->waiters, outcome);
+		batch_free(batch);
+	}
 }
 
 /* Detaches the proposal in flight; its waiters get FLEET_NO_ANSWER. */
--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -4,6 +4,7 @@
 #include "common/clock.h"
 #include "common/evlog.h"
 #include "sched/fleet_round.h"
+#include "sched/places.h"
 
 /* Places waiting units on workers, one planning round at a time. */
 
@@ -47,37 +48,34 @@
 static void
 queue_start(round_t *round, const waiting_step_t *item, ledger_unit_t *unit)
 {
-	unit_place_t *places = g_new0(unit_place_t, unit->members);
+	place_ranges_t places = {0};
 	int penalty;
 	int racks = summarize_choice(round, &penalty);
-	int n = 0;
 	run_t *run;
 
 	for (size_t i = 0; i < pool_choice_size(round->pool); i++) {
 		const plan_worker_t *chosen =
 		    pool_worker(round->pool, pool_choice(round->pool, i));
 
-		for (int c = 0; c < chosen->chosen; c++)
-			places[n++] =
-			    (unit_place_t){.worker = (char *)chosen->worker->id,
-				.born = chosen->worker->born};
+		places_add(&places, chosen->worker->id, chosen->worker->born,
+		    chosen->chosen);
 	}
 	if (unit->run == 0)
 		histogram_record(
 		    round->fleet->first_start_latency[item->priority ==
 						      QUEUE_PRIORITY_URGENT],
 		    (round->now_ms - item->since_ms) * CLOCK_US_PER_MS);
-	run = run_create(round->fleet, unit, unit->run + 1, places);
+	run = run_create(round->fleet, unit, unit->run + 1, &places);
 	fleet_event_start(round->fleet, run);
 	evlog("place", "{s:s,s:s,s:b,s:i,s:i,s:i,s:i,s:i,s:s,s:i,s:i,s:I,s:I}",
 	    "job", run->job, "queue", unit->job->submit.queue, "covered",
 	    (int)unit->job->covered, "occurrence", unit->occurrence, "step",
 	    unit->step, "unit", unit->first, "run", (int)run->number, "members",
-	    unit->members, "worker", places[0].worker, "racks", racks,
-	    "penalty", penalty, "waited_ms",
+	    unit->members, "worker", run->members[0].worker->info.id, "racks",
+	    racks, "penalty", penalty, "waited_ms",
 	    (json_int_t)(round->now_ms - unit->job->submitted_mono_ms),
 	    "slack_ms", (json_int_t)(item->latest_start_ms - round->now_ms));
-	g_free(places);
+	places_clear(&places);
 }
 
 /*
--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -464,8 +464,7 @@
 		worker_adjust_pace(worker, now_ms);
 		advance_ackable_end(worker);
 		if (worker->pending_ends.length > 0 &&
-		    worker->fleet->proposal == NULL &&
-		    worker->fleet->events.ends.ends_len == 0)
+		    !fleet_is_proposing_ends(worker->fleet))
 			worker->next_poll_ms = now_ms + POLL_UNCOMMITTED_MS;
 		break;
 	default:
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -36,7 +36,7 @@
 typedef struct run_t run_t;
 typedef struct member_t member_t;
 typedef struct advice_query_t advice_query_t;
-typedef struct fleet_proposal_t fleet_proposal_t;
+typedef struct fleet_batch_t fleet_batch_t;
 typedef struct crowding_watch_t crowding_watch_t;
 
 /* A task end that the worker has listed and that is not acknowledged. */
@@ -200,12 +200,10 @@
 	    *departing;  /* id -> born, until the departure is committed */
 	GPtrArray *runs; /* run_t that are not retired */
 	GPtrArray *retired_runs;
-	GQueue leaves;               /* leave_t, see fleet_leave.c */
-	GQueue member_orders;        /* member_order_t in flight */
-	fleet_events_t events;       /* to be proposed */
-	GPtrArray *queued_runs;      /* run_t whose starts are in events */
-	GPtrArray *proposal_waiters; /* waiters for the next proposal */
-	fleet_proposal_t *proposal;  /* in flight */
+	GQueue leaves;           /* leave_t, see fleet_leave.c */
+	GQueue member_orders;    /* member_order_t in flight */
+	GQueue batches;          /* fleet_batch_t to be proposed, in order */
+	fleet_batch_t *proposal; /* the batch in flight, or NULL */
 	ev_timer tick;
 	ev_timer work_timer;  /* one-shot: proposal and checks of workers */
 	ev_timer plan_timer;  /* one-shot: planning round */
@@ -275,6 +273,7 @@
     fleet_done_t *done, void *ctx);
 void fleet_event_forget(fleet_t *fleet, const char *job);
 void fleet_events_propose(fleet_t *fleet);
+bool fleet_is_proposing_ends(const fleet_t *fleet);
 void fleet_drop_proposal(fleet_t *fleet);
 void fleet_events_clear(fleet_t *fleet, fleet_outcome_t outcome);
 
@@ -329,7 +328,7 @@
 
 /* fleet_runs.c */
 run_t *run_create(fleet_t *fleet, ledger_unit_t *unit, uint32_t number,
-    const unit_place_t *places);
+    const place_ranges_t *places);
 /* The resources of the run count as soon to be free from now on. */
 void run_release(run_t *run);
 void run_drop(run_t *run);
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -14,10 +14,62 @@
 
 /* ---- runs ---- */
 
+/*
+ * Returns the worker of a range. One that has deregistered may run tasks until
+ * its lease expires, so it is created as unreachable.
+ */
+static worker_t *
+worker_of_range(fleet_t *fleet, const place_range_t *range)
+{
+	worker_t *worker = fleet_find_worker(fleet, range->worker);
+	fleet_worker_t unknown = {.id = range->worker,
+	    .service = (char *)"",
+	    .address = (char *)"",
+	    .domain = (char *)"",
+	    .rack = (char *)"",
+	    .born = range->born};
+
+	if (worker != NULL)
+		return worker;
+	worker = worker_create(fleet, &unknown);
+	worker->reachable = false;
+	return worker;
+}
+
+static void
+add_member(run_t *run, int number, worker_t *worker)
+{
+	member_t *member = &run->members[number];
+
+	member->run = run;
+	member->pace = PACE_FULL;
+	member->index = run->unit->first + number;
+	member->checkpoint = g_strdup(run->unit->checkpoint);
+	member->worker = worker;
+	g_ptr_array_add(worker->members, member);
+	plan_add(&worker->held, &run->shape, 1);
+}
+
+/* Adds the members, as many as the unit has, on the workers of the ranges. */
+static void
+add_members(run_t *run, const place_ranges_t *places)
+{
+	int number = 0;
+
+	run->members = g_new0(member_t, run->member_count);
+	for (u_int i = 0; i < places->place_ranges_t_len; i++) {
+		const place_range_t *range = &places->place_ranges_t_val[i];
+		worker_t *worker = worker_of_range(run->fleet, range);
+
+		for (int k = 0; k < range->members; k++)
+			add_member(run, number++, worker);
+	}
+}
+
 /* Creates a run of a unit on the given places; sends no order yet. */
 run_t *
 run_create(fleet_t *fleet, ledger_unit_t *unit, uint32_t number,
-    const unit_place_t *places)
+    const place_ranges_t *places)
 {
 	run_t *run = g_new0(run_t, 1);
 	const fleet_queue_t *queue =
@@ -34,34 +86,10 @@
 	run->shape = run->step->shape;
 	run->number = number;
 	run->member_count = unit->members;
-	run->members = g_new0(member_t, unit->members);
 	run->priority = queue != NULL ? queue->priority : QUEUE_PRIORITY_URGENT;
 	run->needs_ticket = queue != NULL && queue->needs_ticket;
 	run->created_ms = fleet_now_ms();
-	for (int i = 0; i < unit->members; i++) {
-		member_t *member = &run->members[i];
-		fleet_worker_t unknown = {.id = places[i].worker,
-		    .service = (char *)"",
-		    .address = (char *)"",
-		    .domain = (char *)"",
-		    .rack = (char *)"",
-		    .born = places[i].born};
-
-		member->run = run;
-		member->pace = PACE_FULL;
-		member->index = unit->first + i;
-		member->checkpoint = g_strdup(unit->checkpoint);
-		member->worker = fleet_find_worker(fleet, places[i].worker);
-		/*
-		 * A deregistered worker may run tasks until its lease expires.
-		 */
-		if (member->worker == NULL) {
-			member->worker = worker_create(fleet, &unknown);
-			member->worker->reachable = false;
-		}
-		g_ptr_array_add(member->worker->members, member);
-		plan_add(&member->worker->held, &run->shape, 1);
-	}
+	add_members(run, places);
 	unit->leader_run = run;
 	g_ptr_array_add(fleet->runs, run);
 	return run;
--- a/sched/ledger.c
+++ b/sched/ledger.c
@@ -5,8 +5,8 @@
 
 #include "rpc/codec.h"
 #include "sched/ledger_private.h"
+#include "sched/places.h"
 
-#define MAX_TASKS 100000 /* of one job */
 /* Workers that have left and are remembered; a late announcement is seconds
  * old. */
 #define MAX_DEPARTED 1024
@@ -58,7 +58,7 @@
 	}
 	*reason = "too many tasks";
 	if (spec->repeat_count < 0 ||
-	    tasks > MAX_TASKS / occurrence_count(spec))
+	    tasks > MAX_JOB_TASKS / occurrence_count(spec))
 		return -EINVAL;
 	*reason = "";
 	return 0;
@@ -132,22 +132,11 @@
 	return job;
 }
 
-static void
-clear_places(ledger_unit_t *unit)
-{
-	if (unit->places == NULL)
-		return;
-	for (int i = 0; i < unit->members; i++)
-		g_free(unit->places[i].worker);
-	g_free(unit->places);
-	unit->places = NULL;
-}
-
 void
 ledger_job_free(ledger_job_t *job)
 {
 	for (size_t i = 0; i < job->unit_count; i++) {
-		clear_places(&job->units[i]);
+		places_clear(&job->units[i].places);
 		g_free(job->units[i].checkpoint);
 	}
 	g_free(job->units);
@@ -339,28 +328,43 @@
 	return spec->first_due_ms + unit->occurrence * spec->interval_ms;
 }
 
+/* Places a waiting unit, unless its job has ended or the run is not the next.
+ */
 static void
-apply_start(ledger_t *ledger, const unit_start_t *start)
+start_unit(ledger_t *ledger, const unit_name_t *name, uint32_t run,
+    const place_ranges_t *places)
 {
-	ledger_unit_t *unit = ledger_unit(ledger, &start->unit);
+	ledger_unit_t *unit = ledger_unit(ledger, name);
 
 	if (unit == NULL || unit->state != UNIT_WAITING ||
-	    start->run != unit->run + 1 ||
-	    (int)start->places.places_len != unit->members ||
+	    run != unit->run + 1 || places_members(places) != unit->members ||
 	    ledger_job_has_ended(unit->job))
 		return;
 	unit->state = UNIT_PLACED;
 	unit->job->units_waiting--;
-	unit->run = start->run;
+	unit->run = run;
 	if (unit->run == 1)
 		unit->job->units_started++;
-	unit->places = g_new0(unit_place_t, unit->members);
-	for (int i = 0; i < unit->members; i++) {
-		const unit_place_t *place = &start->places.places_val[i];
+	places_copy(&unit->places, places);
+}
 
-		unit->places[i].worker = g_strdup(place->worker);
-		unit->places[i].born = place->born;
-	}
+static void
+apply_start(ledger_t *ledger, const unit_start_t *start)
+{
+	place_ranges_t places = {0};
+
+	places_add_list(
+	    &places, start->places.places_val, start->places.places_len);
+	start_unit(ledger, &start->unit, start->run, &places);
+	places_clear(&places);
+}
+
+/* Applies the start of a large gang. */
+int
+ledger_apply_gang_start(ledger_t *ledger, const gang_start_t *command)
+{
+	start_unit(ledger, &command->unit, command->run, &command->places);
+	return 0;
 }
 
 static void
@@ -395,7 +399,7 @@
 	if (unit == NULL || !accepts_end(unit, end))
 		return;
 	had_ended = ledger_job_has_ended(unit->job);
-	clear_places(unit);
+	places_clear(&unit->places);
 	if (unit->state == UNIT_PLACED)
 		unit->job->units_waiting++;
 	unit->state = UNIT_WAITING;
--- a/sched/ledger.h
+++ b/sched/ledger.h
@@ -32,8 +32,8 @@
 	unit_state_t state;
 	uint32_t run; /* number of the latest run, 0 before the first */
 	int failures;
-	char *checkpoint;     /* "" without one */
-	unit_place_t *places; /* one for each member while placed, else NULL */
+	char *checkpoint;      /* "" without one */
+	place_ranges_t places; /* of its members while placed, else empty */
 	void *leader_run; /* the leader's run_t of the current run, or NULL */
 } ledger_unit_t;
 
@@ -72,6 +72,7 @@
 int ledger_apply_submit(ledger_t *ledger, batch_submit_t *command);
 int ledger_apply_cancel(ledger_t *ledger, const char *id);
 int ledger_apply_events(ledger_t *ledger, fleet_events_t *command);
+int ledger_apply_gang_start(ledger_t *ledger, const gang_start_t *command);
 int ledger_apply_domain_service(
     ledger_t *ledger, const domain_service_t *command);
 
--- a/sched/ledger_snapshot.c
+++ b/sched/ledger_snapshot.c
@@ -3,24 +3,36 @@
 
 #include "rpc/codec.h"
 #include "sched/ledger_private.h"
+#include "sched/places.h"
 
 /*
  * A snapshot is a fleet_snapshot_t of rpc/protocol.x.  When saving, its records
  * point into the ledger; when loading, the ledger takes over their contents.
  */
 
+/* Whether the unit's places are saved apart, as a unit_record_t is too small.
+ */
+static bool
+is_large_gang(const ledger_unit_t *unit)
+{
+	return unit->members > MAX_BATCH;
+}
+
 static void
 record_unit(const ledger_unit_t *unit, unit_record_t *record)
 {
+	bool has_places = unit->state == UNIT_PLACED && !is_large_gang(unit);
+
 	*record = (unit_record_t){
 	    .state = unit->state,
 	    .run = unit->run,
 	    .failures = unit->failures,
 	    .checkpoint = unit->checkpoint,
-	    .places.places_len =
-		unit->places != NULL ? (u_int)unit->members : 0,
-	    .places.places_val = unit->places,
 	};
+	if (!has_places)
+		return;
+	record->places.places_len = (u_int)unit->members;
+	record->places.places_val = places_list(&unit->places);
 }
 
 static void
@@ -158,6 +170,75 @@
 	return done;
 }
 
+/* Adds the placed large gangs of the jobs to records, which point to them. */
+static void
+record_gangs_of(const GQueue *jobs, GArray *records)
+{
+	for (const GList *at = jobs->head; at != NULL; at = at->next) {
+		const ledger_job_t *job = at->data;
+
+		for (size_t i = 0; i < job->unit_count; i++) {
+			const ledger_unit_t *unit = &job->units[i];
+			gang_record_t record = {
+			    job->submit.id, (u_int)i, unit->places};
+
+			if (unit->state == UNIT_PLACED && is_large_gang(unit))
+				g_array_append_val(records, record);
+		}
+	}
+}
+
+static GArray *
+record_gangs(ledger_t *ledger)
+{
+	GArray *records = g_array_new(FALSE, FALSE, sizeof(gang_record_t));
+
+	record_gangs_of(&ledger->ended, records);
+	record_gangs_of(&ledger->open, records);
+	return records;
+}
+
+static bool_t
+save_gang_places(XDR *xdr, GArray *records)
+{
+	gang_places_t gangs = {
+	    {records->len, (gang_record_t *)(void *)records->data}};
+
+	return xdr_gang_places_t(xdr, &gangs);
+}
+
+/* Takes over the places; returns false if they do not match a unit. */
+static bool
+restore_gang(ledger_t *ledger, gang_record_t *record)
+{
+	const ledger_job_t *job = ledger_job(ledger, record->job);
+	ledger_unit_t *unit;
+
+	if (job == NULL || record->unit >= job->unit_count)
+		return false;
+	unit = &job->units[record->unit];
+	if (unit->state != UNIT_PLACED || !is_large_gang(unit) ||
+	    unit->places.place_ranges_t_len > 0 ||
+	    places_members(&record->places) != unit->members)
+		return false;
+	unit->places = record->places;
+	memset(&record->places, 0, sizeof(record->places));
+	return true;
+}
+
+/* Decodes the places of the large gangs. */
+static bool_t
+load_gang_places(XDR *xdr, ledger_t *ledger)
+{
+	gang_places_t gangs = {0};
+	bool_t done = xdr_gang_places_t(xdr, &gangs);
+
+	for (u_int i = 0; done && i < gangs.gangs.gangs_len; i++)
+		done = restore_gang(ledger, &gangs.gangs.gangs_val[i]);
+	codec_free((xdrproc_t)xdr_gang_places_t, &gangs);
+	return done;
+}
+
 /*
  * Encodes what follows the snapshot proper: parts in a fixed order, up to the
  * last one that is not empty.
@@ -165,12 +246,19 @@
 static bool_t
 save_later_parts(XDR *xdr, ledger_t *ledger)
 {
-	bool has_queues = g_hash_table_size(ledger->retired_queues) > 0;
-	bool has_domains = g_hash_table_size(ledger->domains_out) > 0;
+	GArray *gangs = record_gangs(ledger);
+	bool has_gangs = gangs->len > 0;
+	bool has_domains =
+	    has_gangs || g_hash_table_size(ledger->domains_out) > 0;
+	bool has_queues =
+	    has_domains || g_hash_table_size(ledger->retired_queues) > 0;
+	bool_t done;
 
-	if ((has_queues || has_domains) && !save_retired_queues(xdr, ledger))
-		return FALSE;
-	return !has_domains || save_domains_out(xdr, ledger);
+	done = (!has_queues || save_retired_queues(xdr, ledger)) &&
+	       (!has_domains || save_domains_out(xdr, ledger)) &&
+	       (!has_gangs || save_gang_places(xdr, gangs));
+	g_array_unref(gangs);
+	return done;
 }
 
 /* Decodes those parts; an earlier snapshot ends before one of them. */
@@ -179,7 +267,18 @@
 {
 	if (xdr->x_handy > 0 && !load_retired_queues(xdr, ledger))
 		return FALSE;
-	return xdr->x_handy == 0 || load_domains_out(xdr, ledger);
+	if (xdr->x_handy > 0 && !load_domains_out(xdr, ledger))
+		return FALSE;
+	return xdr->x_handy == 0 || load_gang_places(xdr, ledger);
+}
+
+/* Frees the lists of places, whose names are the ledger's. */
+static void
+free_job_record(batch_record_t *record)
+{
+	for (u_int i = 0; i < record->units.units_len; i++)
+		g_free(record->units.units_val[i].places.places_val);
+	g_free(record->units.units_val);
 }
 
 /* Encodes the ledger; FALSE if the stream has no space left. */
@@ -194,7 +293,7 @@
 	done = xdr_fleet_snapshot_t(xdr, &snapshot) &&
 	       save_later_parts(xdr, ledger);
 	for (u_int i = 0; i < snapshot.jobs.jobs_len; i++)
-		g_free(snapshot.jobs.jobs_val[i].units.units_val);
+		free_job_record(&snapshot.jobs.jobs_val[i]);
 	g_free(snapshot.jobs.jobs_val);
 	g_free(snapshot.workers.workers_val);
 	return done;
@@ -205,7 +304,7 @@
 restore_unit(ledger_unit_t *unit, unit_record_t *record)
 {
 	if (record->state < UNIT_WAITING || record->state > UNIT_FAILED ||
-	    (record->state == UNIT_PLACED &&
+	    (record->state == UNIT_PLACED && !is_large_gang(unit) &&
 		(int)record->places.places_len != unit->members))
 		return false;
 	unit->state = (unit_state_t)record->state;
@@ -214,9 +313,26 @@
 	g_free(unit->checkpoint);
 	unit->checkpoint = record->checkpoint;
 	record->checkpoint = NULL;
-	if (record->state == UNIT_PLACED) {
-		unit->places = record->places.places_val;
-		memset(&record->places, 0, sizeof(record->places));
+	if (unit->state == UNIT_PLACED && !is_large_gang(unit))
+		places_add_list(&unit->places, record->places.places_val,
+		    record->places.places_len);
+	return true;
+}
+
+/* Whether each placed unit of the jobs has its places. */
+static bool
+have_places(const GQueue *jobs)
+{
+	for (const GList *at = jobs->head; at != NULL; at = at->next) {
+		const ledger_job_t *job = at->data;
+
+		for (size_t i = 0; i < job->unit_count; i++) {
+			const ledger_unit_t *unit = &job->units[i];
+
+			if (unit->state == UNIT_PLACED &&
+			    unit->places.place_ranges_t_len == 0)
+				return false;
+		}
 	}
 	return true;
 }
@@ -272,5 +388,6 @@
 	for (u_int i = 0; done && i < snapshot.jobs.jobs_len; i++)
 		done = restore_job(ledger, &snapshot.jobs.jobs_val[i]);
 	codec_free((xdrproc_t)xdr_fleet_snapshot_t, &snapshot);
-	return done && load_later_parts(xdr, ledger);
+	return done && load_later_parts(xdr, ledger) &&
+	       have_places(&ledger->open) && have_places(&ledger->ended);
 }
--- a/state/machine.c
+++ b/state/machine.c
@@ -247,6 +247,10 @@
 		result->code = ledger_apply_domain_service(
 		    machine->ledger, &command->command_t_u.domain_service);
 		return;
+	case COMMAND_GANG_START:
+		result->code = ledger_apply_gang_start(
+		    machine->ledger, &command->command_t_u.gang_start);
+		return;
 	}
 	machine_fail(
 	    result, -ENOSYS, "unknown command kind %d", (int)command->kind);
--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -819,6 +819,14 @@
 	submit_step(bed, tenant, id, queue, &step);
 }
 
+void
+bed_submit_small(bed_t *bed, const char *id, int tasks, bool gang)
+{
+	step_spec_t step = {.count = tasks, .shape = {10, 10, 0}, .gang = gang};
+
+	submit_step(bed, "", id, "batch", &step);
+}
+
 void
 bed_submit_near(bed_t *bed, const char *rack, const char *id, const char *queue,
     int tasks, int accelerators)
--- a/tests/unit/fleet_bed.h
+++ b/tests/unit/fleet_bed.h
@@ -106,6 +106,8 @@
  */
 void bed_submit(bed_t *bed, const char *id, const char *queue, int tasks,
     int accelerators, bool gang);
+/* Same to "batch", of tasks of which a worker holds 6,400. */
+void bed_submit_small(bed_t *bed, const char *id, int tasks, bool gang);
 /* Same, for a tenant: "hall" is guaranteed 16 accelerators, others none. */
 void bed_submit_for(bed_t *bed, const char *tenant, const char *id,
     const char *queue, int tasks, int accelerators, bool gang);
--- a/tests/unit/test_fleet_starts.c
+++ b/tests/unit/test_fleet_starts.c
@@ -4,11 +4,13 @@
 #include "tests/unit/fleet_bed.h"
 #include "tests/unit/runner.h"
 
-/* Runs whose start the ledger refuses. */
+/* Starts that the ledger refuses, and starts that are large. */
 
 #define TEST_TIMEOUT_S 40
 #define JOB "00000000000000a1"
 #define NEXT_JOB "00000000000000a2"
+/* More than unit_start_t has places, on two workers. */
+#define LARGE_GANG (MAX_BATCH + 1)
 #define WAIT(bed, condition) ck_assert(system_wait((bed)->loop, condition, bed))
 
 static bool
@@ -43,6 +45,12 @@
 	return bed_state(ctx, JOB) == BATCH_STATE_ABORTED;
 }
 
+static bool
+large_gang_is_started(void *ctx)
+{
+	return bed_starts(ctx) >= LARGE_GANG;
+}
+
 /* Opens one worker whose task ends as done after it was given up as lost. */
 static void
 open_with_late_end(bed_t *bed)
@@ -99,6 +107,41 @@
 }
 END_TEST
 
+/*
+ * Guards against review/6: a gang with more members than a start has places
+ * ends all scheduling, as the leader steps down whenever it decides the start.
+ */
+START_TEST(large_gang_starts)
+{
+	bed_t bed;
+
+	bed_open(&bed, 2, 8);
+	bed_submit_small(&bed, JOB, LARGE_GANG, true);
+	bed_submit(&bed, NEXT_JOB, "batch", 1, 8, false);
+	WAIT(&bed, next_job_runs);
+	WAIT(&bed, large_gang_is_started);
+	bed_close(&bed);
+}
+END_TEST
+
+/* Guards against a new leader that does not know where a large gang runs. */
+START_TEST(large_gang_is_adopted)
+{
+	bed_t bed;
+
+	bed_open(&bed, 2, 8);
+	bed_submit_small(&bed, JOB, LARGE_GANG, true);
+	WAIT(&bed, large_gang_is_started);
+	bed_restart_fleet(&bed);
+	bed_run_for(&bed, 100);
+	ck_assert_uint_eq(bed.fleet->runs->len, 1);
+	bed_end_tasks(&bed, JOB, RUN_DONE);
+	WAIT(&bed, is_completed);
+	ck_assert(!bed.duplicate_run);
+	bed_close(&bed);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -108,6 +151,8 @@
 	tcase_set_timeout(tcase, TEST_TIMEOUT_S);
 	tcase_add_test(tcase, late_end_frees_the_room_of_the_next_run);
 	tcase_add_test(tcase, cancelled_job_frees_the_room_of_its_start);
+	tcase_add_test(tcase, large_gang_starts);
+	tcase_add_test(tcase, large_gang_is_adopted);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_FORK_GETENV);
 }
--- a/tests/unit/test_ledger.c
+++ b/tests/unit/test_ledger.c
@@ -8,6 +8,7 @@
 
 #define JOB "00000000000000aa"
 #define SNAPSHOT_BYTES 65536
+#define LARGE_GANG (MAX_BATCH + 1)
 
 static step_spec_t
 step_of(int count, bool gang)
@@ -228,7 +229,8 @@
 	ck_assert_uint_eq(save(loaded, again), len);
 	ck_assert_mem_eq(bytes, again, len);
 	ck_assert_int_eq(unit_of(loaded, 1, 1)->state, UNIT_PLACED);
-	ck_assert_str_eq(unit_of(loaded, 1, 1)->places[0].worker, "w1");
+	ck_assert_str_eq(
+	    unit_of(loaded, 1, 1)->places.place_ranges_t_val[0].worker, "w1");
 	ck_assert(ledger_unit_is_ready(unit_of(loaded, 1, 2)));
 	ck_assert_uint_eq(ledger_worker(loaded, "w1")->born, 5);
 	ledger_destroy(ledger);
@@ -236,6 +238,83 @@
 }
 END_TEST
 
+/* Submits a gang that has more members than unit_start_t has places. */
+static void
+submit_large_gang(ledger_t *ledger)
+{
+	batch_submit_t job = {
+	    .id = g_strdup(JOB),
+	    .queue = g_strdup("q"),
+	    .tenant = g_strdup("t"),
+	};
+
+	job.spec.steps.steps_val = g_new0(step_spec_t, 1);
+	job.spec.steps.steps_len = 1;
+	job.spec.steps.steps_val[0] = step_of(LARGE_GANG, true);
+	ck_assert_int_eq(ledger_apply_submit(ledger, &job), 0);
+	codec_free((xdrproc_t)xdr_batch_submit_t, &job);
+}
+
+/* Starts the gang with so many members on the first of two workers. */
+static void
+start_large_gang(ledger_t *ledger, int members)
+{
+	place_range_t ranges[] = {
+	    {(char *)"w1", 1, members}, {(char *)"w2", 1, LARGE_GANG - 1}};
+	gang_start_t start = {
+	    .unit = {(char *)JOB, 0, 0, 0}, .run = 1, .places = {2, ranges}};
+
+	ledger_apply_gang_start(ledger, &start);
+}
+
+/*
+ * Guards against review/6 in a snapshot: the places of a large gang do not fit,
+ * so that the state can be neither saved nor loaded.
+ */
+START_TEST(snapshot_holds_a_large_gang)
+{
+	ledger_t *ledger = ledger_create();
+	ledger_t *loaded = ledger_create();
+	char bytes[SNAPSHOT_BYTES];
+	char again[SNAPSHOT_BYTES];
+	const place_ranges_t *places;
+	u_int len;
+	XDR xdr;
+
+	submit_large_gang(ledger);
+	start_large_gang(ledger, 1);
+	len = save(ledger, bytes);
+	xdrmem_create(&xdr, bytes, len, XDR_DECODE);
+	ck_assert(ledger_xdr_load(&xdr, loaded));
+	xdr_destroy(&xdr);
+	places = &unit_of(loaded, 0, 0)->places;
+	ck_assert_uint_eq(places->place_ranges_t_len, 2);
+	ck_assert_str_eq(places->place_ranges_t_val[1].worker, "w2");
+	ck_assert_int_eq(places->place_ranges_t_val[1].members, LARGE_GANG - 1);
+	ck_assert_uint_eq(save(loaded, again), len);
+	ck_assert_mem_eq(bytes, again, len);
+	ledger_destroy(ledger);
+	ledger_destroy(loaded);
+}
+END_TEST
+
+/* Guards against a start that does not place each member of a gang once. */
+START_TEST(large_gang_is_placed_whole)
+{
+	static const int members[] = {0, -1, 2, G_MAXINT};
+	ledger_t *ledger = ledger_create();
+
+	submit_large_gang(ledger);
+	for (size_t i = 0; i < G_N_ELEMENTS(members); i++) {
+		start_large_gang(ledger, members[i]);
+		ck_assert_int_eq(unit_of(ledger, 0, 0)->state, UNIT_WAITING);
+	}
+	start_large_gang(ledger, 1);
+	ck_assert_int_eq(unit_of(ledger, 0, 0)->state, UNIT_PLACED);
+	ledger_destroy(ledger);
+}
+END_TEST
+
 /* Replaces the configuration by one with a queue of that name only. */
 static void
 configure(ledger_t *ledger, uint64_t number, const char *name)
@@ -395,6 +474,8 @@
 	tcase_add_test(tcase, removed_queue);
 	tcase_add_loop_test(tcase, domain_service, 0, 2);
 	tcase_add_test(tcase, final_failure);
+	tcase_add_test(tcase, snapshot_holds_a_large_gang);
+	tcase_add_test(tcase, large_gang_is_placed_whole);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_NOFORK);
 }
