--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -470,6 +470,9 @@
 	fleet->starts = counter_get("fleet_starts_total", "starts sent");
 	fleet->runs_refused = counter_get("fleet_runs_refused_total",
 	    "runs dropped as the ledger refused their start");
+	fleet->checkpoints_left_out =
+	    counter_get("fleet_checkpoints_left_out_total",
+		"checkpoints of tasks that are too long to be kept");
 	fleet->stops = counter_get("fleet_stops_total", "stops sent");
 	fleet->polls = counter_get("fleet_polls_total", "polls of workers");
 	fleet->ends_done = counter_get("fleet_ends_total{how=\"done\"}", "");
--- a/sched/fleet_events.c
+++ b/sched/fleet_events.c
@@ -17,11 +17,16 @@
 	void *ctx;
 } waiter_t;
 
+/* Bytes of the events in one command, but for an event that is larger. */
+#define EVENTS_MAX_BYTES (256 * 1024)
+
 /* A command that is queued or proposed, and who waits for it. */
 struct fleet_batch_t {
 	fleet_t *fleet; /* NULL once the fleet is destroyed */
 	uint64_t term;  /* in which it was proposed */
 	command_t command;
+	guint events;    /* in the command */
+	size_t bytes;    /* of these */
 	GPtrArray *runs; /* run_t whose starts it holds */
 	GPtrArray *waiters;
 };
@@ -57,15 +62,29 @@
 	g_free(batch);
 }
 
-/* Returns the last queued batch if it takes events, else a new one. */
+static bool
+batch_has_room(const fleet_batch_t *batch, size_t bytes)
+{
+	return batch->command.kind == COMMAND_FLEET_EVENTS &&
+	       batch->events < MAX_BATCH &&
+	       batch->bytes + bytes <= EVENTS_MAX_BYTES;
+}
+
+/*
+ * Returns the last queued batch if it has room for the event, else a new one,
+ * and counts the event in.
+ */
 static fleet_batch_t *
-open_batch(fleet_t *fleet)
+batch_for_event(fleet_t *fleet, xdrproc_t proc, const void *event)
 {
-	fleet_batch_t *last = g_queue_peek_tail(&fleet->batches);
+	fleet_batch_t *batch = g_queue_peek_tail(&fleet->batches);
+	size_t bytes = xdr_sizeof(proc, (void *)event);
 
-	if (last != NULL && last->command.kind == COMMAND_FLEET_EVENTS)
-		return last;
-	return batch_add(fleet, COMMAND_FLEET_EVENTS);
+	if (batch == NULL || !batch_has_room(batch, bytes))
+		batch = batch_add(fleet, COMMAND_FLEET_EVENTS);
+	batch->events++;
+	batch->bytes += bytes;
+	return batch;
 }
 
 static fleet_events_t *
@@ -92,13 +111,14 @@
 		(list)->field##_val[(list)->field##_len++] = (value);    \
 	} while (0)
 
-static void
-add_start(fleet_batch_t *batch, const run_t *run)
+static fleet_batch_t *
+add_start(fleet_t *fleet, const run_t *run)
 {
 	unit_start_t start = {
 	    .unit = copy_name(run->job, &run->name),
 	    .run = run->number,
 	};
+	fleet_batch_t *batch;
 
 	start.places.places_len = (u_int)run->member_count;
 	start.places.places_val = g_new0(unit_place_t, run->member_count);
@@ -108,12 +128,15 @@
 		start.places.places_val[i].worker = g_strdup(info->id);
 		start.places.places_val[i].born = info->born;
 	}
+	batch = batch_for_event(fleet, (xdrproc_t)xdr_unit_start_t, &start);
 	APPEND(&batch_events(batch)->starts, starts, unit_start_t, start);
+	return batch;
 }
 
-static void
-set_gang_start(fleet_batch_t *batch, const run_t *run)
+static fleet_batch_t *
+add_gang_start(fleet_t *fleet, const run_t *run)
 {
+	fleet_batch_t *batch = batch_add(fleet, COMMAND_GANG_START);
 	gang_start_t *start = &batch->command.command_t_u.gang_start;
 
 	start->unit = copy_name(run->job, &run->name);
@@ -123,6 +146,7 @@
 
 		places_add(&start->places, info->id, info->born, 1);
 	}
+	return batch;
 }
 
 /*
@@ -132,14 +156,10 @@
 void
 fleet_event_start(fleet_t *fleet, run_t *run)
 {
-	bool is_large = run->member_count > MAX_BATCH;
-	fleet_batch_t *batch =
-	    is_large ? batch_add(fleet, COMMAND_GANG_START) : open_batch(fleet);
+	fleet_batch_t *batch = run->member_count > MAX_BATCH
+				   ? add_gang_start(fleet, run)
+				   : add_start(fleet, run);
 
-	if (is_large)
-		set_gang_start(batch, run);
-	else
-		add_start(batch, run);
 	run->start_undecided = true;
 	g_ptr_array_add(batch->runs, run);
 }
@@ -163,9 +183,10 @@
 static void
 add_end(fleet_t *fleet, unit_end_t end)
 {
-	fleet_events_t *events = batch_events(open_batch(fleet));
+	fleet_batch_t *batch =
+	    batch_for_event(fleet, (xdrproc_t)xdr_unit_end_t, &end);
 
-	APPEND(&events->ends, ends, unit_end_t, end);
+	APPEND(&batch_events(batch)->ends, ends, unit_end_t, end);
 	fleet_schedule_work(fleet);
 }
 
@@ -209,7 +230,8 @@
 fleet_event_worker(
     fleet_t *fleet, const fleet_worker_t *worker, fleet_done_t *done, void *ctx)
 {
-	fleet_batch_t *batch = open_batch(fleet);
+	fleet_batch_t *batch =
+	    batch_for_event(fleet, (xdrproc_t)xdr_fleet_worker_t, worker);
 	fleet_worker_t copy;
 
 	fleet_worker_copy(&copy, worker);
@@ -227,9 +249,11 @@
 void
 fleet_event_forget(fleet_t *fleet, const char *job)
 {
-	fleet_events_t *events = batch_events(open_batch(fleet));
+	name_t name = g_strdup(job);
+	fleet_batch_t *batch =
+	    batch_for_event(fleet, (xdrproc_t)xdr_name_t, &name);
 
-	APPEND(&events->forgotten, forgotten, name_t, g_strdup(job));
+	APPEND(&batch_events(batch)->forgotten, forgotten, name_t, name);
 }
 
 /* ---- proposals ---- */
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -144,6 +144,7 @@
 	int pace;           /* share of full speed, in percent */
 	progress_mark_t mark;
 	char *checkpoint;
+	bool checkpoint_was_long; /* one was left out, and logged */
 	int64_t at_work_since_ms; /* seen at work by this leader, 0: not yet */
 	int64_t saved_ms;         /* the checkpoint was learned */
 	crowding_watch_t *crowding; /* see fleet_crowding.c; NULL: none yet */
@@ -218,6 +219,7 @@
 	counter_t *rounds_cut;   /* ended by their budget */
 	counter_t *starts;
 	counter_t *runs_refused; /* by the ledger */
+	counter_t *checkpoints_left_out;
 	counter_t *stops;
 	counter_t *polls;
 	counter_t *ends_done;
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -276,12 +276,36 @@
 	    .index = member->index};
 }
 
+/* Logs the first checkpoint of a member that is left out. */
+static void
+note_long_checkpoint(member_t *member, size_t bytes)
+{
+	const run_t *run = member->run;
+
+	counter_add(run->fleet->checkpoints_left_out, 1);
+	if (member->checkpoint_was_long)
+		return;
+	member->checkpoint_was_long = true;
+	evlog("checkpoint_left_out", "{s:s,s:i,s:i,s:i,s:I,s:i}", "job",
+	    run->job, "step", run->name.step, "index", member->index, "run",
+	    (int)run->number, "bytes", (json_int_t)bytes, "limit",
+	    TEXT_MAX_LEN);
+}
+
+/*
+ * Takes over a new checkpoint.  One that is too long for the ledger is left
+ * out: the task resumes from the one before.
+ */
 static void
 update_checkpoint(member_t *member, const char *checkpoint)
 {
 	if (checkpoint[0] == '\0' ||
 	    strcmp(member->checkpoint, checkpoint) == 0)
 		return;
+	if (strlen(checkpoint) > TEXT_MAX_LEN) {
+		note_long_checkpoint(member, strlen(checkpoint));
+		return;
+	}
 	g_free(member->checkpoint);
 	member->checkpoint = g_strdup(checkpoint);
 	member->saved_ms = fleet_now_ms();
--- a/tests/unit/test_fleet_starts.c
+++ b/tests/unit/test_fleet_starts.c
@@ -1,10 +1,11 @@
 #include <check.h>
+#include <string.h>
 
 #include "sched/fleet_private.h"
 #include "tests/unit/fleet_bed.h"
 #include "tests/unit/runner.h"
 
-/* Starts that the ledger refuses, and starts that are large. */
+/* Decisions that the ledger refuses, and many or large ones. */
 
 #define TEST_TIMEOUT_S 40
 #define JOB "00000000000000a1"
@@ -142,6 +143,92 @@
 }
 END_TEST
 
+static void
+count_success(void *ctx, fleet_outcome_t outcome)
+{
+	if (outcome == FLEET_OK)
+		++*(int *)ctx;
+}
+
+static bool
+nothing_is_queued(void *ctx)
+{
+	const bed_t *bed = ctx;
+
+	return bed->fleet->proposal == NULL && bed->fleet->batches.length == 0;
+}
+
+/*
+ * Guards against review/9: more events than a command holds, or than its bytes
+ * hold, are queued at once, and the leader steps down.
+ */
+START_TEST(many_events_are_split)
+{
+	unit_name_t unit = {(char *)JOB, 0, 0, 0};
+	int64_t leading_since_ms;
+	int committed = 0;
+	bed_t bed;
+
+	bed_open(&bed, 1, 8);
+	leading_since_ms = bed.fleet->leading_since_ms;
+	for (int i = 0; i <= MAX_BATCH; i++) {
+		fleet_event_worker(
+		    bed.fleet, &bed.workers[0].info, count_success, &committed);
+		fleet_event_late_done(bed.fleet, &unit, 1);
+		fleet_event_forget(bed.fleet, JOB);
+	}
+	WAIT(&bed, nothing_is_queued);
+	ck_assert_int_eq(committed, MAX_BATCH + 1);
+	ck_assert_int_eq(bed.fleet->leading_since_ms, leading_since_ms);
+	bed_close(&bed);
+}
+END_TEST
+
+/* Guards against review/9 with real starts: more fit at once than a command. */
+START_TEST(wide_step_starts)
+{
+	int64_t leading_since_ms;
+	bed_t bed;
+
+	bed_open(&bed, 2, 8);
+	leading_since_ms = bed.fleet->leading_since_ms;
+	bed_submit_small(&bed, JOB, LARGE_GANG, false);
+	WAIT(&bed, large_gang_is_started);
+	ck_assert_int_eq(bed.fleet->leading_since_ms, leading_since_ms);
+	bed_close(&bed);
+}
+END_TEST
+
+/*
+ * Guards against a checkpoint that no end can carry: the leader steps down. It
+ * is left out, and the one before is kept.
+ */
+START_TEST(long_checkpoint_is_left_out)
+{
+	char checkpoint[TEXT_MAX_LEN + 2];
+	running_task_t task = {.checkpoint = "saved"};
+	int64_t leading_since_ms;
+	member_t *member;
+	bed_t bed;
+
+	memset(checkpoint, 'c', sizeof(checkpoint) - 1);
+	checkpoint[sizeof(checkpoint) - 1] = '\0';
+	bed_open(&bed, 1, 8);
+	bed_submit(&bed, JOB, "batch", 1, 8, false);
+	WAIT(&bed, job_runs);
+	leading_since_ms = bed.fleet->leading_since_ms;
+	member = ((run_t *)g_ptr_array_index(bed.fleet->runs, 0))->members;
+	member_reported_running(member, &task, fleet_now_ms());
+	task.checkpoint = checkpoint;
+	member_reported_running(member, &task, fleet_now_ms());
+	ck_assert_str_eq(member->checkpoint, "saved");
+	bed_end_tasks(&bed, JOB, RUN_FAILED);
+	WAIT(&bed, job_runs);
+	ck_assert_int_eq(bed.fleet->leading_since_ms, leading_since_ms);
+	bed_close(&bed);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -153,6 +240,9 @@
 	tcase_add_test(tcase, cancelled_job_frees_the_room_of_its_start);
 	tcase_add_test(tcase, large_gang_starts);
 	tcase_add_test(tcase, large_gang_is_adopted);
+	tcase_add_test(tcase, many_events_are_split);
+	tcase_add_test(tcase, wide_step_starts);
+	tcase_add_test(tcase, long_checkpoint_is_left_out);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_FORK_GETENV);
 }
