fleet: first starts in flight are bounded, the others wait for their answers

Callers saw, with a job of 20,000 small tasks that fit at once on four workers: after 20 s 5,000 to 6,700 tasks started, and another tenant's small job done after 7.6 and 8.3 s.

Cause: once a start is committed, all its orders are handed to the HTTP client at once. Each holds its buffers, two connections to a worker carry them, most wait beyond their time for an answer, and a turn of the loop takes up to 1.8 s, which costs the leadership.

Urgent starts do not wait.

--- a/sched/fleet_orders.c
+++ b/sched/fleet_orders.c
@@ -135,6 +135,8 @@
 	member_t *member = member_order_answered(order, answer);
 	int64_t now_ms = fleet_now_ms();
 
+	order->worker->starts_in_flight--;
+	order->run->fleet->starts_in_flight--;
 	if (member == NULL)
 		goto done;
 	member->retry_ms = now_ms + START_RETRY_MS;
@@ -182,8 +184,9 @@
 	member_order_end(order);
 }
 
-static void
-send_start(member_t *member, int64_t now_ms)
+/* Sends a start, unless that has to wait for a lease or the worker's clock. */
+void
+member_send_start(member_t *member, int64_t now_ms)
 {
 	run_t *run = member->run;
 	fleet_t *fleet = run->fleet;
@@ -216,6 +219,8 @@
 	order.payload = (str_t){payload->body_t_val, payload->body_t_len};
 	member->state = MEMBER_SENT;
 	member->order_in_flight = true;
+	member->worker->starts_in_flight++;
+	fleet->starts_in_flight++;
 	counter_add(fleet->starts, 1);
 	fleet->orders.start(fleet->orders.ctx, &target, &order, on_started,
 	    member_order_begin(member));
@@ -308,7 +313,7 @@
 	}
 	for (int i = 0; i < run->member_count && !run->stopping; i++) {
 		if (run->members[i].state == MEMBER_UNSENT)
-			send_start(&run->members[i], now_ms);
+			member_start(&run->members[i], now_ms);
 	}
 	run_retire_if_ended(run);
 }
@@ -373,10 +378,13 @@
 		return;
 	}
 	/* A start renews the lease, which must not happen while unreachable. */
-	if ((member->state == MEMBER_SENT || member->state == MEMBER_UNSENT) &&
-	    member->stop == STOP_NONE && member->worker->reachable &&
-	    !member->worker->needs_poll && run->unit != NULL)
-		send_start(member, now_ms);
+	if (member->stop != STOP_NONE || !member->worker->reachable ||
+	    member->worker->needs_poll || run->unit == NULL)
+		return;
+	if (member->state == MEMBER_UNSENT && !member->start_queued)
+		member_start(member, now_ms);
+	else if (member->state == MEMBER_SENT)
+		member_send_start(member, now_ms);
 }
 
 /* Sends the orders that are due, also again after no answer or a refusal. */
--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -563,6 +563,7 @@
 {
 	if (!worker->reachable && now_ms > worker->lease_expiry_ms)
 		worker_end_lease(worker, now_ms);
+	worker_send_queued_starts(worker, now_ms);
 	if (worker->polling || now_ms < worker->next_poll_ms ||
 	    worker->info.address[0] == '\0')
 		return;
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -16,6 +16,8 @@
 #define QUEUE_PRIORITY_URGENT 0
 /* Time for a worker to answer a start, stop or pace order. */
 #define ORDER_ANSWER_TIMEOUT_MS 700
+/* First starts in flight to one worker, but for those of urgent queues. */
+#define MAX_STARTS_PER_WORKER 32
 
 /* Why a step that waits was passed over in a planning round. */
 typedef enum {
@@ -94,6 +96,8 @@
 	bool retire_pending;
 	bool retired; /* removed, kept until nothing refers to it */
 	int orders_in_flight;
+	int starts_in_flight;
+	GQueue queued_starts; /* member_t, see fleet_starts.c */
 } worker_t;
 
 typedef enum {
@@ -129,6 +133,8 @@
 	member_state_t state;
 	member_stop_t stop;
 	bool order_in_flight; /* a start or a stop is in flight */
+	bool start_queued;    /* its first start waits for others */
+	GList start_link;     /* in worker_t.queued_starts */
 	/*
 	 * Starts that got no answer. A copy of one may arrive at any later
 	 * time, also at a later incarnation of the worker.
@@ -201,8 +207,9 @@
 	    *departing;  /* id -> born, until the departure is committed */
 	GPtrArray *runs; /* run_t that are not retired */
 	GPtrArray *retired_runs;
-	GQueue leaves;           /* leave_t, see fleet_leave.c */
-	GQueue member_orders;    /* member_order_t in flight */
+	GQueue leaves;        /* leave_t, see fleet_leave.c */
+	GQueue member_orders; /* member_order_t in flight */
+	int starts_in_flight;
 	GQueue batches;          /* fleet_batch_t to be proposed, in order */
 	fleet_batch_t *proposal; /* the batch in flight, or NULL */
 	ev_timer tick;
@@ -363,10 +370,16 @@
 void run_supersede(run_t *run, uint32_t ended_run);
 void run_stop(run_t *run, const char *reason);
 void run_tick(run_t *run, int64_t now_ms);
+void member_send_start(member_t *member, int64_t now_ms);
 void member_not_started(member_t *member);
 /* Frees orders whose transport was shut down without an answer. */
 void fleet_drop_orders(fleet_t *fleet);
 
+/* fleet_starts.c */
+void member_start(member_t *member, int64_t now_ms);
+void member_unqueue_start(member_t *member);
+void worker_send_queued_starts(worker_t *worker, int64_t now_ms);
+
 /* fleet_plan.c */
 /* Returns false if the round ended with its budget. */
 bool fleet_plan(fleet_t *fleet, int64_t now_ms);
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -150,6 +150,7 @@
 {
 	const run_t *run = member->run;
 
+	member_unqueue_start(member);
 	g_ptr_array_remove_fast(member->worker->members, member);
 	plan_subtract(&member->worker->held, &run->shape, 1);
 	if (run->releasing)
--- a/tests/unit/test_fleet_starts.c
+++ b/tests/unit/test_fleet_starts.c
@@ -229,6 +229,52 @@
 }
 END_TEST
 
+static bool
+starts_are_in_flight(void *ctx)
+{
+	const bed_t *bed = ctx;
+
+	return bed->fleet->starts_in_flight > 0;
+}
+
+/* Returns the state of the first member of the job's run, UNSENT without. */
+static member_state_t
+first_member_state(const bed_t *bed, const char *job)
+{
+	for (guint i = 0; i < bed->fleet->runs->len; i++) {
+		const run_t *run = g_ptr_array_index(bed->fleet->runs, i);
+
+		if (strcmp(run->job, job) == 0)
+			return run->members[0].state;
+	}
+	return MEMBER_UNSENT;
+}
+
+/*
+ * Guards against a start for each task of a wide job in flight at once: they
+ * fill the leader's memory, and wait for a connection longer than for an
+ * answer. Urgent starts do not wait for them.
+ */
+START_TEST(starts_in_flight_are_bounded)
+{
+	bed_t bed;
+
+	bed_open(&bed, 1, 8);
+	bed.workers[0].delayed_starts = LARGE_GANG;
+	bed_submit_small(&bed, JOB, LARGE_GANG, true);
+	WAIT(&bed, starts_are_in_flight);
+	for (int i = 0; i < 20; i++) {
+		ck_assert_int_le(
+		    bed.fleet->starts_in_flight, MAX_STARTS_PER_WORKER);
+		bed_run_for(&bed, 5);
+	}
+	bed_submit(&bed, NEXT_JOB, "urgent", 1, 8, false);
+	bed_run_for(&bed, 20);
+	ck_assert_int_ne(first_member_state(&bed, NEXT_JOB), MEMBER_UNSENT);
+	bed_close(&bed);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -243,6 +289,7 @@
 	tcase_add_test(tcase, many_events_are_split);
 	tcase_add_test(tcase, wide_step_starts);
 	tcase_add_test(tcase, long_checkpoint_is_left_out);
+	tcase_add_test(tcase, starts_in_flight_are_bounded);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_FORK_GETENV);
 }
