--- a/rpc/protocol.h
+++ b/rpc/protocol.h
@@ -464,10 +464,7 @@
 		u_int workers_len;
 		fleet_worker_t *workers_val;
 	} workers;
-	struct {
-		u_int jobs_len;
-		batch_record_t *jobs_val;
-	} jobs;
+	u_int job_count;
 };
 typedef struct fleet_snapshot_t fleet_snapshot_t;
 
--- a/rpc/protocol.x
+++ b/rpc/protocol.x
@@ -376,6 +376,7 @@
 	unit_place_t places<MAX_BATCH>;
 };
 
+/* Units after those listed wait and have never run. */
 struct batch_record_t {
 	batch_submit_t submit;
 	bool cancelled;
@@ -383,13 +384,14 @@
 	unit_record_t units<BODY_MAX_LEN>;
 };
 
+/* A batch_record_t for each job follows. */
 struct fleet_snapshot_t {
 	fleet_config_t config;
 	fleet_worker_t workers<BODY_MAX_LEN>;
-	batch_record_t jobs<BODY_MAX_LEN>;
+	unsigned int job_count;
 };
 
-/* Follows fleet_snapshot_t where there are any, or where more follows. */
+/* Follows the jobs where there are any, or where more follows. */
 struct retired_queues_t {
 	fleet_queue_t queues<BODY_MAX_LEN>;
 };
--- a/rpc/protocol_xdr.c
+++ b/rpc/protocol_xdr.c
@@ -1039,8 +1039,7 @@
 	 if (!xdr_array (xdrs, (char **)&objp->workers.workers_val, (u_int *) &objp->workers.workers_len, BODY_MAX_LEN,
 		sizeof (fleet_worker_t), (xdrproc_t) xdr_fleet_worker_t))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->jobs.jobs_val, (u_int *) &objp->jobs.jobs_len, BODY_MAX_LEN,
-		sizeof (batch_record_t), (xdrproc_t) xdr_batch_record_t))
+	 if (!xdr_u_int (xdrs, &objp->job_count))
 		 return FALSE;
 	return TRUE;
 }
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -112,11 +112,13 @@
 {
 	for (const GList *at = jobs->head; at != NULL; at = at->next) {
 		ledger_job_t *job = at->data;
+		ledger_unit_t *unit;
+		size_t index = 0;
 
-		for (size_t i = 0; i < job->unit_count; i++) {
-			job->units[i].leader_run = NULL;
-			if (job->units[i].state == UNIT_PLACED)
-				recover_run(fleet, &job->units[i]);
+		while ((unit = ledger_next_known_unit(job, &index)) != NULL) {
+			unit->leader_run = NULL;
+			if (unit->state == UNIT_PLACED)
+				recover_run(fleet, unit);
 		}
 	}
 }
@@ -173,6 +175,8 @@
 {
 	for (const GList *at = jobs->head; at != NULL; at = at->next) {
 		ledger_job_t *job = at->data;
+		ledger_unit_t *unit;
+		size_t index = 0;
 
 		job->submitted_mono_ms = 0;
 		job->still_since_ms = 0;
@@ -180,8 +184,8 @@
 		job->domain_wait_logged = false;
 		job->ended_ms = 0;
 		job->removal_proposed_ms = 0;
-		for (size_t i = 0; i < job->unit_count; i++)
-			unit_detach_run(&job->units[i]);
+		while ((unit = ledger_next_known_unit(job, &index)) != NULL)
+			unit_detach_run(unit);
 	}
 }
 
--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -294,7 +294,9 @@
 	}
 	if (plan.needs_ticket)
 		apply_tickets(round, item, &plan);
-	for (ledger_unit_t *unit = item->unit; unit < item->end; unit++) {
+	for (size_t i = item->first; i < item->end; i++) {
+		ledger_unit_t *unit = ledger_unit_at(item->unit->job, i);
+
 		if (!waiting_is_waiting(unit))
 			continue;
 		if (!place_unit(round, item, &plan, unit)) {
--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -86,7 +86,7 @@
 	    "waiting", "placed", "done", "failed"};
 	fleet_t *fleet = worker->fleet;
 	const task_name_t *task = &stray->task;
-	const ledger_job_t *job = ledger_job(fleet_ledger(fleet), task->job);
+	ledger_job_t *job = ledger_job(fleet_ledger(fleet), task->job);
 	const ledger_unit_t *unit = NULL;
 
 	if (job != NULL)
@@ -200,7 +200,7 @@
 process_late_end(worker_t *worker, const ended_task_t *end)
 {
 	ledger_t *ledger = fleet_ledger(worker->fleet);
-	const ledger_job_t *job = ledger_job(ledger, end->task.job);
+	ledger_job_t *job = ledger_job(ledger, end->task.job);
 	pending_end_t *pending = g_queue_peek_tail(&worker->pending_ends);
 	ledger_unit_t *unit;
 
--- a/sched/fleet_relocate.c
+++ b/sched/fleet_relocate.c
@@ -35,11 +35,14 @@
 	const ledger_unit_t *unit = run->unit;
 	int missing = 0;
 	size_t count;
-	const ledger_unit_t *units =
+	size_t first =
 	    ledger_step_units(unit->job, unit->occurrence, unit->step, &count);
 
-	for (size_t i = 0; i < count; i++) {
-		if (&units[i] != unit && !is_at_work(units[i].leader_run))
+	for (size_t i = first; i < first + count; i++) {
+		const ledger_unit_t *other = ledger_known_unit(unit->job, i);
+
+		if (other != unit &&
+		    (other == NULL || !is_at_work(other->leader_run)))
 			missing++;
 	}
 	return missing;
@@ -70,7 +73,7 @@
 {
 	const fleet_queue_t *queue = ledger_queue(
 	    fleet_ledger(run->fleet), run->unit->job->submit.queue);
-	waiting_step_t item = {.unit = run->unit, .end = run->unit + 1};
+	waiting_step_t item = {.unit = run->unit};
 	int left = round->free_accelerators - waiting_accelerators(&item);
 	plan_unit_t plan = {
 	    .step = run->step,
--- a/sched/fleet_round.h
+++ b/sched/fleet_round.h
@@ -9,7 +9,8 @@
 /* The waiting units of a step.  They have the same needs. */
 typedef struct {
 	ledger_unit_t *unit; /* the first that waits */
-	ledger_unit_t *end;  /* after the last unit of the step */
+	size_t first;        /* its index in the job */
+	size_t end;          /* index after the last unit of the step */
 	int priority;
 	urgency_t urgency;
 	int64_t since_ms; /* submitted or due */
--- a/sched/fleet_waiting.c
+++ b/sched/fleet_waiting.c
@@ -38,11 +38,11 @@
 		   MAX(queue->stretch_milli - MILLI, 0) / MILLI;
 }
 
-/* A unit without a due time (0) is due on submission. */
+/* An occurrence without a due time (0) is due on submission. */
 static bool
-is_due(const fleet_t *fleet, const ledger_unit_t *unit)
+is_due(const ledger_job_t *job, int occurrence)
 {
-	int64_t due_ms = ledger_unit_due_ms(unit);
+	int64_t due_ms = ledger_due_ms(job, occurrence);
 
 	return due_ms == 0 || clock_real_ms() >= due_ms;
 }
@@ -64,7 +64,7 @@
 static int64_t
 waiting_since_ms(const ledger_unit_t *unit, int64_t now_ms)
 {
-	int64_t due_ms = ledger_unit_due_ms(unit);
+	int64_t due_ms = ledger_due_ms(unit->job, unit->occurrence);
 	int64_t age_ms;
 
 	if (due_ms == 0)
@@ -91,19 +91,25 @@
 	return unit->state == UNIT_WAITING && unit->leader_run == NULL;
 }
 
-/* Returns the first waiting unit of a step, or NULL; end is after its last. */
-static ledger_unit_t *
-find_waiting(
-    const ledger_job_t *job, int occurrence, int step, ledger_unit_t **end)
+/*
+ * Sets first to the index of the first waiting unit of a step and end to the
+ * one after its last unit. Returns false if none waits.
+ */
+static bool
+find_waiting(const ledger_job_t *job, int occurrence, int step, size_t *first,
+    size_t *end)
 {
 	size_t count;
-	ledger_unit_t *unit = ledger_step_units(job, occurrence, step, &count);
 
-	for (*end = unit + count; unit < *end; unit++) {
-		if (waiting_is_waiting(unit))
-			return unit;
+	*first = ledger_step_units(job, occurrence, step, &count);
+	*end = *first + count;
+	for (; *first < *end; ++*first) {
+		const ledger_unit_t *unit = ledger_known_unit(job, *first);
+
+		if (unit == NULL || waiting_is_waiting(unit))
+			return true;
 	}
-	return NULL;
+	return false;
 }
 
 /* Times of a job that its steps share. */
@@ -139,9 +145,10 @@
 }
 
 static void
-collect_step(fleet_t *fleet, const job_times_t *job_times, ledger_unit_t *unit,
-    ledger_unit_t *end, int64_t now_ms, GArray *waiting)
+collect_step(fleet_t *fleet, const job_times_t *job_times, ledger_job_t *job,
+    size_t first, size_t end, int64_t now_ms, GArray *waiting)
 {
+	ledger_unit_t *unit = ledger_unit_at(job, first);
 	const fleet_queue_t *queue = job_times->queue;
 	const fleet_timing_t *timing = &fleet->timing;
 	int64_t since_ms = waiting_since_ms(unit, now_ms);
@@ -150,6 +157,7 @@
 		job_times->remaining_path_ms[unit->step], since_ms);
 	waiting_step_t item = {
 	    .unit = unit,
+	    .first = first,
 	    .end = end,
 	    .priority = queue->priority,
 	    .urgency = urgency_at(&times, now_ms),
@@ -200,13 +208,13 @@
 	    urgency_critical_paths(&job->submit.spec, times.remaining_path_ms);
 	for (int k = 0; k < job->occurrences; k++) {
 		for (int s = 0; s < steps; s++) {
-			ledger_unit_t *end;
-			ledger_unit_t *unit = find_waiting(job, k, s, &end);
+			size_t first;
+			size_t end;
 
-			if (unit != NULL && is_due(fleet, unit) &&
-			    ledger_unit_is_ready(unit))
-				collect_step(
-				    fleet, &times, unit, end, now_ms, waiting);
+			if (is_due(job, k) && ledger_step_is_ready(job, k, s) &&
+			    find_waiting(job, k, s, &first, &end))
+				collect_step(fleet, &times, job, first, end,
+				    now_ms, waiting);
 		}
 	}
 	if (waiting->len > before && job->still_since_ms == 0 &&
@@ -264,7 +272,7 @@
 	if (first->unit->job != second->unit->job)
 		return strcmp(
 		    first->unit->job->submit.id, second->unit->job->submit.id);
-	return first->unit < second->unit ? -1 : 1;
+	return first->first < second->first ? -1 : 1;
 }
 
 /* Returns the waiting steps in placement order; the caller frees the array. */
--- a/sched/ledger.c
+++ b/sched/ledger.c
@@ -19,12 +19,6 @@
 	return MAX(spec->repeat_count, 1);
 }
 
-static int
-unit_count_of(const step_spec_t *step)
-{
-	return step->gang ? 1 : step->count;
-}
-
 /*
  * Validates a job's steps.  Returns 0, or -EINVAL with a message in reason if
  * one is invalid.
@@ -76,46 +70,6 @@
 	}
 }
 
-static void
-init_units(ledger_job_t *job)
-{
-	const batch_spec_t *spec = &job->submit.spec;
-	u_int steps = spec->steps.steps_len;
-	ledger_unit_t *unit;
-
-	job->occurrences = occurrence_count(spec);
-	job->step_first_unit = g_new(size_t, steps);
-	for (u_int s = 0; s < steps; s++) {
-		job->step_first_unit[s] = job->units_per_occurrence;
-		job->units_per_occurrence +=
-		    unit_count_of(&spec->steps.steps_val[s]);
-	}
-	job->unit_count = job->units_per_occurrence * job->occurrences;
-	job->units = g_new0(ledger_unit_t, job->unit_count);
-	job->step_units_left = g_new0(int, job->occurrences *steps);
-	job->units_left = job->unit_count;
-	job->units_waiting = job->unit_count;
-	unit = job->units;
-	for (int k = 0; k < job->occurrences; k++) {
-		for (u_int s = 0; s < steps; s++) {
-			const step_spec_t *step = &spec->steps.steps_val[s];
-			int count = unit_count_of(step);
-
-			job->step_units_left[k * steps + s] = count;
-			for (int i = 0; i < count; i++, unit++) {
-				*unit = (ledger_unit_t){
-				    .job = job,
-				    .occurrence = k,
-				    .step = (int)s,
-				    .first = i,
-				    .members = step->gang ? step->count : 1,
-				    .checkpoint = g_strdup(""),
-				};
-			}
-		}
-	}
-}
-
 /* Adds an open job; takes over the contents of submit. */
 ledger_job_t *
 ledger_job_create(ledger_t *ledger, batch_submit_t *submit)
@@ -125,7 +79,8 @@
 	job->submit = *submit;
 	clear_leftover_cpu(&job->submit.spec);
 	memset(submit, 0, sizeof(*submit));
-	init_units(job);
+	job->occurrences = occurrence_count(&job->submit.spec);
+	ledger_units_init(job);
 	job->link.data = job;
 	g_hash_table_insert(ledger->jobs, job->submit.id, job);
 	g_queue_push_tail_link(&ledger->open, &job->link);
@@ -135,13 +90,7 @@
 void
 ledger_job_free(ledger_job_t *job)
 {
-	for (size_t i = 0; i < job->unit_count; i++) {
-		places_clear(&job->units[i].places);
-		g_free(job->units[i].checkpoint);
-	}
-	g_free(job->units);
-	g_free(job->step_units_left);
-	g_free(job->step_first_unit);
+	ledger_units_free(job);
 	codec_free((xdrproc_t)xdr_batch_submit_t, &job->submit);
 	g_free(job);
 }
@@ -278,54 +227,35 @@
 	return unit != NULL && unit->first == name->unit ? unit : NULL;
 }
 
-ledger_unit_t *
-ledger_unit_of_task(
-    const ledger_job_t *job, int occurrence, int step, int index)
-{
-	size_t count;
-	ledger_unit_t *units;
-
-	if (occurrence < 0 || occurrence >= job->occurrences || step < 0 ||
-	    step >= (int)job->submit.spec.steps.steps_len || index < 0 ||
-	    index >= job->submit.spec.steps.steps_val[step].count)
-		return NULL;
-	units = ledger_step_units(job, occurrence, step, &count);
-	return count == 1 ? units : &units[index];
-}
-
-ledger_unit_t *
-ledger_step_units(
-    const ledger_job_t *job, int occurrence, int step, size_t *count)
-{
-	*count = unit_count_of(&job->submit.spec.steps.steps_val[step]);
-	return &job->units[occurrence * job->units_per_occurrence +
-			   job->step_first_unit[step]];
-}
-
 bool
-ledger_unit_is_ready(const ledger_unit_t *unit)
+ledger_step_is_ready(const ledger_job_t *job, int occurrence, int step)
 {
-	const step_spec_t *step = ledger_step(unit);
-	const ledger_job_t *job = unit->job;
+	const step_spec_t *spec = &job->submit.spec.steps.steps_val[step];
 	u_int steps = job->submit.spec.steps.steps_len;
 
-	for (u_int i = 0; i < step->depends_on.depends_on_len; i++) {
-		int on = step->depends_on.depends_on_val[i];
+	for (u_int i = 0; i < spec->depends_on.depends_on_len; i++) {
+		int on = spec->depends_on.depends_on_val[i];
 
-		if (job->step_units_left[unit->occurrence * steps + on] > 0)
+		if (job->step_units_left[occurrence * steps + on] > 0)
 			return false;
 	}
 	return true;
 }
 
+bool
+ledger_unit_is_ready(const ledger_unit_t *unit)
+{
+	return ledger_step_is_ready(unit->job, unit->occurrence, unit->step);
+}
+
 int64_t
-ledger_unit_due_ms(const ledger_unit_t *unit)
+ledger_due_ms(const ledger_job_t *job, int occurrence)
 {
-	const batch_spec_t *spec = &unit->job->submit.spec;
+	const batch_spec_t *spec = &job->submit.spec;
 
 	if (spec->repeat_count <= 0)
 		return 0;
-	return spec->first_due_ms + unit->occurrence * spec->interval_ms;
+	return spec->first_due_ms + occurrence * spec->interval_ms;
 }
 
 /* Places a waiting unit, unless its job has ended or the run is not the next.
@@ -481,11 +411,13 @@
 forget_job(ledger_t *ledger, const char *id)
 {
 	ledger_job_t *job = ledger_job(ledger, id);
+	const ledger_unit_t *unit;
+	size_t index = 0;
 
 	if (job == NULL || !ledger_job_has_ended(job))
 		return;
-	for (size_t i = 0; i < job->unit_count; i++) {
-		if (job->units[i].state == UNIT_PLACED)
+	while ((unit = ledger_next_known_unit(job, &index)) != NULL) {
+		if (unit->state == UNIT_PLACED)
 			return;
 	}
 	g_queue_unlink(&ledger->ended, &job->link);
--- a/sched/ledger.h
+++ b/sched/ledger.h
@@ -42,7 +42,7 @@
 	bool cancelled;
 	bool failed;
 	int occurrences;
-	ledger_unit_t *units;
+	ledger_unit_t **unit_pages; /* see ledger_units.c */
 	size_t unit_count;
 	size_t units_left; /* not done */
 	size_t units_started;
@@ -91,21 +91,23 @@
 GQueue *ledger_open_jobs(ledger_t *ledger);
 GQueue *ledger_ended_jobs(ledger_t *ledger);
 ledger_unit_t *ledger_unit(const ledger_t *ledger, const unit_name_t *name);
-/* Returns the unit that the task belongs to, or NULL. */
 ledger_unit_t *ledger_unit_of_task(
-    const ledger_job_t *job, int occurrence, int step, int index);
+    ledger_job_t *job, int occurrence, int step, int index);
+ledger_unit_t *ledger_unit_at(ledger_job_t *job, size_t index);
+ledger_unit_t *ledger_known_unit(const ledger_job_t *job, size_t index);
+ledger_unit_t *ledger_next_known_unit(const ledger_job_t *job, size_t *index);
 batch_state_t ledger_job_state(const ledger_job_t *job);
 bool ledger_job_has_ended(const ledger_job_t *job);
 /* On the leader: how many open jobs of a queue have not begun. */
 int ledger_pending_count(const ledger_t *ledger, const char *queue);
 const step_spec_t *ledger_step(const ledger_unit_t *unit);
-/* Returns the first unit of a step; the others of the step follow it. */
-ledger_unit_t *ledger_step_units(
+size_t ledger_step_units(
     const ledger_job_t *job, int occurrence, int step, size_t *count);
-/* Whether the steps that the unit depends on are done. */
+/* Whether the steps that the step, or the unit, depends on are done. */
+bool ledger_step_is_ready(const ledger_job_t *job, int occurrence, int step);
 bool ledger_unit_is_ready(const ledger_unit_t *unit);
-/* Unix time in milliseconds before which the unit must not start, or 0. */
-int64_t ledger_unit_due_ms(const ledger_unit_t *unit);
+/* Unix time in milliseconds before which no unit must start, or 0. */
+int64_t ledger_due_ms(const ledger_job_t *job, int occurrence);
 
 const fleet_worker_t *ledger_worker(const ledger_t *ledger, const char *id);
 GHashTable *ledger_workers(ledger_t *ledger); /* id -> fleet_worker_t */
--- a/sched/ledger_private.h
+++ b/sched/ledger_private.h
@@ -19,6 +19,11 @@
 void ledger_queue_free(void *data);
 void ledger_retire_queue(ledger_t *ledger, const fleet_queue_t *queue);
 
+/* ledger_units.c */
+size_t ledger_unit_count_of(const step_spec_t *step);
+void ledger_units_init(ledger_job_t *job);
+void ledger_units_free(ledger_job_t *job);
+
 ledger_job_t *ledger_job_create(ledger_t *ledger, batch_submit_t *submit);
 void ledger_job_free(ledger_job_t *job);
 void ledger_move_if_ended(ledger_t *ledger, ledger_job_t *job, bool had_ended);
--- a/sched/ledger_snapshot.c
+++ b/sched/ledger_snapshot.c
@@ -35,33 +35,64 @@
 	record->places.places_val = places_list(&unit->places);
 }
 
+/* Returns how many units there are up to the last one that has run. */
+static size_t
+recorded_unit_count(const ledger_job_t *job)
+{
+	const ledger_unit_t *unit;
+	size_t count = 0;
+	size_t index = 0;
+
+	while ((unit = ledger_next_known_unit(job, &index)) != NULL) {
+		if (unit->run > 0 || unit->state != UNIT_WAITING)
+			count = index;
+	}
+	return count;
+}
+
 static void
-record_job(const ledger_job_t *job, batch_record_t *record)
+record_units(const ledger_job_t *job, batch_record_t *record)
+{
+	size_t count = recorded_unit_count(job);
+
+	record->units.units_len = (u_int)count;
+	record->units.units_val = g_new0(unit_record_t, count);
+	for (size_t i = 0; i < count; i++) {
+		const ledger_unit_t *unit = ledger_known_unit(job, i);
+
+		if (unit != NULL)
+			record_unit(unit, &record->units.units_val[i]);
+		else
+			record->units.units_val[i].checkpoint = (char *)"";
+	}
+}
+
+static bool_t
+save_job(XDR *xdr, const ledger_job_t *job)
 {
-	*record = (batch_record_t){
+	batch_record_t record = {
 	    .submit = job->submit,
 	    .cancelled = job->cancelled,
 	    .failed = job->failed,
 	};
-	record->units.units_len = (u_int)job->unit_count;
-	record->units.units_val = g_new0(unit_record_t, job->unit_count);
-	for (size_t i = 0; i < job->unit_count; i++)
-		record_unit(&job->units[i], &record->units.units_val[i]);
+	bool_t done;
+
+	record_units(job, &record);
+	done = xdr_batch_record_t(xdr, &record);
+	for (u_int i = 0; i < record.units.units_len; i++)
+		g_free(record.units.units_val[i].places.places_val);
+	g_free(record.units.units_val);
+	return done;
 }
 
-static void
-record_jobs(ledger_t *ledger, fleet_snapshot_t *snapshot)
+static bool_t
+save_jobs(XDR *xdr, const GQueue *jobs)
 {
-	const GQueue *const queues[] = {&ledger->ended, &ledger->open};
-	u_int n = 0;
-
-	snapshot->jobs.jobs_val =
-	    g_new0(batch_record_t, g_hash_table_size(ledger->jobs));
-	for (size_t q = 0; q < G_N_ELEMENTS(queues); q++) {
-		for (GList *at = queues[q]->head; at != NULL; at = at->next)
-			record_job(at->data, &snapshot->jobs.jobs_val[n++]);
+	for (const GList *at = jobs->head; at != NULL; at = at->next) {
+		if (!save_job(xdr, at->data))
+			return FALSE;
 	}
-	snapshot->jobs.jobs_len = n;
+	return TRUE;
 }
 
 static gint
@@ -176,11 +207,12 @@
 {
 	for (const GList *at = jobs->head; at != NULL; at = at->next) {
 		const ledger_job_t *job = at->data;
+		const ledger_unit_t *unit;
+		size_t index = 0;
 
-		for (size_t i = 0; i < job->unit_count; i++) {
-			const ledger_unit_t *unit = &job->units[i];
+		while ((unit = ledger_next_known_unit(job, &index)) != NULL) {
 			gang_record_t record = {
-			    job->submit.id, (u_int)i, unit->places};
+			    job->submit.id, (u_int)(index - 1), unit->places};
 
 			if (unit->state == UNIT_PLACED && is_large_gang(unit))
 				g_array_append_val(records, record);
@@ -211,12 +243,12 @@
 static bool
 restore_gang(ledger_t *ledger, gang_record_t *record)
 {
-	const ledger_job_t *job = ledger_job(ledger, record->job);
+	ledger_job_t *job = ledger_job(ledger, record->job);
 	ledger_unit_t *unit;
 
 	if (job == NULL || record->unit >= job->unit_count)
 		return false;
-	unit = &job->units[record->unit];
+	unit = ledger_unit_at(job, record->unit);
 	if (unit->state != UNIT_PLACED || !is_large_gang(unit) ||
 	    unit->places.place_ranges_t_len > 0 ||
 	    places_members(&record->places) != unit->members)
@@ -272,40 +304,57 @@
 	return xdr->x_handy == 0 || load_gang_places(xdr, ledger);
 }
 
-/* Frees the lists of places, whose names are the ledger's. */
-static void
-free_job_record(batch_record_t *record)
-{
-	for (u_int i = 0; i < record->units.units_len; i++)
-		g_free(record->units.units_val[i].places.places_val);
-	g_free(record->units.units_val);
-}
-
 /* Encodes the ledger; FALSE if the stream has no space left. */
 bool_t
 ledger_xdr_save(XDR *xdr, ledger_t *ledger)
 {
-	fleet_snapshot_t snapshot = {.config = ledger->config};
+	fleet_snapshot_t snapshot = {.config = ledger->config,
+	    .job_count = g_hash_table_size(ledger->jobs)};
 	bool_t done;
 
 	record_workers(ledger, &snapshot);
-	record_jobs(ledger, &snapshot);
 	done = xdr_fleet_snapshot_t(xdr, &snapshot) &&
-	       save_later_parts(xdr, ledger);
-	for (u_int i = 0; i < snapshot.jobs.jobs_len; i++)
-		free_job_record(&snapshot.jobs.jobs_val[i]);
-	g_free(snapshot.jobs.jobs_val);
+	       save_jobs(xdr, &ledger->ended) &&
+	       save_jobs(xdr, &ledger->open) && save_later_parts(xdr, ledger);
 	g_free(snapshot.workers.workers_val);
 	return done;
 }
 
+/* Counts a unit that has run in its job. */
+static void
+count_restored(const ledger_unit_t *unit)
+{
+	ledger_job_t *job = unit->job;
+	u_int steps = job->submit.spec.steps.steps_len;
+
+	job->units_started += unit->run > 0;
+	job->units_waiting -= unit->state != UNIT_WAITING;
+	if (unit->state != UNIT_DONE)
+		return;
+	job->units_left--;
+	job->step_units_left[unit->occurrence * steps + unit->step]--;
+}
+
+/* Whether a unit of that record waits and has never run. */
+static bool
+is_new(const unit_record_t *record)
+{
+	return record->state == UNIT_WAITING && record->run == 0;
+}
+
 /* Takes over the record; returns false if it does not match the unit. */
 static bool
-restore_unit(ledger_unit_t *unit, unit_record_t *record)
+restore_unit(ledger_job_t *job, size_t index, unit_record_t *record)
 {
-	if (record->state < UNIT_WAITING || record->state > UNIT_FAILED ||
-	    (record->state == UNIT_PLACED && !is_large_gang(unit) &&
-		(int)record->places.places_len != unit->members))
+	ledger_unit_t *unit;
+
+	if (is_new(record))
+		return true;
+	if (record->state < UNIT_WAITING || record->state > UNIT_FAILED)
+		return false;
+	unit = ledger_unit_at(job, index);
+	if (record->state == UNIT_PLACED && !is_large_gang(unit) &&
+	    (int)record->places.places_len != unit->members)
 		return false;
 	unit->state = (unit_state_t)record->state;
 	unit->run = record->run;
@@ -316,6 +365,7 @@
 	if (unit->state == UNIT_PLACED && !is_large_gang(unit))
 		places_add_list(&unit->places, record->places.places_val,
 		    record->places.places_len);
+	count_restored(unit);
 	return true;
 }
 
@@ -325,10 +375,10 @@
 {
 	for (const GList *at = jobs->head; at != NULL; at = at->next) {
 		const ledger_job_t *job = at->data;
+		const ledger_unit_t *unit;
+		size_t index = 0;
 
-		for (size_t i = 0; i < job->unit_count; i++) {
-			const ledger_unit_t *unit = &job->units[i];
-
+		while ((unit = ledger_next_known_unit(job, &index)) != NULL) {
 			if (unit->state == UNIT_PLACED &&
 			    unit->places.place_ranges_t_len == 0)
 				return false;
@@ -342,28 +392,17 @@
 {
 	const char *reason;
 	ledger_job_t *job;
-	u_int steps;
 
 	if (record->submit.id == NULL ||
 	    ledger_job(ledger, record->submit.id) != NULL ||
 	    ledger_validate_spec(&record->submit.spec, &reason) != 0)
 		return false;
 	job = ledger_job_create(ledger, &record->submit);
-	if (record->units.units_len != job->unit_count)
+	if (record->units.units_len > job->unit_count)
 		return false;
-	steps = job->submit.spec.steps.steps_len;
-	for (size_t i = 0; i < job->unit_count; i++) {
-		ledger_unit_t *unit = &job->units[i];
-
-		if (!restore_unit(unit, &record->units.units_val[i]))
+	for (u_int i = 0; i < record->units.units_len; i++) {
+		if (!restore_unit(job, i, &record->units.units_val[i]))
 			return false;
-		job->units_started += unit->run > 0;
-		job->units_waiting -= unit->state != UNIT_WAITING;
-		if (unit->state == UNIT_DONE) {
-			job->units_left--;
-			job->step_units_left[unit->occurrence * steps +
-					     unit->step]--;
-		}
 	}
 	job->cancelled = record->cancelled;
 	job->failed = record->failed;
@@ -371,6 +410,17 @@
 	return true;
 }
 
+static bool_t
+load_job(XDR *xdr, ledger_t *ledger)
+{
+	batch_record_t record = {0};
+	bool_t done =
+	    xdr_batch_record_t(xdr, &record) && restore_job(ledger, &record);
+
+	codec_free((xdrproc_t)xdr_batch_record_t, &record);
+	return done;
+}
+
 /*
  * Loads a snapshot into an empty ledger.  Returns FALSE if it is invalid; the
  * ledger may then be partly filled.
@@ -385,8 +435,8 @@
 		ledger_apply_config(ledger, &snapshot.config);
 	for (u_int i = 0; done && i < snapshot.workers.workers_len; i++)
 		ledger_update_worker(ledger, &snapshot.workers.workers_val[i]);
-	for (u_int i = 0; done && i < snapshot.jobs.jobs_len; i++)
-		done = restore_job(ledger, &snapshot.jobs.jobs_val[i]);
+	for (u_int i = 0; done && i < snapshot.job_count; i++)
+		done = load_job(xdr, ledger);
 	codec_free((xdrproc_t)xdr_fleet_snapshot_t, &snapshot);
 	return done && load_later_parts(xdr, ledger) &&
 	       have_places(&ledger->open) && have_places(&ledger->ended);
--- a/tests/unit/test_fleet_view.c
+++ b/tests/unit/test_fleet_view.c
@@ -43,12 +43,12 @@
 }
 
 static void
-check_job(const ledger_job_t *job)
+check_job(ledger_job_t *job)
 {
 	size_t waiting = 0;
 
 	for (size_t i = 0; i < job->unit_count; i++) {
-		const ledger_unit_t *unit = &job->units[i];
+		const ledger_unit_t *unit = ledger_unit_at(job, i);
 
 		waiting += unit->state == UNIT_WAITING;
 		ck_assert_ptr_eq(ledger_unit_of_task(job, unit->occurrence,
--- a/tests/unit/test_ledger.c
+++ b/tests/unit/test_ledger.c
@@ -1,5 +1,6 @@
 #include <errno.h>
 #include <glib.h>
+#include <malloc.h>
 #include <string.h>
 
 #include "rpc/codec.h"
@@ -9,6 +10,11 @@
 #define JOB "00000000000000aa"
 #define SNAPSHOT_BYTES 65536
 #define LARGE_GANG (MAX_BATCH + 1)
+/* Jobs with all the tasks that they may have, and the memory of two copies. */
+#define WIDE_JOBS 28
+#define WIDE_JOBS_BYTES (4 * 1024 * 1024)
+/* The task of such a job that is started. */
+#define RUN_TASK 1000
 
 static step_spec_t
 step_of(int count, bool gang)
@@ -238,6 +244,92 @@
 }
 END_TEST
 
+/* Submits a job of single tasks, as many as it may have. */
+static void
+submit_wide(ledger_t *ledger, int number)
+{
+	batch_submit_t job = {
+	    .id = g_strdup_printf("%016x", number),
+	    .queue = g_strdup("q"),
+	    .tenant = g_strdup("t"),
+	};
+
+	job.spec.steps.steps_val = g_new0(step_spec_t, 1);
+	job.spec.steps.steps_len = 1;
+	job.spec.steps.steps_val[0] = step_of(MAX_JOB_TASKS, false);
+	ck_assert_int_eq(ledger_apply_submit(ledger, &job), 0);
+	codec_free((xdrproc_t)xdr_batch_submit_t, &job);
+}
+
+static size_t
+allocated_bytes(void)
+{
+	struct mallinfo2 info = mallinfo2();
+
+	return info.uordblks + info.hblkhd;
+}
+
+/*
+ * Guards against review/8: the tasks of accepted jobs that wait for their turn
+ * fill the memory of every control instance, and the snapshot.
+ */
+START_TEST(waiting_tasks_take_next_to_nothing)
+{
+	size_t before = allocated_bytes();
+	ledger_t *ledger = ledger_create();
+	ledger_t *loaded = ledger_create();
+	char bytes[SNAPSHOT_BYTES];
+	u_int len;
+	XDR xdr;
+
+	for (int i = 0; i < WIDE_JOBS; i++)
+		submit_wide(ledger, i);
+	len = save(ledger, bytes);
+	xdrmem_create(&xdr, bytes, len, XDR_DECODE);
+	ck_assert(ledger_xdr_load(&xdr, loaded));
+	xdr_destroy(&xdr);
+	ck_assert_uint_eq(ledger_open_jobs(loaded)->length, WIDE_JOBS);
+	ck_assert_uint_lt(allocated_bytes() - before, WIDE_JOBS_BYTES);
+	ledger_destroy(ledger);
+	ledger_destroy(loaded);
+}
+END_TEST
+
+/* Guards against units that a snapshot leaves out though they have run. */
+START_TEST(snapshot_holds_units_that_have_run)
+{
+	static const char *const job = "0000000000000000";
+	ledger_t *ledger = ledger_create();
+	ledger_t *loaded = ledger_create();
+	char bytes[SNAPSHOT_BYTES];
+	unit_place_t place = {(char *)"w1", 1};
+	unit_start_t start = {.unit = {(char *)job, 0, 0, RUN_TASK},
+	    .run = 1,
+	    .places = {1, &place}};
+	fleet_events_t events = {.starts = {1, &start}};
+	const ledger_unit_t *unit;
+	u_int len;
+	XDR xdr;
+
+	submit_wide(ledger, 0);
+	ledger_apply_events(ledger, &events);
+	len = save(ledger, bytes);
+	xdrmem_create(&xdr, bytes, len, XDR_DECODE);
+	ck_assert(ledger_xdr_load(&xdr, loaded));
+	xdr_destroy(&xdr);
+	unit = ledger_unit(loaded, &start.unit);
+	ck_assert_int_eq(unit->state, UNIT_PLACED);
+	ck_assert_uint_eq(unit->job->units_waiting, MAX_JOB_TASKS - 1);
+	unit = ledger_unit_at(unit->job, RUN_TASK + 1);
+	ck_assert_int_eq(unit->state, UNIT_WAITING);
+	ck_assert_int_eq(unit->first, RUN_TASK + 1);
+	unit = ledger_unit_at(unit->job, MAX_JOB_TASKS - 1);
+	ck_assert_int_eq(unit->first, MAX_JOB_TASKS - 1);
+	ledger_destroy(ledger);
+	ledger_destroy(loaded);
+}
+END_TEST
+
 /* Submits a gang that has more members than unit_start_t has places. */
 static void
 submit_large_gang(ledger_t *ledger)
@@ -476,6 +568,8 @@
 	tcase_add_test(tcase, final_failure);
 	tcase_add_test(tcase, snapshot_holds_a_large_gang);
 	tcase_add_test(tcase, large_gang_is_placed_whole);
+	tcase_add_test(tcase, waiting_tasks_take_next_to_nothing);
+	tcase_add_test(tcase, snapshot_holds_units_that_have_run);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_NOFORK);
 }
