fleet: a proposal that may still take events waits for the work timer

Cause: since decisions are split, the next command was proposed in the moment in which the one before was committed, so that ends went without the starts that are planned a millisecond later, and those waited for one more commit. It is proposed at once only if another one waits behind it.

--- a/sched/fleet_events.c
+++ b/sched/fleet_events.c
@@ -314,7 +314,9 @@
 	}
 	settle_starts(batch->runs);
 	batch_free(batch);
-	fleet_events_propose(fleet);
+	/* The last one waits for what the work timer adds to it. */
+	if (fleet->batches.length > 1)
+		fleet_events_propose(fleet);
 	fleet_schedule_work(fleet);
 }
 
