fleet: a new leader waits for late starts of the one before

Callers saw: with a worker behind a cut, a leader change and a restart of that worker, a task runs twice.

Cause: recover_run notes that a start of the previous leader may be unanswered, but not since when, so that the task was given up with the lease and started elsewhere, while a start may be carried out by the worker's next incarnation for 12 s.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -97,9 +97,10 @@
 	for (int i = 0; i < run->member_count; i++) {
 		member_t *member = &run->members[i];
 
-		/* The previous leader may have sent the start. */
+		/* The previous leader may have sent the start just now. */
 		member->state = MEMBER_SENT;
 		member->starts_unanswered = 1;
+		member->unanswered_ms = run->created_ms;
 	}
 	if (ledger_job_has_ended(unit->job))
 		run_stop(run, "job_ended");
--- a/tests/unit/test_fleet_restarts.c
+++ b/tests/unit/test_fleet_restarts.c
@@ -167,6 +167,38 @@
 }
 END_TEST
 
+/*
+ * Guards against a new leader that takes the end of the lease for the end of
+ * the starts of the one before: a cut-off worker restarts, and carries out one
+ * of them while the task runs elsewhere.
+ */
+START_TEST(delayed_start_behind_a_cut_and_a_leader_change)
+{
+	bed_worker_t *worker;
+	size_t number;
+	bed_t bed;
+
+	bed_open(&bed, 2, 8);
+	submit_with_delayed_starts(&bed, 1);
+	number = last_busy_worker(&bed);
+	worker = &bed.workers[number];
+	worker->unreachable = true;
+	bed_restart_fleet(&bed);
+	bed_run_for(&bed, BED_LEASE_MS / 2);
+	bed_restart_worker_unannounced(&bed, number);
+	bed_run_for(&bed, 4 * BED_LEASE_MS);
+	bed_deliver_delayed(&bed);
+	ck_assert_int_eq(bed_running(&bed, JOB), 1);
+	ck_assert(!bed.duplicate_run);
+	worker->unreachable = false;
+	bed_announce(&bed, number);
+	bed_run_for(&bed, BED_LEASE_MS);
+	WAIT(&bed, job_has_1_task);
+	ck_assert(!bed.duplicate_run);
+	bed_close(&bed);
+}
+END_TEST
+
 static bool
 poll_is_delayed(void *ctx)
 {
@@ -389,6 +421,7 @@
 	tcase_add_test(tcase, delayed_start_after_end);
 	tcase_add_test(tcase, delayed_start_after_stop);
 	tcase_add_loop_test(tcase, new_leader_waits_for_first_poll, 0, 4);
+	tcase_add_test(tcase, delayed_start_behind_a_cut_and_a_leader_change);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_FORK);
 }
