fleet: a job is its tenant's, whoever else chooses its id

Callers saw: a tenant that handed in a job under the id of another tenant's was answered 200, its job never ran, it read the other's state, and its cancel aborted the other's running job.

Cause: jobs were looked up by id alone, while a call carries a key of the job's tenant.

Change: the id is refused to another tenant (503, never runs), also where two hand it in at once; reads and cancels by another tenant are answered 410. Callers without a key on an anonymous queue are served as before.

Evidence: cases/platform_tenants fails before (200, 200, 200 and 200 for tenant b; the job of tenant a is aborted) and passes now; platform_path passes.

--- a/sched/fleet_calls.c
+++ b/sched/fleet_calls.c
@@ -12,6 +12,7 @@
 #define JOB_ID_LEN 16
 #define NO_LEADER_RETRY_MS 500
 #define UNPLACEABLE_RETRY_MS 5000
+#define FOREIGN_ID "a job of another tenant has this id"
 
 /* ---- callers ---- */
 
@@ -73,6 +74,8 @@
 		send_code(call->request, BATCH_REFUSED, err->text);
 	} else if (result->code == -ENOENT) {
 		send_code(call->request, BATCH_UNKNOWN_JOB, "no such job");
+	} else if (result->code == -EEXIST) {
+		send_code(call->request, BATCH_REFUSED, FOREIGN_ID);
 	} else if (result->code == -ESTALE) {
 		send_code(call->request, BATCH_REFUSED,
 		    "the queue was removed meanwhile");
@@ -142,36 +145,69 @@
 	return len == JOB_ID_LEN;
 }
 
+/* Returns the name of a caller's tenant, "" for a caller without one. */
+static const char *
+name_of(const fleet_tenant_t *tenant)
+{
+	return tenant != NULL ? tenant->name : "";
+}
+
+/* Refuses a job that can't be accepted now; it never runs. */
+static void
+refuse(fleet_t *fleet, const char *id, const char *reason,
+    endpoint_request_t *request)
+{
+	counter_add(fleet->rejected, 1);
+	evlog("reject", "{s:s,s:s}", "job", id, "reason", reason);
+	send_reply(request, (batch_reply_t){
+				.answer = BATCH_REFUSED,
+				.retry_after_ms = UNPLACEABLE_RETRY_MS,
+				.reason = (char *)reason,
+			    });
+}
+
+/* Returns the caller's job with that id, or NULL and answers the call. */
+static const ledger_job_t *
+find_job(fleet_t *fleet, const char *id, const fleet_tenant_t *tenant,
+    endpoint_request_t *request)
+{
+	const ledger_job_t *job = ledger_job(fleet_ledger(fleet), id);
+
+	if (job != NULL && ledger_job_is_of(job, name_of(tenant)))
+		return job;
+	send_code(request, BATCH_UNKNOWN_JOB, "no such job");
+	return NULL;
+}
+
 static void
 submit(fleet_t *fleet, batch_call_t *call, const fleet_queue_t *queue,
     const fleet_tenant_t *tenant, endpoint_request_t *request)
 {
 	command_t command = {.kind = COMMAND_BATCH_SUBMIT};
 	const char *id = job_id(call, queue);
+	const ledger_job_t *job = ledger_job(fleet_ledger(fleet), id);
 	const char *reason;
 
-	if (ledger_job(fleet_ledger(fleet), id) != NULL) {
+	if (job != NULL && ledger_job_is_of(job, name_of(tenant))) {
 		send_code(request, BATCH_ACCEPTED, "");
 		return;
 	}
+	if (job != NULL) {
+		refuse(fleet, id, FOREIGN_ID, request);
+		return;
+	}
 	if (ledger_validate_spec(&call->spec, &reason) != 0) {
 		send_code(request, BATCH_INVALID, reason);
 		return;
 	}
 	if (!fleet_can_ever_run(fleet, queue->service, &call->spec, &reason)) {
-		counter_add(fleet->rejected, 1);
-		evlog("reject", "{s:s,s:s}", "job", id, "reason", reason);
-		send_reply(request, (batch_reply_t){
-					.answer = BATCH_REFUSED,
-					.retry_after_ms = UNPLACEABLE_RETRY_MS,
-					.reason = (char *)reason,
-				    });
+		refuse(fleet, id, reason, request);
 		return;
 	}
 	command.command_t_u.batch_submit = (batch_submit_t){
 	    .id = (char *)id,
 	    .queue = queue->name,
-	    .tenant = tenant != NULL ? tenant->name : (char *)"",
+	    .tenant = (char *)name_of(tenant),
 	    .submitted_ms = clock_real_ms(),
 	    .spec = call->spec,
 	};
@@ -180,15 +216,14 @@
 }
 
 static void
-cancel(fleet_t *fleet, const char *id, endpoint_request_t *request)
+cancel(fleet_t *fleet, const char *id, const fleet_tenant_t *tenant,
+    endpoint_request_t *request)
 {
 	command_t command = {.kind = COMMAND_BATCH_CANCEL};
-	const ledger_job_t *job = ledger_job(fleet_ledger(fleet), id);
+	const ledger_job_t *job = find_job(fleet, id, tenant, request);
 
-	if (job == NULL) {
-		send_code(request, BATCH_UNKNOWN_JOB, "no such job");
+	if (job == NULL)
 		return;
-	}
 	if (ledger_job_has_ended(job)) {
 		send_code(request, BATCH_CANCELLED, "");
 		return;
@@ -198,14 +233,13 @@
 }
 
 static void
-status(fleet_t *fleet, const char *id, endpoint_request_t *request)
+status(fleet_t *fleet, const char *id, const fleet_tenant_t *tenant,
+    endpoint_request_t *request)
 {
-	const ledger_job_t *job = ledger_job(fleet_ledger(fleet), id);
+	const ledger_job_t *job = find_job(fleet, id, tenant, request);
 
-	if (job == NULL) {
-		send_code(request, BATCH_UNKNOWN_JOB, "no such job");
+	if (job == NULL)
 		return;
-	}
 	send_reply(request, (batch_reply_t){
 				.answer = BATCH_STATE,
 				.state = ledger_job_state(job),
@@ -242,9 +276,9 @@
 	if (call->verb == BATCH_SUBMIT)
 		submit(fleet, call, queue, tenant, request);
 	else if (call->verb == BATCH_CANCEL)
-		cancel(fleet, id, request);
+		cancel(fleet, id, tenant, request);
 	else
-		status(fleet, id, request);
+		status(fleet, id, tenant, request);
 }
 
 /* Serves a batch call forwarded by the instance that the client contacted. */
--- a/sched/ledger.c
+++ b/sched/ledger.c
@@ -135,6 +135,17 @@
 	g_queue_push_tail_link(&ledger->ended, &job->link);
 }
 
+/*
+ * Whether a caller of that tenant may ask for the job.  Callers without a key,
+ * as anonymous queues allow them, have the tenant "".
+ */
+bool
+ledger_job_is_of(const ledger_job_t *job, const char *tenant)
+{
+	return job->submit.tenant[0] == '\0' || tenant[0] == '\0' ||
+	       strcmp(job->submit.tenant, tenant) == 0;
+}
+
 batch_state_t
 ledger_job_state(const ledger_job_t *job)
 {
@@ -149,16 +160,18 @@
 }
 
 /*
- * Adds a job.  Returns 0 without a change if its id exists already, -ESTALE if
- * its queue was removed from the configuration before the job was committed.
+ * Adds a job.  Returns 0 without a change if its id exists already, -EEXIST if
+ * it does as another tenant's, -ESTALE if its queue was removed from the
+ * configuration before the job was committed.
  */
 int
 ledger_apply_submit(ledger_t *ledger, batch_submit_t *command)
 {
+	const ledger_job_t *job = ledger_job(ledger, command->id);
 	const char *reason;
 
-	if (ledger_job(ledger, command->id) != NULL)
-		return 0;
+	if (job != NULL)
+		return ledger_job_is_of(job, command->tenant) ? 0 : -EEXIST;
 	if (ledger->config.number > 0 &&
 	    ledger_queue(ledger, command->queue) == NULL)
 		return -ESTALE;
--- a/sched/ledger.h
+++ b/sched/ledger.h
@@ -96,6 +96,7 @@
 ledger_unit_t *ledger_unit_at(ledger_job_t *job, size_t index);
 ledger_unit_t *ledger_known_unit(const ledger_job_t *job, size_t index);
 ledger_unit_t *ledger_next_known_unit(const ledger_job_t *job, size_t *index);
+bool ledger_job_is_of(const ledger_job_t *job, const char *tenant);
 batch_state_t ledger_job_state(const ledger_job_t *job);
 bool ledger_job_has_ended(const ledger_job_t *job);
 /* On the leader: how many open jobs of a queue have not begun. */
