fleet: a job is kept while a run refers to it

Cause: a run reads the steps of its job, and the job could be forgotten while a run of it was still held: an earlier run was done, the later one may yet be carried out on a worker that is out of reach for longer than the job is kept.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -270,11 +270,12 @@
 		    fleet->timing.ended_job_retention_ms)
 			break;
 		/*
-		 * The ledger keeps a job while one of its runs has not ended,
-		 * so retry.
+		 * The ledger keeps a job while one of its units is placed, so
+		 * retry.
 		 */
-		if (job->removal_proposed_ms != 0 &&
-		    now_ms - job->removal_proposed_ms < FORGET_RETRY_MS)
+		if (job->runs > 0 ||
+		    (job->removal_proposed_ms != 0 &&
+			now_ms - job->removal_proposed_ms < FORGET_RETRY_MS))
 			continue;
 		job->removal_proposed_ms = now_ms;
 		fleet_event_forget(fleet, job->submit.id);
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -161,6 +161,8 @@
 	fleet_t *fleet;
 	ledger_unit_t *unit; /* NULL once the unit no longer refers to it */
 	char *job;
+	ledger_job_t
+	    *owner; /* kept while a run that is not retired refers to it */
 	unit_name_t name;
 	const step_spec_t *step;
 	resources_t shape;
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -82,6 +82,8 @@
 	    .occurrence = unit->occurrence,
 	    .step = unit->step,
 	    .unit = unit->first};
+	run->owner = unit->job;
+	run->owner->runs++;
 	run->step = ledger_step(unit);
 	run->shape = run->step->shape;
 	run->number = number;
@@ -112,6 +114,7 @@
 run_retire(run_t *run)
 {
 	run->retired = true;
+	run->owner->runs--;
 	g_ptr_array_remove_fast(run->fleet->runs, run);
 	g_ptr_array_add(run->fleet->retired_runs, run);
 }
--- a/tests/unit/test_fleet_starts.c
+++ b/tests/unit/test_fleet_starts.c
@@ -275,6 +275,41 @@
 }
 END_TEST
 
+static bool
+is_forgotten(void *ctx)
+{
+	return bed_jobs(ctx) == 0;
+}
+
+/*
+ * Guards against a run that refers to the steps of a job that was forgotten: an
+ * earlier run was done, while a start of this one may still be carried out.
+ */
+START_TEST(job_is_kept_while_a_run_refers_to_it)
+{
+	int first;
+	bed_t bed;
+
+	bed_open(&bed, 2, 8);
+	bed_submit(&bed, JOB, "batch", 1, 8, false);
+	WAIT(&bed, job_runs);
+	first = bed.workers[0].tasks->len > 0 ? 0 : 1;
+	bed.workers[first].unreachable = true;
+	bed.workers[1 - first].delayed_starts = 1;
+	bed_end_task(&bed, (size_t)first, RUN_DONE);
+	WAIT(&bed, job_runs);
+	bed.workers[1 - first].unreachable = true;
+	bed.workers[first].unreachable = false;
+	WAIT(&bed, is_completed);
+	bed_run_for(&bed, BED_RETENTION_MS + 1500);
+	ck_assert_uint_eq(bed.fleet->runs->len, 1);
+	ck_assert_int_eq(bed_jobs(&bed), 1);
+	bed.workers[1 - first].unreachable = false;
+	WAIT(&bed, is_forgotten);
+	bed_close(&bed);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -290,6 +325,7 @@
 	tcase_add_test(tcase, wide_step_starts);
 	tcase_add_test(tcase, long_checkpoint_is_left_out);
 	tcase_add_test(tcase, starts_in_flight_are_bounded);
+	tcase_add_test(tcase, job_is_kept_while_a_run_refers_to_it);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_FORK_GETENV);
 }
