--- a/tests/unit/test_worker_client.c
+++ b/tests/unit/test_worker_client.c
@@ -10,6 +10,8 @@
 
 #define CONNECTIONS 32
 #define TIMEOUT_MS 5000
+#define CHECKPOINT_BYTES (256 * 1024)
+#define TASKS_OF_WORKER 8
 #define MAX_BODY_BYTES 65536
 
 #define LISTS "\"running\":[],\"finishedRuns\":[]"
@@ -174,6 +176,30 @@
 }
 END_TEST
 
+/*
+ * Guards against a worker that counts as unreachable, and loses its tasks with
+ * their lease, as their checkpoints make its answers long.
+ */
+START_TEST(long_checkpoints)
+{
+	char *checkpoint = g_strnfill(CHECKPOINT_BYTES, 'c');
+	GString *body = g_string_new("{\"born\":9,\"running\":[");
+	case_t test;
+
+	for (int i = 0; i < TASKS_OF_WORKER; i++)
+		g_string_append_printf(body, "%s[\"5c0e.0.0.%d\",1,\"%s\",1]",
+		    i > 0 ? "," : "", i, checkpoint);
+	g_string_append(body, "],\"finishedRuns\":[]}");
+	open_case(&test);
+	poll_with(&test, body->str);
+	ck_assert_int_eq(test.outcome, ORDER_OK);
+	ck_assert_uint_eq(test.running_count, TASKS_OF_WORKER);
+	close_case(&test);
+	g_string_free(body, TRUE);
+	g_free(checkpoint);
+}
+END_TEST
+
 /*
  * Guards against taking a full list of ends for a complete one: a worker lists
  * 500 of them at a time.
@@ -207,6 +233,7 @@
 	tcase_add_test(tcase, readable_lists);
 	tcase_add_test(tcase, unreadable_lists);
 	tcase_add_test(tcase, full_list_of_ends);
+	tcase_add_test(tcase, long_checkpoints);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_FORK);
 }
