fleet: the lists of a poll are matched by an index

Cause: each task and end that a poll lists was looked up in the list of the worker's members, and each member in the lists, so that a poll of a worker with 5,000 tasks took 25 million comparisons twice; and each end of a member counted those of its gang.

--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -4,6 +4,7 @@
 #include "common/evlog.h"
 #include "common/loop_watch.h"
 #include "sched/fleet_private.h"
+#include "sched/task_index.h"
 
 /*
  * Polls workers to learn which tasks run and which have ended, and to renew
@@ -49,27 +50,6 @@
 		    run->job);
 }
 
-static bool
-is_task_of(const member_t *member, const task_name_t *task, uint32_t run)
-{
-	return member->run->number == run && member->index == task->index &&
-	       member->run->name.step == task->step &&
-	       member->run->name.occurrence == task->occurrence &&
-	       strcmp(member->run->job, task->job) == 0;
-}
-
-static member_t *
-find_member(const worker_t *worker, const task_name_t *task, uint32_t run)
-{
-	for (guint i = 0; i < worker->members->len; i++) {
-		member_t *member = g_ptr_array_index(worker->members, i);
-
-		if (is_task_of(member, task, run))
-			return member;
-	}
-	return NULL;
-}
-
 static void
 on_stray_stopped(void *ctx, const order_answer_t *answer)
 {
@@ -225,7 +205,8 @@
 }
 
 static void
-process_ends(worker_t *worker, const order_answer_t *answer, int64_t now_ms)
+process_ends(worker_t *worker, const order_answer_t *answer,
+    const task_index_t *index, int64_t now_ms)
 {
 	for (size_t i = 0; i < answer->ended_count; i++) {
 		const ended_task_t *end = &answer->ended[i];
@@ -234,7 +215,7 @@
 		if (end->number <= worker->last_end_number)
 			continue;
 		worker->last_end_number = end->number;
-		member = find_member(worker, &end->task, end->run);
+		member = task_index_find(index, &end->task, end->run);
 		add_pending_end(worker, end, member);
 		if (member == NULL) {
 			process_late_end(worker, end);
@@ -245,18 +226,6 @@
 	}
 }
 
-static bool
-is_listed(const member_t *member, const order_answer_t *answer)
-{
-	for (size_t i = 0; i < answer->running_count; i++) {
-		const running_task_t *task = &answer->running[i];
-
-		if (is_task_of(member, &task->task, task->run))
-			return true;
-	}
-	return false;
-}
-
 /*
  * Handles a member that the worker lists neither as running nor as ended. It is
  * lost unless a start may still be executed; then the run is stopped first.
@@ -294,7 +263,7 @@
 			continue;
 		member = g_ptr_array_index(worker->members, i);
 		if (member->answer_sequence <= worker->poll_sequence &&
-		    !is_listed(member, answer))
+		    member->listed_sequence != worker->poll_sequence)
 			process_unlisted(member);
 	}
 }
@@ -303,16 +272,22 @@
 process_poll_lists(
     worker_t *worker, const order_answer_t *answer, int64_t now_ms)
 {
-	process_ends(worker, answer, now_ms);
+	task_index_t *index = task_index_create(worker);
+
+	process_ends(worker, answer, index, now_ms);
 	for (size_t i = 0; i < answer->running_count; i++) {
 		const running_task_t *task = &answer->running[i];
-		member_t *member = find_member(worker, &task->task, task->run);
+		member_t *member =
+		    task_index_find(index, &task->task, task->run);
 
-		if (member != NULL)
-			member_reported_running(member, task, now_ms);
-		else
+		if (member == NULL) {
 			stop_stray(worker, task);
+			continue;
+		}
+		member->listed_sequence = worker->poll_sequence;
+		member_reported_running(member, task, now_ms);
 	}
+	task_index_destroy(index);
 	process_missing(worker, answer);
 }
 
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -143,6 +143,8 @@
 	int64_t unanswered_ms; /* the last of them was sent */
 	/* fleet_next_sequence when a start or stop was last answered */
 	uint64_t answer_sequence;
+	uint64_t
+	    listed_sequence; /* poll_sequence of the last poll that lists it */
 	int64_t retry_ms;
 	int percent;
 	int64_t percent_ms; /* last increase of percent */
@@ -168,6 +170,7 @@
 	resources_t shape;
 	uint32_t number;
 	int member_count;
+	int members_left; /* that have not ended */
 	member_t *members;
 	bool start_committed;
 	/* Its start is queued or proposed, so that its outcome is not known. */
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -88,6 +88,7 @@
 	run->shape = run->step->shape;
 	run->number = number;
 	run->member_count = unit->members;
+	run->members_left = unit->members;
 	run->priority = queue != NULL ? queue->priority : QUEUE_PRIORITY_URGENT;
 	run->needs_ticket = queue != NULL && queue->needs_ticket;
 	run->created_ms = fleet_now_ms();
@@ -160,6 +161,7 @@
 		plan_subtract(&member->worker->releasing, &run->shape, 1);
 	member->worker = NULL;
 	member->state = MEMBER_ENDED;
+	member->run->members_left--;
 }
 
 /* Detaches a unit from its run when the end is committed or the run dropped. */
@@ -247,21 +249,11 @@
 	fleet_event_end(fleet, run, result, final);
 }
 
-static bool
-all_members_ended(const run_t *run)
-{
-	for (int i = 0; i < run->member_count; i++) {
-		if (run->members[i].state != MEMBER_ENDED)
-			return false;
-	}
-	return true;
-}
-
 /* Reports and retires a committed run whose members have all ended. */
 void
 run_retire_if_ended(run_t *run)
 {
-	if (run->retired || !run->start_committed || !all_members_ended(run))
+	if (run->retired || !run->start_committed || run->members_left > 0)
 		return;
 	if (!run->end_proposed)
 		propose_end(run,
