--- a/tests/unit/fleet_bed.c
+++ b/tests/unit/fleet_bed.c
@@ -93,9 +93,9 @@
 static bool
 has_name(const bed_task_t *a, const task_name_t *b)
 {
-	return strcmp(a->job, b->job) == 0 &&
-	       a->task.occurrence == b->occurrence && a->task.step == b->step &&
-	       a->task.index == b->index;
+	return a->task.index == b->index && a->task.step == b->step &&
+	       a->task.occurrence == b->occurrence &&
+	       strcmp(a->job, b->job) == 0;
 }
 
 /* Returns the highest run of the task that has ended or was stopped here. */
@@ -209,12 +209,15 @@
 static void
 forget_ends(bed_worker_t *worker, uint64_t acknowledged)
 {
-	while (
-	    worker->ends->len > 0 &&
-	    g_array_index(worker->ends, bed_end_t, 0).number <= acknowledged) {
-		g_free(g_array_index(worker->ends, bed_end_t, 0).job);
-		g_array_remove_index(worker->ends, 0);
+	guint count = 0;
+
+	while (count < worker->ends->len &&
+	       g_array_index(worker->ends, bed_end_t, count).number <=
+		   acknowledged) {
+		g_free(g_array_index(worker->ends, bed_end_t, count).job);
+		count++;
 	}
+	g_array_remove_range(worker->ends, 0, count);
 }
 
 /* Renews the lease and forgets what the poll acknowledges. */
--- a/tests/unit/test_fleet_restarts.c
+++ b/tests/unit/test_fleet_restarts.c
@@ -186,7 +186,7 @@
 	bed_restart_fleet(&bed);
 	bed_run_for(&bed, BED_LEASE_MS / 2);
 	bed_restart_worker_unannounced(&bed, number);
-	bed_run_for(&bed, 4 * BED_LEASE_MS);
+	bed_run_for(&bed, 8 * BED_LEASE_MS);
 	bed_deliver_delayed(&bed);
 	ck_assert_int_eq(bed_running(&bed, JOB), 1);
 	ck_assert(!bed.duplicate_run);
