soak: the jobs of the callers' last turns are asked for too

The script listed the accepted jobs while a caller's last hand-in was under way (answered at 509.151 s), and the first pass found all listed ones completed. It now waits for the callers to end before it lists them, so that more is checked than before, not less.

--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -116,12 +116,16 @@
 	platform_settings "$n" control
 done
 caller 4 >"$WORK/caller4.out" &
-PIDS="$PIDS $!"
+CALLERS=$!
 caller 5 >"$WORK/caller5.out" &
-PIDS="$PIDS $!"
+CALLERS="$CALLERS $!"
+PIDS="$PIDS $CALLERS"
 sleep 1
 play_faults "$seed" "$seconds"
 touch "$WORK/stop"
+# Their last jobs are asked for too.
+# shellcheck disable=SC2086
+wait $CALLERS
 # What callers were told before need not be asked again.
 grep -h " completed" "$WORK"/caller*.out >"$WORK/final" || :
 limit=$(($(date +%s) + SETTLE_S))
