fleet: a queued start is checked again before it is sent

What callers would see: a task that starts on a worker that the leader knows to drain or to be out of service, and is then stopped; at worst a leader that ends.

Cause: a start that waited behind others was sent when there was room, though its worker had begun to drain since, or its unit no longer referred to the run, whose payload is read. Only run_tick checked these.

Evidence: queued_starts_do_not_go_to_a_draining_worker of test_fleet_starts fails before (32 starts sent) and passes now, with test_fleet, announce, domains and restarts. The run without a unit has no test.

--- a/sched/fleet_starts.c
+++ b/sched/fleet_starts.c
@@ -49,14 +49,17 @@
 		queue_start(member);
 }
 
-/* Sends the start of a member that has waited, unless its unit is done. */
+/*
+ * Sends the start of a member that has waited, unless its unit is done or no
+ * longer refers to the run.
+ */
 static void
 start_queued_member(member_t *member, int64_t now_ms)
 {
 	run_t *run = member->run;
 
 	member_unqueue_start(member);
-	if (run->any_done) {
+	if (run->any_done || run->unit == NULL) {
 		member_detach(member);
 		run_retire_if_ended(run);
 		return;
@@ -66,12 +69,14 @@
 
 /*
  * Sends queued starts as far as there is room.  A start renews the lease, which
- * must not happen while the worker is unreachable.
+ * must not happen while the worker is unreachable.  Where the worker may get no
+ * start any more, run_tick stops the runs that wait.
  */
 void
 worker_send_queued_starts(worker_t *worker, int64_t now_ms)
 {
-	if (!worker->reachable || worker->needs_poll)
+	if (!worker->reachable || worker->needs_poll ||
+	    worker_no_start_reason(worker) != NULL)
 		return;
 	while (worker->queued_starts.length > 0 && has_room_for_start(worker))
 		start_queued_member(
--- a/tests/unit/test_fleet_starts.c
+++ b/tests/unit/test_fleet_starts.c
@@ -275,6 +275,36 @@
 }
 END_TEST
 
+/*
+ * Guards against a start that was queued before its worker began to drain, and
+ * is sent after the leader has learned of it.
+ */
+START_TEST(queued_starts_do_not_go_to_a_draining_worker)
+{
+	worker_t *worker;
+	guint queued;
+	bed_t bed;
+
+	bed_open(&bed, 1, 8);
+	bed.workers[0].delayed_starts = LARGE_GANG;
+	bed_submit_small(&bed, JOB, LARGE_GANG, true);
+	WAIT(&bed, starts_are_in_flight);
+	bed.workers[0].info.draining = true;
+	bed_announce(&bed, 0);
+	worker = fleet_find_worker(bed.fleet, bed.workers[0].info.id);
+	ck_assert(worker->draining);
+	queued = worker->queued_starts.length;
+	ck_assert_uint_gt(queued, 0);
+	/* As if all starts in flight had been answered. */
+	worker->starts_in_flight -= MAX_STARTS_PER_WORKER;
+	worker->needs_poll = false;
+	worker_send_queued_starts(worker, fleet_now_ms());
+	ck_assert_uint_eq(worker->queued_starts.length, queued);
+	worker->starts_in_flight += MAX_STARTS_PER_WORKER;
+	bed_close(&bed);
+}
+END_TEST
+
 static bool
 is_forgotten(void *ctx)
 {
@@ -325,6 +355,7 @@
 	tcase_add_test(tcase, wide_step_starts);
 	tcase_add_test(tcase, long_checkpoint_is_left_out);
 	tcase_add_test(tcase, starts_in_flight_are_bounded);
+	tcase_add_test(tcase, queued_starts_do_not_go_to_a_draining_worker);
 	tcase_add_test(tcase, job_is_kept_while_a_run_refers_to_it);
 	suite_add_tcase(suite, tcase);
 	return unit_run(suite, CK_FORK_GETENV);
