--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -185,6 +185,7 @@
 		job->domain_wait_logged = false;
 		job->ended_ms = 0;
 		job->removal_proposed_ms = 0;
+		job->hold_until_ms = 0;
 		while ((unit = ledger_next_known_unit(job, &index)) != NULL)
 			unit_detach_run(unit);
 	}
@@ -476,6 +477,8 @@
 	fleet->starts = counter_get("fleet_starts_total", "starts sent");
 	fleet->runs_refused = counter_get("fleet_runs_refused_total",
 	    "runs dropped as the ledger refused their start");
+	fleet->events_left_out = counter_get("fleet_events_left_out_total",
+	    "decisions and reports that exceed the limits of a command");
 	fleet->checkpoints_left_out =
 	    counter_get("fleet_checkpoints_left_out_total",
 		"checkpoints of tasks that are too long to be kept");
--- a/sched/fleet_events.c
+++ b/sched/fleet_events.c
@@ -19,6 +19,10 @@
 
 /* Bytes of the events in one command, but for an event that is larger. */
 #define EVENTS_MAX_BYTES (256 * 1024)
+/* Bytes of one event, so that its command stays within BODY_MAX_LEN. */
+#define EVENT_MAX_BYTES (BODY_MAX_LEN - 1024)
+/* Time until a job is planned again whose start no command can hold. */
+#define REFUSED_START_HOLD_MS 5000
 
 /* A command that is queued or proposed, and who waits for it. */
 struct fleet_batch_t {
@@ -70,16 +74,35 @@
 	       batch->bytes + bytes <= EVENTS_MAX_BYTES;
 }
 
+/*
+ * Whether a command can hold an event of that size, which is 0 where a field
+ * exceeds its limit.  The proposal would fail otherwise, and with it everything
+ * else in the command and the leader's term, each time that it is decided.
+ */
+static bool
+event_fits(fleet_t *fleet, const char *kind, size_t bytes)
+{
+	if (bytes > 0 && bytes <= EVENT_MAX_BYTES)
+		return true;
+	counter_add(fleet->events_left_out, 1);
+	evlog("event_left_out", "{s:s,s:I,s:i}", "kind", kind, "bytes",
+	    (json_int_t)bytes, "limit", EVENT_MAX_BYTES);
+	return false;
+}
+
 /*
  * Returns the last queued batch if it has room for the event, else a new one,
- * and counts the event in.
+ * and counts the event in. NULL if no command can hold the event.
  */
 static fleet_batch_t *
-batch_for_event(fleet_t *fleet, xdrproc_t proc, const void *event)
+batch_for_event(
+    fleet_t *fleet, const char *kind, xdrproc_t proc, const void *event)
 {
 	fleet_batch_t *batch = g_queue_peek_tail(&fleet->batches);
 	size_t bytes = xdr_sizeof(proc, (void *)event);
 
+	if (!event_fits(fleet, kind, bytes))
+		return NULL;
 	if (batch == NULL || !batch_has_room(batch, bytes))
 		batch = batch_add(fleet, COMMAND_FLEET_EVENTS);
 	batch->events++;
@@ -111,6 +134,7 @@
 		(list)->field##_val[(list)->field##_len++] = (value);    \
 	} while (0)
 
+/* Returns the batch that holds the start, or NULL if none can. */
 static fleet_batch_t *
 add_start(fleet_t *fleet, const run_t *run)
 {
@@ -128,40 +152,62 @@
 		start.places.places_val[i].worker = g_strdup(info->id);
 		start.places.places_val[i].born = info->born;
 	}
-	batch = batch_for_event(fleet, (xdrproc_t)xdr_unit_start_t, &start);
+	batch = batch_for_event(
+	    fleet, "start", (xdrproc_t)xdr_unit_start_t, &start);
+	if (batch == NULL) {
+		codec_free((xdrproc_t)xdr_unit_start_t, &start);
+		return NULL;
+	}
 	APPEND(&batch_events(batch)->starts, starts, unit_start_t, start);
 	return batch;
 }
 
+/* Same for a gang with more members than unit_start_t has places. */
 static fleet_batch_t *
 add_gang_start(fleet_t *fleet, const run_t *run)
 {
-	fleet_batch_t *batch = batch_add(fleet, COMMAND_GANG_START);
-	gang_start_t *start = &batch->command.command_t_u.gang_start;
+	gang_start_t start = {
+	    .unit = copy_name(run->job, &run->name),
+	    .run = run->number,
+	};
+	fleet_batch_t *batch;
 
-	start->unit = copy_name(run->job, &run->name);
-	start->run = run->number;
 	for (int i = 0; i < run->member_count; i++) {
 		const fleet_worker_t *info = &run->members[i].worker->info;
 
-		places_add(&start->places, info->id, info->born, 1);
+		places_add(&start.places, info->id, info->born, 1);
+	}
+	if (!event_fits(fleet, "start",
+		xdr_sizeof((xdrproc_t)xdr_gang_start_t, &start))) {
+		codec_free((xdrproc_t)xdr_gang_start_t, &start);
+		return NULL;
 	}
+	batch = batch_add(fleet, COMMAND_GANG_START);
+	batch->command.command_t_u.gang_start = start;
 	return batch;
 }
 
 /*
  * Queues the start of a run for a proposal, whose outcome decides whether the
- * run is kept. A large gang has a command of its own.
+ * run is kept. A large gang has a command of its own. Returns false if no
+ * command can hold the start: the run is dropped and its job held back.
  */
-void
+bool
 fleet_event_start(fleet_t *fleet, run_t *run)
 {
 	fleet_batch_t *batch = run->member_count > MAX_BATCH
 				   ? add_gang_start(fleet, run)
 				   : add_start(fleet, run);
 
+	if (batch == NULL) {
+		run->owner->hold_until_ms =
+		    fleet_now_ms() + REFUSED_START_HOLD_MS;
+		run_drop(run);
+		return false;
+	}
 	run->start_undecided = true;
 	g_ptr_array_add(batch->runs, run);
+	return true;
 }
 
 /* Returns the checkpoint of the member that progressed furthest, or "". */
@@ -184,8 +230,12 @@
 add_end(fleet_t *fleet, unit_end_t end)
 {
 	fleet_batch_t *batch =
-	    batch_for_event(fleet, (xdrproc_t)xdr_unit_end_t, &end);
+	    batch_for_event(fleet, "end", (xdrproc_t)xdr_unit_end_t, &end);
 
+	if (batch == NULL) {
+		codec_free((xdrproc_t)xdr_unit_end_t, &end);
+		return;
+	}
 	APPEND(&batch_events(batch)->ends, ends, unit_end_t, end);
 	fleet_schedule_work(fleet);
 }
@@ -224,16 +274,21 @@
 
 /*
  * Queues a worker update; done may be NULL and is called once the update is
- * committed or has failed.
+ * committed or has failed, at once if no command can hold it.
  */
 void
 fleet_event_worker(
     fleet_t *fleet, const fleet_worker_t *worker, fleet_done_t *done, void *ctx)
 {
-	fleet_batch_t *batch =
-	    batch_for_event(fleet, (xdrproc_t)xdr_fleet_worker_t, worker);
+	fleet_batch_t *batch = batch_for_event(
+	    fleet, "worker", (xdrproc_t)xdr_fleet_worker_t, worker);
 	fleet_worker_t copy;
 
+	if (batch == NULL) {
+		if (done != NULL)
+			done(ctx, FLEET_NO_ANSWER);
+		return;
+	}
 	fleet_worker_copy(&copy, worker);
 	APPEND(&batch_events(batch)->workers, workers, fleet_worker_t, copy);
 	if (done != NULL) {
@@ -251,8 +306,12 @@
 {
 	name_t name = g_strdup(job);
 	fleet_batch_t *batch =
-	    batch_for_event(fleet, (xdrproc_t)xdr_name_t, &name);
+	    batch_for_event(fleet, "forget", (xdrproc_t)xdr_name_t, &name);
 
+	if (batch == NULL) {
+		g_free(name);
+		return;
+	}
 	APPEND(&batch_events(batch)->forgotten, forgotten, name_t, name);
 }
 
--- a/sched/fleet_plan.c
+++ b/sched/fleet_plan.c
@@ -66,7 +66,9 @@
 						      QUEUE_PRIORITY_URGENT],
 		    (round->now_ms - item->since_ms) * CLOCK_US_PER_MS);
 	run = run_create(round->fleet, unit, unit->run + 1, &places);
-	fleet_event_start(round->fleet, run);
+	places_clear(&places);
+	if (!fleet_event_start(round->fleet, run))
+		return;
 	evlog("place", "{s:s,s:s,s:b,s:i,s:i,s:i,s:i,s:i,s:s,s:i,s:i,s:I,s:I}",
 	    "job", run->job, "queue", unit->job->submit.queue, "covered",
 	    (int)unit->job->covered, "occurrence", unit->occurrence, "step",
@@ -75,7 +77,6 @@
 	    racks, "penalty", penalty, "waited_ms",
 	    (json_int_t)(round->now_ms - unit->job->submitted_mono_ms),
 	    "slack_ms", (json_int_t)(item->latest_start_ms - round->now_ms));
-	places_clear(&places);
 }
 
 /*
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -231,6 +231,7 @@
 	counter_t *rounds_cut;   /* ended by their budget */
 	counter_t *starts;
 	counter_t *runs_refused; /* by the ledger */
+	counter_t *events_left_out;
 	counter_t *checkpoints_left_out;
 	counter_t *stops;
 	counter_t *polls;
@@ -276,7 +277,7 @@
 void fleet_step_down(fleet_t *fleet, const char *why);
 
 /* fleet_events.c */
-void fleet_event_start(fleet_t *fleet, run_t *run);
+bool fleet_event_start(fleet_t *fleet, run_t *run);
 /* final: the queue allows no further attempt. */
 void fleet_event_end(
     fleet_t *fleet, const run_t *run, unit_result_t result, bool final);
--- a/sched/fleet_waiting.c
+++ b/sched/fleet_waiting.c
@@ -195,7 +195,7 @@
 
 	if (job->units_waiting != job->units_left)
 		job->still_since_ms = 0;
-	if (job->units_waiting == 0)
+	if (job->units_waiting == 0 || now_ms < job->hold_until_ms)
 		return;
 	if (queue == NULL) {
 		waits_record(fleet, WAIT_NO_QUEUE);
--- a/sched/ledger.h
+++ b/sched/ledger.h
@@ -55,7 +55,8 @@
 	int64_t still_since_ms;    /* a unit's turn has come, none is at work */
 	int64_t ended_ms;          /* the leader noticed the end */
 	int64_t removal_proposed_ms; /* its removal was last proposed */
-	int runs;                    /* run_t that refer to it */
+	int64_t hold_until_ms;   /* none of its units is placed until then */
+	int runs;                /* run_t that refer to it */
 	bool covered;            /* urgent and within its tenant's guarantee */
 	bool begun;              /* a task of it was seen at work */
 	bool domain_wait_logged; /* that it waits for a failure domain */
--- a/tests/unit/test_fleet_starts.c
+++ b/tests/unit/test_fleet_starts.c
@@ -184,6 +184,77 @@
 }
 END_TEST
 
+static void
+record_outcome(void *ctx, fleet_outcome_t outcome)
+{
+	*(fleet_outcome_t *)ctx = outcome;
+}
+
+/*
+ * Guards against an event that no command can hold: its proposal fails, which
+ * costs the term and everything that was decided with it.
+ */
+START_TEST(event_beyond_the_limits_is_left_out)
+{
+	char id[NAME_MAX_LEN + 2];
+	fleet_outcome_t outcome = FLEET_OK;
+	fleet_worker_t worker;
+	int64_t leading_since_ms;
+	int committed = 0;
+	bed_t bed;
+
+	memset(id, 'w', sizeof(id) - 1);
+	id[sizeof(id) - 1] = '\0';
+	bed_open(&bed, 1, 8);
+	leading_since_ms = bed.fleet->leading_since_ms;
+	worker = bed.workers[0].info;
+	fleet_event_worker(bed.fleet, &worker, count_success, &committed);
+	worker.id = id;
+	fleet_event_worker(bed.fleet, &worker, record_outcome, &outcome);
+	WAIT(&bed, nothing_is_queued);
+	ck_assert_int_eq(committed, 1);
+	ck_assert_int_eq(outcome, FLEET_NO_ANSWER);
+	ck_assert_int_eq(bed.fleet->leading_since_ms, leading_since_ms);
+	bed_close(&bed);
+}
+END_TEST
+
+/*
+ * Guards against the same with a start: the run is dropped, and its job waits
+ * before it is decided again.
+ */
+START_TEST(start_beyond_the_limits_is_left_out)
+{
+	char id[NAME_MAX_LEN + 2];
+	int64_t leading_since_ms;
+	ledger_unit_t *unit;
+	char *job;
+	run_t *run;
+	bed_t bed;
+
+	memset(id, 'j', sizeof(id) - 1);
+	id[sizeof(id) - 1] = '\0';
+	bed_open(&bed, 1, 8);
+	leading_since_ms = bed.fleet->leading_since_ms;
+	bed_submit(&bed, JOB, "batch", 1, 8, false);
+	WAIT(&bed, job_runs);
+	bed_submit(&bed, NEXT_JOB, "batch", 1, 8, false);
+	run = g_ptr_array_index(bed.fleet->runs, 0);
+	unit = ledger_unit_at(ledger_job(fleet_ledger(bed.fleet), NEXT_JOB), 0);
+	run = run_create(bed.fleet, unit, 1, &run->unit->places);
+	job = run->job;
+	run->job = id;
+	fleet_event_start(bed.fleet, run);
+	run->job = job;
+	ck_assert(run->retired);
+	ck_assert_int_gt(unit->job->hold_until_ms, fleet_now_ms());
+	bed_end_tasks(&bed, JOB, RUN_DONE);
+	WAIT(&bed, next_job_runs);
+	ck_assert_int_eq(bed.fleet->leading_since_ms, leading_since_ms);
+	bed_close(&bed);
+}
+END_TEST
+
 /* Guards against review/9 with real starts: more fit at once than a command. */
 START_TEST(wide_step_starts)
 {
@@ -352,6 +423,8 @@
 	tcase_add_test(tcase, large_gang_starts);
 	tcase_add_test(tcase, large_gang_is_adopted);
 	tcase_add_test(tcase, many_events_are_split);
+	tcase_add_test(tcase, event_beyond_the_limits_is_left_out);
+	tcase_add_test(tcase, start_beyond_the_limits_is_left_out);
 	tcase_add_test(tcase, wide_step_starts);
 	tcase_add_test(tcase, long_checkpoint_is_left_out);
 	tcase_add_test(tcase, starts_in_flight_are_bounded);
