build: objects of other sources, flags or machines are rebuilt

Cause: make compares times only; a copied build folder is newer than a fresh clone.

Change: the build keeps the checksums of the sources, the compiler, the flags and the kind of machine beside the objects, and lets make rebuild what differs.

--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,10 @@
 	$(shell pkg-config --cflags $(PKGS))
 LIBS = $(shell pkg-config --libs $(PKGS)) -lev -lm -lpthread
 
+# Rebuilds objects of other sources, flags or machines, whatever their times.
+BUILD_KEY := $(shell uname -m) $(shell $(CC) -dumpfullversion) $(CFLAGS) $(WARN) $(SAN)
+STALE := $(shell sh deploy/find_stale_objects.sh $(BUILD) '$(BUILD_KEY)')
+
 LIB_DIRS = common rpc state policy entry sched platform
 LIB_SRC = $(foreach d,$(LIB_DIRS),$(sort $(wildcard $(d)/*.c)))
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
