--- a/sched/fleet_orders.c
+++ b/sched/fleet_orders.c
@@ -143,6 +143,7 @@
 	switch (answer->outcome) {
 	case ORDER_OK:
 		member_note_begun(member);
+		member->start_answered = true;
 		member->state = MEMBER_RUNNING;
 		member->answer_sequence =
 		    fleet_next_sequence(member->run->fleet);
--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -117,6 +117,7 @@
 		pending->unit = member->run->name;
 		pending->unit.job = pending->job;
 		pending->run = member->run->number;
+		pending->hold_until_ms = member_late_start_ms(member);
 	}
 	g_queue_push_tail(&worker->pending_ends, pending);
 }
@@ -140,6 +141,17 @@
 	       unit->run != end->run;
 }
 
+/*
+ * Whether the end is kept at the worker for a while: a start of its run may
+ * still be carried out in the worker's next incarnation, and must not come
+ * after an acknowledged success.  Ends that are not listed yet go first.
+ */
+static bool
+is_end_held(const worker_t *worker, const pending_end_t *end, int64_t now_ms)
+{
+	return now_ms < end->hold_until_ms && !worker->more_ends;
+}
+
 /*
  * Drops committed ends from the front of the list and returns the highest end
  * number that may be acknowledged.
@@ -147,10 +159,12 @@
 static uint64_t
 advance_ackable_end(worker_t *worker)
 {
+	int64_t now_ms = fleet_now_ms();
 	pending_end_t *end;
 
 	while ((end = g_queue_peek_head(&worker->pending_ends)) != NULL &&
-	       is_end_committed(worker, end)) {
+	       is_end_committed(worker, end) &&
+	       !is_end_held(worker, end, now_ms)) {
 		worker->ackable_end = MAX(worker->ackable_end, end->number);
 		g_queue_pop_head(&worker->pending_ends);
 		pending_end_free(end);
@@ -158,6 +172,15 @@
 	return worker->ackable_end;
 }
 
+/* Whether the ends wait for the end of a hold rather than for a commit. */
+static bool
+is_head_held(const worker_t *worker, int64_t now_ms)
+{
+	const pending_end_t *end = worker->pending_ends.head->data;
+
+	return is_end_held(worker, end, now_ms);
+}
+
 /* Logs an end of an open job that is acknowledged without being counted. */
 static void
 log_uncounted_end(
@@ -274,6 +297,7 @@
 {
 	task_index_t *index = task_index_create(worker);
 
+	worker->more_ends = answer->more_ends;
 	process_ends(worker, answer, index, now_ms);
 	for (size_t i = 0; i < answer->running_count; i++) {
 		const running_task_t *task = &answer->running[i];
@@ -439,7 +463,8 @@
 		worker_adjust_pace(worker, now_ms);
 		advance_ackable_end(worker);
 		if (worker->pending_ends.length > 0 &&
-		    !fleet_is_proposing_ends(worker->fleet))
+		    (is_head_held(worker, now_ms) ||
+			!fleet_is_proposing_ends(worker->fleet)))
 			worker->next_poll_ms = now_ms + POLL_UNCOMMITTED_MS;
 		break;
 	default:
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -47,7 +47,8 @@
 	char *job; /* NULL if no commit has to be awaited */
 	unit_name_t unit;
 	uint32_t run;
-	bool late; /* done, but the run was no longer tracked */
+	bool late;             /* done, but the run was no longer tracked */
+	int64_t hold_until_ms; /* not acknowledged before; 0: at once */
 } pending_end_t;
 
 /* The leader's in-memory state of one worker. */
@@ -82,6 +83,7 @@
 	int64_t poll_done_ms;
 	int64_t next_poll_ms;
 	uint64_t last_end_number; /* highest number of a listed end */
+	bool more_ends;           /* than the last answer to a poll lists */
 	uint64_t ackable_end;     /* highest end that may be acknowledged */
 	uint64_t sent_ack;        /* acknowledged by the poll in flight */
 	uint64_t confirmed_ack;   /* acknowledged by the last answered poll */
@@ -141,6 +143,7 @@
 	 */
 	int starts_unanswered;
 	int64_t unanswered_ms; /* the last of them was sent */
+	bool start_answered;   /* one was answered as carried out */
 	/* fleet_next_sequence when a start or stop was last answered */
 	uint64_t answer_sequence;
 	uint64_t
@@ -364,6 +367,7 @@
 void member_forget_stop(member_t *member);
 bool member_may_still_start(const member_t *member);
 bool member_may_start_later(const member_t *member, int64_t now_ms);
+int64_t member_late_start_ms(const member_t *member);
 
 /* fleet_orders.c */
 member_order_t *member_order_begin(member_t *member);
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -431,6 +431,23 @@
 		   now_ms - member->unanswered_ms < LATE_ORDER_MS);
 }
 
+/*
+ * Returns until when a start of a run that has ended may be carried out by a
+ * later incarnation of the worker, 0 if none may.  Of the starts that were sent
+ * without an answer, one was carried out unless another was answered.
+ */
+int64_t
+member_late_start_ms(const member_t *member)
+{
+	int copies = member->starts_unanswered;
+
+	if (member->order_in_flight && member->stop == STOP_NONE)
+		copies++;
+	if (!member->start_answered)
+		copies--;
+	return copies > 0 ? member->unanswered_ms + LATE_ORDER_MS : 0;
+}
+
 void
 member_reported_running(
     member_t *member, const running_task_t *task, int64_t now_ms)
