fleet: all starts and stops are admitted in one place

Callers saw, with 20,000 tasks on four workers: the job is cancelled, and the leader changes 10 times in 14 s, as it sends 20,000 stops at once, their time-outs come together, and a turn of the loop takes up to 0.8 s here. A new leader that finds 10,600 runs sends all starts again: 600 got no answer, a turn of 0.3 s (two cores beside four busy loops).

Cause: only first starts were bounded. Repeated ones, those of a new leader and stops, also of tasks without a run, went out all at once.

Change: fleet_dispatch admits each start and stop: by worker (a window of 32, halved by an order without an answer down to 2, one more for each answer), in all (1,024), in 10 ms of a turn. What waits is a link in a queue of its worker: stops, then urgent starts, then the others, the tenants in turn.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -318,6 +318,7 @@
 	if (!fleet_leads(fleet))
 		return;
 	fleet_events_propose(fleet);
+	fleet_begin_dispatch(fleet);
 	loop_watch_enter("polls");
 	g_hash_table_iter_init(&iter, fleet->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -349,11 +350,14 @@
 	/* Without a lease another instance may lead: send no order. */
 	if (!fleet_leads(fleet))
 		return;
+	loop_watch_enter("runs");
+	fleet_begin_dispatch(fleet);
 	/* run_tick may remove runs from fleet->runs, so iterate over a copy. */
 	runs = g_ptr_array_copy(fleet->runs, NULL, NULL);
 	for (guint i = 0; i < runs->len; i++)
 		run_tick(g_ptr_array_index(runs, i), now_ms);
 	g_ptr_array_unref(runs);
+	loop_watch_leave();
 	fleet_relocate(fleet, now_ms);
 	domains_check_guarantees(fleet);
 	record_ended_jobs(fleet, now_ms);
@@ -430,6 +434,8 @@
 
 	if (!fleet->leading)
 		return;
+	fleet_begin_dispatch(fleet);
+	loop_watch_enter("committed");
 	switch (command->kind) {
 	case COMMAND_FLEET_EVENTS:
 		on_events_committed(fleet, &command->command_t_u.fleet_events);
@@ -449,8 +455,10 @@
 	case COMMAND_FLEET_CONFIG:
 		break;
 	default:
+		loop_watch_leave();
 		return;
 	}
+	loop_watch_leave();
 	fleet_schedule_work(fleet);
 }
 
--- a/sched/fleet_orders.c
+++ b/sched/fleet_orders.c
@@ -41,6 +41,7 @@
 	member_t *member = &order->run->members[order->member];
 
 	member->order_in_flight = false;
+	worker_order_ended(order->worker, answer->outcome != ORDER_NO_ANSWER);
 	if (answer->outcome != ORDER_NO_ANSWER)
 		histogram_record(order->run->fleet->order_latency,
 		    clock_mono_us() - order->sent_us);
@@ -135,8 +136,6 @@
 	member_t *member = member_order_answered(order, answer);
 	int64_t now_ms = fleet_now_ms();
 
-	order->worker->starts_in_flight--;
-	order->run->fleet->starts_in_flight--;
 	if (member == NULL)
 		goto done;
 	member->retry_ms = now_ms + START_RETRY_MS;
@@ -220,8 +219,7 @@
 	order.payload = (str_t){payload->body_t_val, payload->body_t_len};
 	member->state = MEMBER_SENT;
 	member->order_in_flight = true;
-	member->worker->starts_in_flight++;
-	fleet->starts_in_flight++;
+	worker_order_sent(member->worker);
 	counter_add(fleet->starts, 1);
 	fleet->orders.start(fleet->orders.ctx, &target, &order, on_started,
 	    member_order_begin(member));
@@ -245,8 +243,9 @@
 	member_order_end(order);
 }
 
-static void
-send_stop(member_t *member)
+/* Sends a stop, unless that has to wait for a lease. */
+void
+member_send_stop(member_t *member)
 {
 	run_t *run = member->run;
 	fleet_t *fleet = run->fleet;
@@ -259,6 +258,7 @@
 		return;
 	member->stop = STOP_SENT;
 	member->order_in_flight = true;
+	worker_order_sent(member->worker);
 	counter_add(fleet->stops, 1);
 	fleet->orders.stop(fleet->orders.ctx, &target, &task, run->number,
 	    on_stopped, member_order_begin(member));
@@ -343,7 +343,7 @@
 			member_detach(member);
 		else if (member->state != MEMBER_ENDED &&
 			 !member->order_in_flight && member->stop == STOP_NONE)
-			send_stop(member);
+			member_stop(member);
 	}
 	run_retire_if_ended(run);
 }
@@ -357,6 +357,12 @@
 	run_stop(run, "already_done");
 }
 
+static bool
+is_stop_queued(const member_t *member)
+{
+	return member->queued && member->queue_class == ORDER_CLASS_STOP;
+}
+
 static void
 member_tick(member_t *member, int64_t now_ms)
 {
@@ -367,8 +373,8 @@
 		return;
 	/* Once the unit is done, no further member is started. */
 	if (run->stopping || (run->any_done && member->state == MEMBER_SENT)) {
-		if (member->stop != STOP_ANSWERED)
-			send_stop(member);
+		if (member->stop != STOP_ANSWERED && !is_stop_queued(member))
+			member_stop(member);
 		return;
 	}
 	/* Of a start without an answer, a poll decides: member_not_started. */
@@ -379,13 +385,12 @@
 		return;
 	}
 	/* A start renews the lease, which must not happen while unreachable. */
-	if (member->stop != STOP_NONE || !member->worker->reachable ||
-	    member->worker->needs_poll || run->unit == NULL)
+	if (member->queued || member->stop != STOP_NONE ||
+	    !member->worker->reachable || member->worker->needs_poll ||
+	    run->unit == NULL)
 		return;
-	if (member->state == MEMBER_UNSENT && !member->start_queued)
+	if (member->state == MEMBER_UNSENT || member->state == MEMBER_SENT)
 		member_start(member, now_ms);
-	else if (member->state == MEMBER_SENT)
-		member_send_start(member, now_ms);
 }
 
 /* Sends the orders that are due, also again after no answer or a refusal. */
--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -56,6 +56,14 @@
 	worker_t *worker = ctx;
 
 	worker->orders_in_flight--;
+	worker->stray_stops--;
+	worker_order_ended(worker, answer->outcome != ORDER_NO_ANSWER);
+	/* The next poll lists the strays that are left. */
+	if (worker->strays_left && worker->stray_stops == 0) {
+		worker->strays_left = false;
+		worker->needs_poll = true;
+		fleet_schedule_work(worker->fleet);
+	}
 }
 
 /* Logs a stray with what the ledger says of its unit. */
@@ -94,8 +102,14 @@
 	/* A later poll lists it again. */
 	if (!fleet_leads(fleet))
 		return;
+	if (!worker_may_stop_stray(worker)) {
+		worker->strays_left = true;
+		return;
+	}
 	log_stray(worker, task);
 	worker->orders_in_flight++;
+	worker->stray_stops++;
+	worker_order_sent(worker);
 	fleet->orders.stop(fleet->orders.ctx, &target, &task->task, task->run,
 	    on_stray_stopped, worker);
 }
@@ -563,7 +577,7 @@
 {
 	if (!worker->reachable && now_ms > worker->lease_expiry_ms)
 		worker_end_lease(worker, now_ms);
-	worker_send_queued_starts(worker, now_ms);
+	worker_dispatch(worker, now_ms);
 	if (worker->polling || now_ms < worker->next_poll_ms ||
 	    worker->info.address[0] == '\0')
 		return;
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -5,6 +5,8 @@
 #include "sched/fleet.h"
 #include "sched/headroom.h"
 #include "sched/ledger.h"
+#include "sched/order_queue.h"
+#include "sched/order_window.h"
 #include "sched/plan.h"
 #include "sched/speed.h"
 #include "sched/suspicion.h"
@@ -16,8 +18,6 @@
 #define QUEUE_PRIORITY_URGENT 0
 /* Time for a worker to answer a start, stop or pace order. */
 #define ORDER_ANSWER_TIMEOUT_MS 700
-/* First starts in flight to one worker, but for those of urgent queues. */
-#define MAX_STARTS_PER_WORKER 32
 
 /* Why a step that waits was passed over in a planning round. */
 typedef enum {
@@ -35,6 +35,14 @@
 	WAIT_REASONS,
 } wait_reason_t;
 
+/* Orders that wait for others, in the order in which they are sent. */
+typedef enum {
+	ORDER_CLASS_STOP,
+	ORDER_CLASS_URGENT_START, /* of an urgent queue */
+	ORDER_CLASS_START,
+	ORDER_CLASSES,
+} order_class_t;
+
 typedef struct run_t run_t;
 typedef struct member_t member_t;
 typedef struct advice_query_t advice_query_t;
@@ -98,8 +106,10 @@
 	bool retire_pending;
 	bool retired; /* removed, kept until nothing refers to it */
 	int orders_in_flight;
-	int starts_in_flight;
-	GQueue queued_starts; /* member_t, see fleet_starts.c */
+	order_window_t window;                /* of its starts and stops */
+	order_queue_t *queues[ORDER_CLASSES]; /* member_t, fleet_dispatch.c */
+	int stray_stops;                      /* in flight */
+	bool strays_left; /* stops of others had no room in the window */
 } worker_t;
 
 typedef enum {
@@ -135,8 +145,9 @@
 	member_state_t state;
 	member_stop_t stop;
 	bool order_in_flight; /* a start or a stop is in flight */
-	bool start_queued;    /* its first start waits for others */
-	GList start_link;     /* in worker_t.queued_starts */
+	bool queued;          /* a start or a stop waits for others */
+	order_class_t queue_class;
+	GList queue_link; /* in worker_t.queues */
 	/*
 	 * Starts that got no answer. A copy of one may arrive at any later
 	 * time, also at a later incarnation of the worker.
@@ -215,11 +226,12 @@
 	    *departing;  /* id -> born, until the departure is committed */
 	GPtrArray *runs; /* run_t that are not retired */
 	GPtrArray *retired_runs;
-	GQueue leaves;        /* leave_t, see fleet_leave.c */
-	GQueue member_orders; /* member_order_t in flight */
-	int starts_in_flight;
-	GQueue batches;          /* fleet_batch_t to be proposed, in order */
-	fleet_batch_t *proposal; /* the batch in flight, or NULL */
+	GQueue leaves;             /* leave_t, see fleet_leave.c */
+	GQueue member_orders;      /* member_order_t in flight */
+	int orders_in_flight;      /* starts and stops */
+	int64_t dispatch_until_us; /* no order is sent later in this turn */
+	GQueue batches;            /* fleet_batch_t to be proposed, in order */
+	fleet_batch_t *proposal;   /* the batch in flight, or NULL */
 	ev_timer tick;
 	ev_timer work_timer;  /* one-shot: proposal and checks of workers */
 	ev_timer plan_timer;  /* one-shot: planning round */
@@ -381,14 +393,20 @@
 void run_stop(run_t *run, const char *reason);
 void run_tick(run_t *run, int64_t now_ms);
 void member_send_start(member_t *member, int64_t now_ms);
+void member_send_stop(member_t *member);
 void member_not_started(member_t *member);
 /* Frees orders whose transport was shut down without an answer. */
 void fleet_drop_orders(fleet_t *fleet);
 
-/* fleet_starts.c */
+/* fleet_dispatch.c */
 void member_start(member_t *member, int64_t now_ms);
-void member_unqueue_start(member_t *member);
-void worker_send_queued_starts(worker_t *worker, int64_t now_ms);
+void member_stop(member_t *member);
+void member_unqueue(member_t *member);
+void worker_dispatch(worker_t *worker, int64_t now_ms);
+void worker_order_sent(worker_t *worker);
+void worker_order_ended(worker_t *worker, bool answered);
+bool worker_may_stop_stray(const worker_t *worker);
+void fleet_begin_dispatch(fleet_t *fleet);
 
 /* fleet_plan.c */
 /* Returns false if the round ended with its budget. */
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -154,7 +154,7 @@
 {
 	const run_t *run = member->run;
 
-	member_unqueue_start(member);
+	member_unqueue(member);
 	g_ptr_array_remove_fast(member->worker->members, member);
 	plan_subtract(&member->worker->held, &run->shape, 1);
 	if (run->releasing)
--- a/sched/fleet_workers.c
+++ b/sched/fleet_workers.c
@@ -58,6 +58,9 @@
 	    worker_clock_lease_expiry(now_ms, fleet->timing.lease_ms);
 	worker->members = g_ptr_array_new();
 	g_queue_init(&worker->pending_ends);
+	order_window_init(&worker->window);
+	for (int class = 0; class < ORDER_CLASSES; class ++)
+		worker->queues[class] = order_queue_create();
 	g_hash_table_insert(fleet->workers, worker->info.id, worker);
 	return worker;
 }
@@ -75,6 +78,8 @@
 worker_free(worker_t *worker)
 {
 	g_queue_clear_full(&worker->pending_ends, pending_end_free);
+	for (int class = 0; class < ORDER_CLASSES; class ++)
+		order_queue_destroy(worker->queues[class]);
 	g_ptr_array_unref(worker->members);
 	codec_free((xdrproc_t)xdr_fleet_worker_t, &worker->info);
 	g_free(worker);
--- a/tests/unit/test_fleet_starts.c
+++ b/tests/unit/test_fleet_starts.c
@@ -305,7 +305,7 @@
 {
 	const bed_t *bed = ctx;
 
-	return bed->fleet->starts_in_flight > 0;
+	return bed->fleet->orders_in_flight > 0;
 }
 
 /* Returns the state of the first member of the job's run, UNSENT without. */
@@ -335,8 +335,7 @@
 	bed_submit_small(&bed, JOB, LARGE_GANG, true);
 	WAIT(&bed, starts_are_in_flight);
 	for (int i = 0; i < 20; i++) {
-		ck_assert_int_le(
-		    bed.fleet->starts_in_flight, MAX_STARTS_PER_WORKER);
+		ck_assert_int_le(bed.fleet->orders_in_flight, ORDER_WINDOW_MAX);
 		bed_run_for(&bed, 5);
 	}
 	bed_submit(&bed, NEXT_JOB, "urgent", 1, 8, false);
@@ -346,6 +345,63 @@
 }
 END_TEST
 
+static bool
+wide_step_is_placed(void *ctx)
+{
+	const bed_t *bed = ctx;
+	guint runs = bed->fleet->runs->len;
+
+	return runs == LARGE_GANG &&
+	       ((run_t *)g_ptr_array_index(bed->fleet->runs, runs - 1))
+		   ->start_committed;
+}
+
+/* Checks the orders in flight for a while, as starts and stops are due. */
+static void
+check_orders_are_bounded(bed_t *bed, guint limit)
+{
+	for (int i = 0; i < 20; i++) {
+		ck_assert_uint_le(bed->fleet->member_orders.length, limit);
+		bed_run_for(bed, 5);
+	}
+}
+
+/*
+ * Guards against a new leader that sends the starts of all runs again at once:
+ * they time out together, and the loop is held for seconds.
+ */
+START_TEST(adopted_starts_are_bounded)
+{
+	bed_t bed;
+
+	bed_open(&bed, 1, 8);
+	bed.workers[0].delayed_starts = G_MAXINT;
+	bed_submit_small(&bed, JOB, LARGE_GANG, false);
+	WAIT(&bed, wide_step_is_placed);
+	bed_restart_fleet(&bed);
+	WAIT(&bed, starts_are_in_flight);
+	check_orders_are_bounded(&bed, ORDER_WINDOW_MAX);
+	bed_close(&bed);
+}
+END_TEST
+
+/* Same with the stops of a cancelled job. */
+START_TEST(stops_in_flight_are_bounded)
+{
+	bed_t bed;
+
+	bed_open(&bed, 1, 8);
+	bed_submit_small(&bed, JOB, LARGE_GANG, false);
+	WAIT(&bed, large_gang_is_started);
+	bed.workers[0].unreachable = true;
+	bed_cancel(&bed, JOB);
+	check_orders_are_bounded(&bed, ORDER_WINDOW_MAX + ORDER_WINDOW_RESERVE);
+	bed.workers[0].unreachable = false;
+	WAIT(&bed, is_given_up);
+	bed_close(&bed);
+}
+END_TEST
+
 /*
  * Guards against a start that was queued before its worker began to drain, and
  * is sent after the leader has learned of it.
@@ -364,14 +420,16 @@
 	bed_announce(&bed, 0);
 	worker = fleet_find_worker(bed.fleet, bed.workers[0].info.id);
 	ck_assert(worker->draining);
-	queued = worker->queued_starts.length;
+	queued = order_queue_length(worker->queues[ORDER_CLASS_START]);
 	ck_assert_uint_gt(queued, 0);
 	/* As if all starts in flight had been answered. */
-	worker->starts_in_flight -= MAX_STARTS_PER_WORKER;
+	worker->window.in_flight -= ORDER_WINDOW_MAX;
 	worker->needs_poll = false;
-	worker_send_queued_starts(worker, fleet_now_ms());
-	ck_assert_uint_eq(worker->queued_starts.length, queued);
-	worker->starts_in_flight += MAX_STARTS_PER_WORKER;
+	fleet_begin_dispatch(bed.fleet);
+	worker_dispatch(worker, fleet_now_ms());
+	ck_assert_uint_eq(
+	    order_queue_length(worker->queues[ORDER_CLASS_START]), queued);
+	worker->window.in_flight += ORDER_WINDOW_MAX;
 	bed_close(&bed);
 }
 END_TEST
@@ -428,6 +486,8 @@
 	tcase_add_test(tcase, wide_step_starts);
 	tcase_add_test(tcase, long_checkpoint_is_left_out);
 	tcase_add_test(tcase, starts_in_flight_are_bounded);
+	tcase_add_test(tcase, adopted_starts_are_bounded);
+	tcase_add_test(tcase, stops_in_flight_are_bounded);
 	tcase_add_test(tcase, queued_starts_do_not_go_to_a_draining_worker);
 	tcase_add_test(tcase, job_is_kept_while_a_run_refers_to_it);
 	suite_add_tcase(suite, tcase);
