fleet: a run or a member leaves its list at once; a failed job stops its runs once

Cause: each end searched the lists of all runs and of its worker's members, and each end of a failed job went through all runs, so that the time grew with the square of the tasks.

Change: runs and members know their place in the list; the runs of a job are stopped when it fails, not at each end that follows.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -186,6 +186,7 @@
 		job->ended_ms = 0;
 		job->removal_proposed_ms = 0;
 		job->hold_until_ms = 0;
+		job->runs_stopped = false;
 		while ((unit = ledger_next_known_unit(job, &index)) != NULL)
 			unit_detach_run(unit);
 	}
@@ -410,8 +411,10 @@
 			continue;
 		run_supersede(unit->leader_run, end->run);
 		unit_detach_run(unit);
-		if (unit->job->failed)
+		if (unit->job->failed && !unit->job->runs_stopped) {
+			unit->job->runs_stopped = true;
 			stop_runs_of(fleet, end->unit.job, "job_failed");
+		}
 	}
 }
 
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -140,8 +140,9 @@
  */
 struct member_t {
 	run_t *run;
-	worker_t *worker; /* NULL once the member has ended */
-	int index;        /* of the task in its step */
+	worker_t *worker;   /* NULL once the member has ended */
+	int index;          /* of the task in its step */
+	guint worker_index; /* in worker_t.members */
 	member_state_t state;
 	member_stop_t stop;
 	bool order_in_flight; /* a start or a stop is in flight */
@@ -196,6 +197,7 @@
 	bool releasing; /* stopping or done: its resources will be free soon */
 	const char *stop_reason;
 	int64_t wasted_core_ms; /* by its members that have ended */
+	guint fleet_index;      /* in fleet_t.runs */
 	int priority;           /* of the queue; lower is more important */
 	crowding_kind_t crowding_kind; /* 0: not looked up yet */
 	bool needs_ticket;
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -46,6 +46,7 @@
 	member->index = run->unit->first + number;
 	member->checkpoint = g_strdup(run->unit->checkpoint);
 	member->worker = worker;
+	member->worker_index = worker->members->len;
 	g_ptr_array_add(worker->members, member);
 	plan_add(&worker->held, &run->shape, 1);
 }
@@ -94,6 +95,7 @@
 	run->created_ms = fleet_now_ms();
 	add_members(run, places);
 	unit->leader_run = run;
+	run->fleet_index = fleet->runs->len;
 	g_ptr_array_add(fleet->runs, run);
 	return run;
 }
@@ -114,9 +116,14 @@
 static void
 run_retire(run_t *run)
 {
+	GPtrArray *runs = run->fleet->runs;
+
 	run->retired = true;
 	run->owner->runs--;
-	g_ptr_array_remove_fast(run->fleet->runs, run);
+	g_ptr_array_remove_index_fast(runs, run->fleet_index);
+	if (run->fleet_index < runs->len)
+		((run_t *)g_ptr_array_index(runs, run->fleet_index))
+		    ->fleet_index = run->fleet_index;
 	g_ptr_array_add(run->fleet->retired_runs, run);
 }
 
@@ -149,13 +156,26 @@
 	}
 }
 
+/* Takes a member out of its worker's list. */
+static void
+remove_from_worker(const member_t *member)
+{
+	GPtrArray *members = member->worker->members;
+	guint index = member->worker_index;
+
+	g_ptr_array_remove_index_fast(members, index);
+	if (index < members->len)
+		((member_t *)g_ptr_array_index(members, index))->worker_index =
+		    index;
+}
+
 void
 member_detach(member_t *member)
 {
 	const run_t *run = member->run;
 
 	member_unqueue(member);
-	g_ptr_array_remove_fast(member->worker->members, member);
+	remove_from_worker(member);
 	plan_subtract(&member->worker->held, &run->shape, 1);
 	if (run->releasing)
 		plan_subtract(&member->worker->releasing, &run->shape, 1);
--- a/sched/ledger.h
+++ b/sched/ledger.h
@@ -59,6 +59,7 @@
 	int runs;                /* run_t that refer to it */
 	bool covered;            /* urgent and within its tenant's guarantee */
 	bool begun;              /* a task of it was seen at work */
+	bool runs_stopped;       /* because it has failed */
 	bool domain_wait_logged; /* that it waits for a failure domain */
 	GList link;              /* in the list of open or of ended jobs */
 };
--- a/tests/unit/test_fleet_starts.c
+++ b/tests/unit/test_fleet_starts.c
@@ -12,8 +12,15 @@
 #define NEXT_JOB "00000000000000a2"
 /* More than unit_start_t has places, on two workers. */
 #define LARGE_GANG (MAX_BATCH + 1)
+#define MANY_TASKS 50
 #define WAIT(bed, condition) ck_assert(system_wait((bed)->loop, condition, bed))
 
+static bool
+many_tasks_run(void *ctx)
+{
+	return bed_running(ctx, JOB) == MANY_TASKS;
+}
+
 static bool
 job_runs(void *ctx)
 {
@@ -345,6 +352,52 @@
 }
 END_TEST
 
+/* Checks that the lists of runs and members say where each of them is. */
+static void
+check_lists(const bed_t *bed)
+{
+	const worker_t *worker =
+	    fleet_find_worker(bed->fleet, bed->workers[0].info.id);
+
+	for (guint i = 0; i < bed->fleet->runs->len; i++) {
+		const run_t *run = g_ptr_array_index(bed->fleet->runs, i);
+
+		ck_assert_uint_eq(run->fleet_index, i);
+	}
+	for (guint i = 0; i < worker->members->len; i++) {
+		const member_t *member = g_ptr_array_index(worker->members, i);
+
+		ck_assert_uint_eq(member->worker_index, i);
+	}
+}
+
+/*
+ * Guards against a run or a member that is not found in its list: its end would
+ * leave a pointer to freed memory, or take out another one.
+ */
+START_TEST(lists_follow_ends_in_any_order)
+{
+	GRand *random = g_rand_new_with_seed(1);
+	bed_t bed;
+
+	bed_open(&bed, 1, 8);
+	bed_submit_small(&bed, JOB, MANY_TASKS, false);
+	WAIT(&bed, many_tasks_run);
+	check_lists(&bed);
+	for (int i = 0; i < MANY_TASKS; i++) {
+		guint next =
+		    g_rand_int_range(random, 0, (gint32)bed.fleet->runs->len);
+		run_t *run = g_ptr_array_index(bed.fleet->runs, next);
+
+		member_ended(run->members, RUN_STOPPED, "");
+		check_lists(&bed);
+	}
+	ck_assert_uint_eq(bed.fleet->runs->len, 0);
+	g_rand_free(random);
+	bed_close(&bed);
+}
+END_TEST
+
 static bool
 wide_step_is_placed(void *ctx)
 {
@@ -486,6 +539,7 @@
 	tcase_add_test(tcase, wide_step_starts);
 	tcase_add_test(tcase, long_checkpoint_is_left_out);
 	tcase_add_test(tcase, starts_in_flight_are_bounded);
+	tcase_add_test(tcase, lists_follow_ends_in_any_order);
 	tcase_add_test(tcase, adopted_starts_are_bounded);
 	tcase_add_test(tcase, stops_in_flight_are_bounded);
 	tcase_add_test(tcase, queued_starts_do_not_go_to_a_draining_worker);
