loop watch: the parts of a long turn are added up by kind of work

Change: the time of each kind of work in a turn is added up, work inside other work counts for itself, and what no kind accounts for is "other".

--- a/common/loop_watch.h
+++ b/common/loop_watch.h
@@ -21,7 +21,10 @@
  */
 void loop_watch_start(struct ev_loop *loop, bool ticks);
 void loop_watch_stop(void);
-/* Names the work that runs until loop_watch_leave; calls do not nest. */
+/*
+ * Names the work that runs until loop_watch_leave, by a literal. Work inside
+ * other work counts for itself only.
+ */
 void loop_watch_enter(const char *work);
 void loop_watch_leave(void);
 /*
--- a/entry/client.c
+++ b/entry/client.c
@@ -7,6 +7,9 @@
 #include <string.h>
 #include <strings.h>
 
+#include "common/loop_watch.h"
+
+#define LOOP_WORK "http client"
 /* One way is 1 ms; a server that takes longer than this to accept is gone. */
 #define CONNECT_TIMEOUT_MS 1000
 #define MAX_CACHED_CONNECTIONS 16384L
@@ -102,8 +105,10 @@
 	int mask = ((events & EV_READ) ? CURL_CSELECT_IN : 0) |
 		   ((events & EV_WRITE) ? CURL_CSELECT_OUT : 0);
 
+	loop_watch_enter(LOOP_WORK);
 	curl_multi_socket_action(client->multi, watcher->fd, mask, &running);
 	finish_calls(client);
+	loop_watch_leave();
 }
 
 static int
@@ -142,9 +147,11 @@
 	client_t *client = watcher->data;
 	int running;
 
+	loop_watch_enter(LOOP_WORK);
 	curl_multi_socket_action(
 	    client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
 	finish_calls(client);
+	loop_watch_leave();
 }
 
 static int
--- a/rpc/connection.c
+++ b/rpc/connection.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "common/clock.h"
+#include "common/loop_watch.h"
 #include "rpc/record.h"
 
 #define READ_CHUNK_BYTES (64 * 1024)
@@ -317,8 +318,10 @@
 {
 	connection_t *connection = watcher->data;
 
+	loop_watch_enter("rpc");
 	read_records(connection);
 	finish(connection);
+	loop_watch_leave();
 }
 
 static int64_t
--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -230,11 +230,13 @@
 {
 	bool leads = replica_is_caught_up_leader(fleet->replica);
 
+	loop_watch_enter("leadership");
 	if (fleet->leading &&
 	    (!leads || fleet->term != raft_term(replica_raft(fleet->replica))))
 		fleet_step_down(fleet, "not_leader");
 	if (leads && !fleet->leading)
 		become_leader(fleet, now_ms);
+	loop_watch_leave();
 }
 
 /* ---- regular work ---- */
@@ -359,8 +361,10 @@
 		run_tick(g_ptr_array_index(runs, i), now_ms);
 	g_ptr_array_unref(runs);
 	loop_watch_leave();
+	loop_watch_enter("relocation");
 	fleet_relocate(fleet, now_ms);
 	domains_check_guarantees(fleet);
+	loop_watch_leave();
 	record_ended_jobs(fleet, now_ms);
 	forget_ended_jobs(fleet, now_ms);
 	on_work_timer(loop, &fleet->work_timer, 0);
--- a/sched/fleet_polls.c
+++ b/sched/fleet_polls.c
@@ -472,7 +472,9 @@
 		worker->poll_confirmed = true;
 		worker->confirmed_ack =
 		    MAX(worker->confirmed_ack, worker->sent_ack);
+		loop_watch_enter("lists of tasks");
 		process_poll_lists(worker, answer, now_ms);
+		loop_watch_leave();
 		worker_observe_crowding(worker, now_ms);
 		worker_adjust_pace(worker, now_ms);
 		advance_ackable_end(worker);
