fleet: back-off for long-running tasks that end at once

Cause: such a task is restarted however it ends, at once and without end.

Change: a task that ends by itself is restarted at once the first time, then after 3 and 5 s, spread by a fifth; 10 s of work start the count anew. 5 s is within the 6 s after which a task may be missed. Stops, lost workers and leader changes do not count.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -494,6 +494,8 @@
 	    "runs dropped as the ledger refused their start");
 	fleet->events_left_out = counter_get("fleet_events_left_out_total",
 	    "decisions and reports that exceed the limits of a command");
+	fleet->restarts_delayed = counter_get("fleet_restarts_delayed_total",
+	    "runs of long-running tasks held back as they end at once");
 	fleet->checkpoints_left_out =
 	    counter_get("fleet_checkpoints_left_out_total",
 		"checkpoints of tasks that are too long to be kept");
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -249,6 +249,7 @@
 	counter_t *starts;
 	counter_t *runs_refused; /* by the ledger */
 	counter_t *events_left_out;
+	counter_t *restarts_delayed;
 	counter_t *checkpoints_left_out;
 	counter_t *stops;
 	counter_t *polls;
--- a/sched/fleet_runs.c
+++ b/sched/fleet_runs.c
@@ -351,6 +351,30 @@
 		unit->job->begun = true;
 }
 
+/*
+ * Holds a long-running task back whose run ended by itself, if it does so again
+ * and again.
+ */
+static void
+delay_restart(const member_t *member, int64_t now_ms)
+{
+	const run_t *run = member->run;
+	ledger_unit_t *unit = run->unit;
+	int64_t worked_ms = now_ms - member->at_work_since_ms;
+
+	if (!run->step->long_running || run->stopping || unit == NULL)
+		return;
+	restart_delay_after_end(
+	    &unit->restart, worked_ms, now_ms, g_random_double());
+	if (unit->restart.until_ms == 0)
+		return;
+	counter_add(run->fleet->restarts_delayed, 1);
+	evlog("restart_delayed", "{s:s,s:i,s:i,s:I,s:i,s:I}", "job", run->job,
+	    "step", run->name.step, "unit", run->name.unit, "worked_ms",
+	    (json_int_t)worked_ms, "quick_ends", unit->restart.quick_ends,
+	    "delay_ms", (json_int_t)(unit->restart.until_ms - now_ms));
+}
+
 /* Handles an end that the worker listed. */
 void
 member_ended(member_t *member, run_outcome_t how, const char *checkpoint)
@@ -365,6 +389,8 @@
 		member_done(member, fleet_now_ms());
 	else
 		member_record_waste(member, names[how]);
+	if (how == RUN_DONE || how == RUN_FAILED)
+		delay_restart(member, fleet_now_ms());
 	if (how == RUN_FAILED)
 		evlog("task_failed", "{s:s,s:i,s:i,s:i,s:s}", "job", run->job,
 		    "step", run->name.step, "index", member->index, "run",
--- a/sched/fleet_waiting.c
+++ b/sched/fleet_waiting.c
@@ -85,10 +85,13 @@
 		    &fleet->headroom, first_step_accelerators(job), now_ms);
 }
 
+/* Whether the unit is to be placed now. */
 bool
 waiting_is_waiting(const ledger_unit_t *unit)
 {
-	return unit->state == UNIT_WAITING && unit->leader_run == NULL;
+	return unit->state == UNIT_WAITING && unit->leader_run == NULL &&
+	       (unit->restart.until_ms == 0 ||
+		   fleet_now_ms() >= unit->restart.until_ms);
 }
 
 /*
--- a/sched/ledger.h
+++ b/sched/ledger.h
@@ -6,6 +6,7 @@
 
 #include "common/str.h"
 #include "rpc/protocol.h"
+#include "sched/restart_delay.h"
 
 /*
  * The replicated state of batch jobs: configuration, workers, jobs and the
@@ -35,6 +36,7 @@
 	char *checkpoint;      /* "" without one */
 	place_ranges_t places; /* of its members while placed, else empty */
 	void *leader_run; /* the leader's run_t of the current run, or NULL */
+	restart_delay_t restart; /* kept by the leader only */
 } ledger_unit_t;
 
 struct ledger_job_t {
