raft: an election waits for votes as long as syncs take

Cause: a vote counts once it is durable, after several syncs, here and at the others; a candidate, and who has voted, began a new election after 0.5 to 1 s all the same.

Change: the time of syncs is measured (at most 2 s). Who awaits votes or has given one waits longer by two syncs, a candidate until its own vote is durable. The silence after which a leader counts as lost is as before.

--- a/state/raft_election.c
+++ b/state/raft_election.c
@@ -21,6 +21,17 @@
 				    (gint32)raft->election_timeout_ms + 1);
 }
 
+/*
+ * Same while votes are being given: a vote counts once it is durable, after the
+ * sync in flight and its own, here and at the others.
+ */
+static void
+reset_election_for_votes(raft_t *raft)
+{
+	raft_reset_election(raft);
+	raft->election_due_ms += RAFT_SYNCS_OF_VOTE * raft->sync_ms;
+}
+
 /*
  * Becomes a follower (or learner) of leader, which is empty when unknown.  term
  * must not be below the current term.
@@ -76,7 +87,7 @@
 	raft_persist_vote(raft);
 	raft->self_vote_seq = raft->write_seq;
 	raft_set_state(raft, RAFT_CANDIDATE);
-	raft_reset_election(raft);
+	reset_election_for_votes(raft);
 	request_votes(raft, RAFT_VOTE, raft->term);
 }
 
@@ -138,11 +149,20 @@
 		   RAFT_LEARNER_TIMEOUTS * raft->election_timeout_ms;
 }
 
+/* Whether this is a candidate whose own vote is not durable yet. */
+static bool
+awaits_own_vote(const raft_t *raft)
+{
+	return raft->state == RAFT_CANDIDATE &&
+	       raft->self_vote_seq > raft->durable_seq;
+}
+
 /* Starts a pre-vote when the election timer has expired. */
 void
 raft_election_tick(raft_t *raft)
 {
-	if (raft->now_ms < raft->election_due_ms || raft->storage_refuses)
+	if (raft->now_ms < raft->election_due_ms || raft->storage_refuses ||
+	    awaits_own_vote(raft))
 		return;
 	if (raft_may_lead(raft) || learner_may_campaign(raft))
 		become_pre_candidate(raft);
@@ -219,7 +239,7 @@
 		g_strlcpy(raft->vote, message->from, sizeof(raft->vote));
 		raft_persist_vote(raft);
 	}
-	raft_reset_election(raft);
+	reset_election_for_votes(raft);
 	g_strlcpy(deferred.to, message->from, sizeof(deferred.to));
 	deferred.seq = raft->write_seq;
 	deferred.term = raft->term;
--- a/state/raft_internal.h
+++ b/state/raft_internal.h
@@ -26,6 +26,11 @@
 #define RAFT_MAX_UNCOMMITTED 65536
 /* Heartbeat rounds whose send times are kept for the lease. */
 #define RAFT_ROUND_TIMES 256
+/* Syncs one after the other until a vote has come, and the longest counted. */
+#define RAFT_SYNCS_OF_VOTE 2
+#define RAFT_SYNC_MAX_MS 2000
+/* A sync that is faster lowers the estimate by this part of the difference. */
+#define RAFT_SYNC_DECAY 8
 /* Election timeouts without a leader before a learner campaigns. */
 #define RAFT_LEARNER_TIMEOUTS 10
 /* Lease in percent of the election timeout; the rest covers clock drift. */
@@ -111,6 +116,8 @@
 	uint64_t write_seq;
 	uint64_t durable_seq;
 	uint64_t sync_seq; /* 0 when no sync is in flight */
+	int64_t sync_begun_ms;
+	int64_t sync_ms; /* what syncs take, see note_sync_time */
 	uint64_t sync_index;
 	uint64_t durable_index;
 	uint64_t acked_index; /* last acknowledged to the leader */
--- a/state/raft_log.c
+++ b/state/raft_log.c
@@ -179,12 +179,26 @@
 	} else if (raft->sync_seq == 0 && raft->write_seq > raft->durable_seq) {
 		raft->sync_seq = raft->write_seq;
 		raft->sync_index = raft_log_last(raft);
+		raft->sync_begun_ms = raft->now_ms;
 		raft->callbacks.sync(raft->ctx, raft->sync_seq);
 	}
 	if (raft->state == RAFT_LEADER)
 		raft_send_entries(raft);
 }
 
+/* Follows what syncs take: at once when they get slower, slowly otherwise. */
+static void
+note_sync_time(raft_t *raft)
+{
+	int64_t took_ms =
+	    MIN(raft->now_ms - raft->sync_begun_ms, RAFT_SYNC_MAX_MS);
+
+	if (took_ms > raft->sync_ms)
+		raft->sync_ms = took_ms;
+	else
+		raft->sync_ms -= (raft->sync_ms - took_ms) / RAFT_SYNC_DECAY;
+}
+
 /*
  * Called when the sync with this ticket has completed.  A ticket other than
  * that of the sync in flight is ignored.
@@ -195,6 +209,7 @@
 	raft->now_ms = MAX(raft->now_ms, now_ms);
 	if (raft->sync_seq == 0 || ticket != raft->sync_seq)
 		return;
+	note_sync_time(raft);
 	raft->durable_seq = raft->sync_seq;
 	raft->durable_index = MAX(raft->durable_index, raft->sync_index);
 	raft->sync_seq = 0;
--- a/tests/unit/raft_sim.h
+++ b/tests/unit/raft_sim.h
@@ -57,6 +57,7 @@
 	int loss;
 	int duplication;
 	int max_delay_ms;
+	int min_sync_ms;
 	int max_sync_ms;
 	int crashes_per_10k;
 	int wipes_per_10k;
--- a/tests/unit/raft_sim_storage.c
+++ b/tests/unit/raft_sim_storage.c
@@ -307,6 +307,7 @@
 on_sync(void *ctx, uint64_t ticket)
 {
 	context_t *context = ctx;
+	const sim_faults_t *faults = &context->sim->faults;
 	sim_node_t *node = context->node;
 
 	if (node->sync_ticket != 0)
@@ -315,7 +316,8 @@
 	node->sync_count = node->pending->len;
 	node->sync_due_ms =
 	    context->sim->now_ms + 1 +
-	    sim_random_up_to(context->sim, context->sim->faults.max_sync_ms);
+	    MAX(faults->min_sync_ms,
+		sim_random_up_to(context->sim, faults->max_sync_ms));
 }
 
 /* A committed entry must be durable on a quorum of the leader's voters. */
--- a/tests/unit/test_raft.c
+++ b/tests/unit/test_raft.c
@@ -8,6 +8,7 @@
 #include "tests/unit/runner.h"
 
 #define ELECTION_MS 500
+#define SLOW_DISK_LIMIT_MS 15000
 
 /*
  * Participant "a" with disk 1, one of the voters a, b and c.  The test
@@ -799,6 +800,54 @@
 }
 END_TEST
 
+/* Runs a system whose syncs take that long; returns when it has committed. */
+static int64_t
+commit_with_slow_syncs(uint32_t seed, int sync_ms)
+{
+	sim_t *sim = sim_create(seed, 4, 0, true);
+	sim_node_t *leader;
+	int64_t took_ms;
+	uint64_t index;
+
+	sim->faults.min_sync_ms = sync_ms;
+	sim->faults.max_sync_ms = sync_ms;
+	do {
+		leader = sim_wait_leader(sim, SLOW_DISK_LIMIT_MS);
+		ck_assert_msg(leader != NULL,
+		    "seed %u, syncs of %d ms: no "
+		    "leader",
+		    seed, sync_ms);
+		sim_step(sim);
+	} while (sim_propose(sim, leader, &index) != 0);
+	while (sim->committed->len < index && sim->now_ms < SLOW_DISK_LIMIT_MS)
+		sim_step(sim);
+	took_ms = sim->now_ms;
+	ck_assert_uint_ge(sim->committed->len, index);
+	/* The leader keeps its term. */
+	sim_run(sim, SLOW_DISK_LIMIT_MS);
+	ck_assert_ptr_eq(sim_leader(sim), leader);
+	sim_destroy(sim);
+	return took_ms;
+}
+
+/*
+ * Guards against a system without a leader where a vote takes longer to become
+ * durable than a candidate waits: each begins a new term before the votes for
+ * the last one have come.
+ */
+START_TEST(slow_disks_elect_a_leader)
+{
+	static const int syncs_ms[] = {2, 50, 200, 500, 1000};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(syncs_ms); i++) {
+		for (uint32_t seed = 1; seed <= 10; seed++)
+			ck_assert_int_le(
+			    commit_with_slow_syncs(seed, syncs_ms[i]),
+			    SLOW_DISK_LIMIT_MS);
+	}
+}
+END_TEST
+
 /* Guards against a removed member that deposes the leader. */
 START_TEST(removed_member_ignored)
 {
@@ -929,6 +978,7 @@
 	tcase_add_test(tcase, promotion_of_learner);
 	tcase_add_test(tcase, isolated_member_returns);
 	tcase_add_test(tcase, isolated_leader_steps_down);
+	tcase_add_test(tcase, slow_disks_elect_a_leader);
 	tcase_add_test(tcase, removed_member_ignored);
 	tcase_add_test(tcase, snapshot_in_chunks);
 	tcase_add_test(tcase, learner_without_disk);
