fleet: the time for sending orders is counted, not its deadline

Found by reading: after the first 10 ms of a turn each order waited for the next one, also where little had been sent, and callbacks outside the timers met the deadline of an earlier turn: a stop for the sake of another task could wait up to 50 ms.

Change: the time spent on sending is added up, 10 ms in each 20 ms. A start that goes at once is checked like one that has waited.

--- a/sched/fleet.c
+++ b/sched/fleet.c
@@ -321,7 +321,6 @@
 	if (!fleet_leads(fleet))
 		return;
 	fleet_events_propose(fleet);
-	fleet_begin_dispatch(fleet);
 	loop_watch_enter("polls");
 	g_hash_table_iter_init(&iter, fleet->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -354,7 +353,6 @@
 	if (!fleet_leads(fleet))
 		return;
 	loop_watch_enter("runs");
-	fleet_begin_dispatch(fleet);
 	/* run_tick may remove runs from fleet->runs, so iterate over a copy. */
 	runs = g_ptr_array_copy(fleet->runs, NULL, NULL);
 	for (guint i = 0; i < runs->len; i++)
@@ -441,7 +439,6 @@
 
 	if (!fleet->leading)
 		return;
-	fleet_begin_dispatch(fleet);
 	loop_watch_enter("committed");
 	switch (command->kind) {
 	case COMMAND_FLEET_EVENTS:
--- a/sched/fleet_dispatch.c
+++ b/sched/fleet_dispatch.c
@@ -13,8 +13,12 @@
 #define MAX_ORDERS_IN_FLIGHT 1024
 /* Beyond them, for stops and urgent starts. */
 #define ORDERS_IN_FLIGHT_RESERVE 256
-/* Time of the event loop for sending orders, in one turn. */
+/*
+ * Orders are sent for so much of each period, so that their number does not
+ * hold heartbeats and votes up.
+ */
 #define DISPATCH_BUDGET_US 10000
+#define DISPATCH_PERIOD_US 20000
 
 static const char *
 tenant_of(const member_t *member)
@@ -78,12 +82,39 @@
 	    &member->queue_link);
 }
 
+/* Whether the time for sending orders in this period is used up. */
+static bool
+is_over_budget(fleet_t *fleet)
+{
+	int64_t now_us = clock_mono_us();
+
+	if (now_us - fleet->dispatch_since_us >= DISPATCH_PERIOD_US) {
+		fleet->dispatch_since_us = now_us;
+		fleet->dispatch_spent_us = 0;
+	}
+	return fleet->dispatch_spent_us > DISPATCH_BUDGET_US;
+}
+
+/* Sends an order of the class and counts the time that it takes. */
+static void
+send_order(member_t *member, order_class_t class, int64_t now_ms)
+{
+	fleet_t *fleet = member->run->fleet;
+	int64_t start_us = clock_mono_us();
+
+	if (class == ORDER_CLASS_STOP)
+		member_send_stop(member);
+	else
+		member_send_start(member, now_ms);
+	fleet->dispatch_spent_us += clock_mono_us() - start_us;
+}
+
 /*
- * Sends the start of a member that has waited, unless its run is to be stopped,
- * its unit is done or no longer refers to the run.
+ * Sends the start of a member, unless its run is to be stopped, its unit is
+ * done or no longer refers to the run.
  */
 static void
-start_member(member_t *member, int64_t now_ms)
+start_member(member_t *member, order_class_t class, int64_t now_ms)
 {
 	run_t *run = member->run;
 
@@ -96,7 +127,7 @@
 	}
 	if (!run->stopping && member->stop == STOP_NONE &&
 	    !member->order_in_flight)
-		member_send_start(member, now_ms);
+		send_order(member, class, now_ms);
 }
 
 /* Sends the next order of a class; returns false if none waits or may go. */
@@ -111,9 +142,9 @@
 	member = next->data;
 	member_unqueue(member);
 	if (class != ORDER_CLASS_STOP)
-		start_member(member, now_ms);
+		start_member(member, class, now_ms);
 	else if (!member->order_in_flight && member->stop != STOP_ANSWERED)
-		member_send_stop(member);
+		send_order(member, class, now_ms);
 	return true;
 }
 
@@ -129,20 +160,7 @@
 	       worker_no_start_reason(worker) == NULL;
 }
 
-/* Allows orders to be sent for a while; call it at the start of a turn. */
-void
-fleet_begin_dispatch(fleet_t *fleet)
-{
-	fleet->dispatch_until_us = clock_mono_us() + DISPATCH_BUDGET_US;
-}
-
-static bool
-is_over_budget(const fleet_t *fleet)
-{
-	return clock_mono_us() > fleet->dispatch_until_us;
-}
-
-/* Sends what waits as far as there is room and time in this turn. */
+/* Sends what waits as far as there is room and time. */
 void
 worker_dispatch(worker_t *worker, int64_t now_ms)
 {
@@ -158,12 +176,20 @@
 	}
 }
 
-/* Whether an order may go at once rather than behind others that wait. */
+/*
+ * Whether an order may go at once rather than behind others that wait. Where
+ * only the time is used up, the work timer sends it.
+ */
 static bool
-may_go_at_once(const worker_t *worker, order_class_t class)
+may_go_at_once(worker_t *worker, order_class_t class)
 {
-	return order_queue_length(worker->queues[class]) == 0 &&
-	       has_room(worker, class) && !is_over_budget(worker->fleet);
+	if (order_queue_length(worker->queues[class]) > 0 ||
+	    !has_room(worker, class))
+		return false;
+	if (!is_over_budget(worker->fleet))
+		return true;
+	fleet_schedule_work(worker->fleet);
+	return false;
 }
 
 /*
@@ -178,7 +204,7 @@
 				  : ORDER_CLASS_START;
 
 	if (may_go_at_once(member->worker, class))
-		member_send_start(member, now_ms);
+		start_member(member, class, now_ms);
 	else
 		member_queue(member, class);
 }
@@ -189,7 +215,7 @@
 {
 	member_unqueue(member);
 	if (may_go_at_once(member->worker, ORDER_CLASS_STOP))
-		member_send_stop(member);
+		send_order(member, ORDER_CLASS_STOP, fleet_now_ms());
 	else
 		member_queue(member, ORDER_CLASS_STOP);
 }
--- a/sched/fleet_private.h
+++ b/sched/fleet_private.h
@@ -231,7 +231,8 @@
 	GQueue leaves;             /* leave_t, see fleet_leave.c */
 	GQueue member_orders;      /* member_order_t in flight */
 	int orders_in_flight;      /* starts and stops */
-	int64_t dispatch_until_us; /* no order is sent later in this turn */
+	int64_t dispatch_since_us; /* the period of sending orders began */
+	int64_t dispatch_spent_us; /* since then, on sending */
 	GQueue batches;            /* fleet_batch_t to be proposed, in order */
 	fleet_batch_t *proposal;   /* the batch in flight, or NULL */
 	ev_timer tick;
@@ -409,7 +410,6 @@
 void worker_order_sent(worker_t *worker);
 void worker_order_ended(worker_t *worker, bool answered);
 bool worker_may_stop_stray(const worker_t *worker);
-void fleet_begin_dispatch(fleet_t *fleet);
 
 /* fleet_plan.c */
 /* Returns false if the round ended with its budget. */
--- a/tests/unit/test_fleet_starts.c
+++ b/tests/unit/test_fleet_starts.c
@@ -478,7 +478,6 @@
 	/* As if all starts in flight had been answered. */
 	worker->window.in_flight -= ORDER_WINDOW_MAX;
 	worker->needs_poll = false;
-	fleet_begin_dispatch(bed.fleet);
 	worker_dispatch(worker, fleet_now_ms());
 	ck_assert_uint_eq(
 	    order_queue_length(worker->queues[ORDER_CLASS_START]), queued);
