--- a/sched/fleet_events.c
+++ b/sched/fleet_events.c
@@ -134,6 +134,18 @@
 		(list)->field##_val[(list)->field##_len++] = (value);    \
 	} while (0)
 
+/*
+ * Frees the places of a start that no command can hold; xdr_free would leave a
+ * text beyond its limit.
+ */
+static void
+free_places(unit_start_t *start)
+{
+	for (u_int i = 0; i < start->places.places_len; i++)
+		g_free(start->places.places_val[i].worker);
+	g_free(start->places.places_val);
+}
+
 /* Returns the batch that holds the start, or NULL if none can. */
 static fleet_batch_t *
 add_start(fleet_t *fleet, const run_t *run)
@@ -155,7 +167,8 @@
 	batch = batch_for_event(
 	    fleet, "start", (xdrproc_t)xdr_unit_start_t, &start);
 	if (batch == NULL) {
-		codec_free((xdrproc_t)xdr_unit_start_t, &start);
+		free_places(&start);
+		g_free(start.unit.job);
 		return NULL;
 	}
 	APPEND(&batch_events(batch)->starts, starts, unit_start_t, start);
@@ -179,7 +192,8 @@
 	}
 	if (!event_fits(fleet, "start",
 		xdr_sizeof((xdrproc_t)xdr_gang_start_t, &start))) {
-		codec_free((xdrproc_t)xdr_gang_start_t, &start);
+		places_clear(&start.places);
+		g_free(start.unit.job);
 		return NULL;
 	}
 	batch = batch_add(fleet, COMMAND_GANG_START);
@@ -233,7 +247,8 @@
 	    batch_for_event(fleet, "end", (xdrproc_t)xdr_unit_end_t, &end);
 
 	if (batch == NULL) {
-		codec_free((xdrproc_t)xdr_unit_end_t, &end);
+		g_free(end.unit.job);
+		g_free(end.checkpoint);
 		return;
 	}
 	APPEND(&batch_events(batch)->ends, ends, unit_end_t, end);
